Lay out the crate: ids, clock, tickets, platform, orders, view, links

Cause: the slices need shared types before they can be built side by side. Ruled out: one crate a slice, since the programs share nearly everything and a single package keeps the build short. Conclusion: work on the slices can start.

--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! A router for servers that hold keys exclusively.
+//!
+//! Each folder is one duty with its own state machine and messages. The state machines take an
+//! event and an [`std::time::Instant`] and return actions; sockets, the table service and threads
+//! live in the adapters that drive them.
+
+pub mod clock;
+pub mod events;
+pub mod ids;
+pub mod link;
+pub mod owner;
+pub mod platform;
+pub mod route;
+pub mod settings;
+pub mod ticket;
+pub mod view;
--- /dev/null
+++ b/src/owner/assignment.rs
@@ -0,0 +1,103 @@
+//! The explicit table of which target owns which shard of a group.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::Fence;
+use crate::ids::GroupId;
+use crate::ids::Shard;
+use crate::ids::TargetId;
+use crate::ids::Version;
+
+/// The owner of one shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The target that serves the shard; `None` while nobody may.
+    pub target: Option<TargetId>,
+    /// The fence of the assignment.
+    pub fence: Fence,
+}
+
+/// The owners of every shard of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// The group.
+    pub group: GroupId,
+    /// Rises with every change.
+    pub version: Version,
+    /// Each shard's owner; shards at or past the service's hashed count are single hot keys.
+    pub owners: BTreeMap<Shard, Owner>,
+    /// The hash of the key of each single-key shard.
+    pub hot_keys: BTreeMap<u64, Shard>,
+}
+
+/// The difference between two versions of an assignment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AssignmentDelta {
+    /// The group.
+    pub group: GroupId,
+    /// The version that the delta applies to.
+    pub base: Version,
+    /// The version that results.
+    pub version: Version,
+    /// Shards with a new owner or fence.
+    pub owners: BTreeMap<Shard, Owner>,
+    /// Shards that are gone: hot keys that cooled down.
+    pub gone: Vec<Shard>,
+    /// New single-key shards.
+    pub hot_keys: BTreeMap<u64, Shard>,
+}
+
+impl Assignment {
+    /// Returns an assignment without shards.
+    pub fn empty(group: GroupId) -> Self {
+        Self {
+            group,
+            version: Version(0),
+            owners: BTreeMap::new(),
+            hot_keys: BTreeMap::new(),
+        }
+    }
+
+    /// Applies a delta; returns whether its base was this version.
+    pub fn apply(&mut self, delta: &AssignmentDelta) -> bool {
+        if delta.base != self.version {
+            return false;
+        }
+        self.version = delta.version;
+        self.owners.extend(delta.owners.clone());
+        self.hot_keys.extend(delta.hot_keys.clone());
+        for shard in &delta.gone {
+            self.owners.remove(shard);
+        }
+        self.hot_keys.retain(|_, shard| !delta.gone.contains(shard));
+        true
+    }
+
+    /// Returns what turns `self` into `newer`.
+    pub fn delta_to(&self, newer: &Self) -> AssignmentDelta {
+        let changed = |(shard, owner): &(&Shard, &Owner)| self.owners.get(shard) != Some(owner);
+        let owners = newer.owners.iter().filter(changed);
+        let hot_keys = newer
+            .hot_keys
+            .iter()
+            .filter(|(key, _)| !self.hot_keys.contains_key(key));
+        AssignmentDelta {
+            group: self.group.clone(),
+            base: self.version,
+            version: newer.version,
+            owners: owners
+                .map(|(shard, owner)| (*shard, owner.clone()))
+                .collect(),
+            gone: self
+                .owners
+                .keys()
+                .filter(|s| !newer.owners.contains_key(s))
+                .copied()
+                .collect(),
+            hot_keys: hot_keys.map(|(key, shard)| (*key, *shard)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/owner/grants.rs
@@ -0,0 +1,196 @@
+//! The target's side of ownership: the shards it holds and until when.
+//!
+//! The stand-in target uses this state machine; it is also the reference for real targets.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::BootId;
+use crate::ids::Fence;
+use crate::ids::GroupId;
+use crate::ids::Shard;
+use crate::ids::Term;
+use crate::owner::order::Order;
+use crate::owner::order::OrderReply;
+use crate::owner::order::Refusal;
+use crate::owner::order::ShardFence;
+use crate::owner::order::Stamp;
+
+/// Why a keyed request may not run here; the answer to the caller is "not run".
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotHeld {
+    /// The lease lapsed or the shard was never granted.
+    NoLease,
+    /// The request names another fence than the one held.
+    WrongFence {
+        /// The fence held.
+        held: Fence,
+    },
+}
+
+/// The grants that one target process holds.
+#[derive(Debug)]
+pub struct Grants {
+    boot: BootId,
+    epoch: Instant,
+    checks_term: bool,
+    groups: HashMap<GroupId, GroupGrants>,
+}
+
+#[derive(Debug, Default)]
+struct GroupGrants {
+    term: Term,
+    held: HashMap<Shard, Fence>,
+    expires: Option<Instant>,
+    /// The lowest fence that may still be granted, for shards released or lapsed.
+    floors: HashMap<Shard, Fence>,
+    /// Orders with an older stamp than the last release are void.
+    released: Stamp,
+}
+
+impl Grants {
+    /// Starts without grants; `epoch` is the zero of the target's stamps.
+    pub fn new(boot: BootId, epoch: Instant, checks_term: bool) -> Self {
+        Self {
+            boot,
+            epoch,
+            checks_term,
+            groups: HashMap::new(),
+        }
+    }
+
+    /// Takes an order; the caller has already finished the work of the shards released.
+    pub fn order(&mut self, now: Instant, order: &Order) -> OrderReply {
+        let stamp = self.stamp(now);
+        let refused = self.refusal(now, order);
+        let group = self.groups.entry(order.group.clone()).or_default();
+        group.lapse(now);
+        let mut released = Vec::new();
+        if refused.is_none() {
+            group.term = group.term.max(order.term);
+            released = group.release(stamp, &order.release);
+            if let Some(from) = order.stamp {
+                let lease = Duration::from_millis(order.lease_ms);
+                group.extend(self.epoch + Duration::from_micros(from.0) + lease, now);
+                group.grant(&order.grant);
+            }
+        }
+        OrderReply {
+            boot: self.boot,
+            stamp,
+            refused,
+            released,
+            held: group.held.len() as u32,
+            digest: digest(
+                group
+                    .held
+                    .iter()
+                    .map(|(&shard, &fence)| ShardFence { shard, fence }),
+            ),
+        }
+    }
+
+    /// Checks whether a request may run now; call it again before the request's effect.
+    pub fn check(&mut self, now: Instant, group: &GroupId, at: ShardFence) -> Result<(), NotHeld> {
+        let group = self.groups.get_mut(group).ok_or(NotHeld::NoLease)?;
+        group.lapse(now);
+        match group.held.get(&at.shard) {
+            None => Err(NotHeld::NoLease),
+            Some(&held) if held != at.fence => Err(NotHeld::WrongFence { held }),
+            Some(_) => Ok(()),
+        }
+    }
+
+    /// Returns the shards of a group that are held now.
+    pub fn held(&mut self, now: Instant, group: &GroupId) -> Vec<ShardFence> {
+        let Some(group) = self.groups.get_mut(group) else {
+            return Vec::new();
+        };
+        group.lapse(now);
+        group
+            .held
+            .iter()
+            .map(|(&shard, &fence)| ShardFence { shard, fence })
+            .collect()
+    }
+
+    fn stamp(&self, now: Instant) -> Stamp {
+        Stamp(now.saturating_duration_since(self.epoch).as_micros() as u64)
+    }
+
+    fn refusal(&self, now: Instant, order: &Order) -> Option<Refusal> {
+        if order.boot != BootId(0) && order.boot != self.boot {
+            return Some(Refusal::WrongBoot);
+        }
+        let group = self.groups.get(&order.group);
+        if self.checks_term && group.is_some_and(|group| order.term < group.term) {
+            return Some(Refusal::OldTerm);
+        }
+        let from = order.stamp?;
+        let lease = Duration::from_millis(order.lease_ms);
+        let lapsed = self.epoch + Duration::from_micros(from.0) + lease <= now;
+        let before_release = group.is_some_and(|group| from < group.released);
+        (lapsed || before_release || order.boot == BootId(0)).then_some(Refusal::OldStamp)
+    }
+}
+
+impl GroupGrants {
+    fn lapse(&mut self, now: Instant) {
+        if self.expires.is_some_and(|at| at > now) {
+            return;
+        }
+        self.expires = None;
+        for (shard, fence) in self.held.drain() {
+            raise(&mut self.floors, shard, fence);
+        }
+    }
+
+    fn release(&mut self, stamp: Stamp, shards: &[ShardFence]) -> Vec<ShardFence> {
+        if !shards.is_empty() {
+            self.released = stamp;
+        }
+        for at in shards {
+            raise(&mut self.floors, at.shard, at.fence.next());
+            if self
+                .held
+                .get(&at.shard)
+                .is_some_and(|held| *held <= at.fence)
+            {
+                self.held.remove(&at.shard);
+            }
+        }
+        shards.to_vec()
+    }
+
+    fn extend(&mut self, until: Instant, now: Instant) {
+        if until > now && self.expires.is_none_or(|at| at < until) {
+            self.expires = Some(until);
+        }
+    }
+
+    fn grant(&mut self, shards: &[ShardFence]) {
+        for at in shards {
+            let floor = self.floors.get(&at.shard).copied().unwrap_or_default();
+            let held = self.held.get(&at.shard).copied().unwrap_or_default();
+            if at.fence >= floor.max(held) {
+                self.held.insert(at.shard, at.fence);
+            }
+        }
+    }
+}
+
+fn raise(floors: &mut HashMap<Shard, Fence>, shard: Shard, fence: Fence) {
+    let floor = floors.entry(shard).or_default();
+    *floor = (*floor).max(fence);
+}
+
+/// Digests a set of shards and fences, in any order; equal sets give equal digests.
+pub fn digest(shards: impl Iterator<Item = ShardFence>) -> u64 {
+    shards.fold(0, |sum, at| {
+        let mut bytes = [0; 12];
+        bytes[..4].copy_from_slice(&at.shard.0.to_le_bytes());
+        bytes[4..].copy_from_slice(&at.fence.0.to_le_bytes());
+        sum ^ xxhash_rust::xxh3::xxh3_64(&bytes)
+    })
+}
