Load settings from INI and report every fault at once

Cause: every program needs its settings, and a file with three mistakes should not take three starts to correct. Ruled out: rust-ini alone (it stops at the first malformed line and knows no line numbers); serde on top of it (stops at the first bad value). Change: `inifile` reads the lines first, blanks and reports those of no valid shape, lets rust-ini parse the rest, and gathers the faults of all sections with line, section, key and remedy. `Settings::load` validates on top of it; addresses, name, data centre and token are mandatory, the rest has defaults. The token never shows in debug output. Conclusion: tickets can use the same reader.

--- /dev/null
+++ b/src/inifile/document.rs
@@ -0,0 +1,91 @@
+//! A parsed file and the faults found in it so far.
+
+use ini::Ini;
+use ini::ParseOption;
+
+use crate::inifile::Fault;
+use crate::inifile::Faults;
+use crate::inifile::Section;
+use crate::inifile::lines::Lines;
+
+/// A parsed file; its sections are read through [`Section`]s that gather the faults.
+#[derive(Debug)]
+pub struct Document {
+    /// The faults found so far.
+    pub faults: Faults,
+    ini: Ini,
+    lines: Lines,
+}
+
+impl Document {
+    /// Parses a text of at most `max_bytes`.
+    pub fn parse(file: &str, text: &str, max_bytes: usize) -> Self {
+        let mut faults = Faults::new(file);
+        let text = if text.len() <= max_bytes { text } else { "" };
+        if text.is_empty() {
+            let problem = format!("empty, or larger than {max_bytes} bytes");
+            faults.push(whole_file(problem, "check that it is the right file"));
+        }
+        let lines = Lines::read(text, &mut faults);
+        let ini = parse(&lines.text).unwrap_or_else(|error| {
+            let problem = format!("line {} is malformed: {}", error.line, error.msg);
+            faults.push(whole_file(problem, "correct the line"));
+            Ini::new()
+        });
+        Self { faults, ini, lines }
+    }
+
+    /// Returns the names of the sections, in the order of the file; empty before the first.
+    pub fn names(&self) -> Vec<String> {
+        let mut names: Vec<String> = Vec::new();
+        for name in self.ini.sections() {
+            let name = name.unwrap_or_default();
+            let unused = name.is_empty() && self.ini.general_section().is_empty();
+            let known = names.iter().any(|known| known == name);
+            if !unused && !known {
+                names.push(name.to_owned());
+            }
+        }
+        names
+    }
+
+    /// Opens a section; a missing one reads as empty.
+    pub fn section<'a>(&'a mut self, name: &'a str) -> Section<'a> {
+        let pairs = self.ini.section(given(name)).into_iter().flatten();
+        Section::new(name, pairs.collect(), &self.lines, &mut self.faults)
+    }
+
+    /// Adds a fault at a section's line.
+    pub fn refuse(&mut self, section: &str, key: &str, problem: &str, remedy: &str) {
+        self.faults.push(Fault {
+            line: self.lines.line_of(section, key),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        });
+    }
+}
+
+fn parse(text: &str) -> Result<Ini, ini::ParseError> {
+    let options = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    Ini::load_from_str_opt(text, options)
+}
+
+fn given(name: &str) -> Option<&str> {
+    (!name.is_empty()).then_some(name)
+}
+
+fn whole_file(problem: String, remedy: &str) -> Fault {
+    Fault {
+        line: 0,
+        section: String::new(),
+        key: String::new(),
+        problem,
+        remedy: remedy.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/inifile/kind.rs
@@ -0,0 +1,10 @@
+//! A kind of value: what is expected and how it is read.
+
+/// How the text of a value is read.
+#[derive(Debug)]
+pub struct Kind<T> {
+    /// What a valid value looks like, for the remedy of a fault.
+    pub expected: &'static str,
+    /// Reads the text; `None` when it is not valid.
+    pub read: fn(&str) -> Option<T>,
+}
--- /dev/null
+++ b/src/inifile/kinds.rs
@@ -0,0 +1,125 @@
+//! The kinds of values that settings and tickets share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::inifile::Kind;
+
+/// The longest accepted name, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+/// The longest accepted duration.
+pub const MAX_DURATION: Duration = Duration::from_secs(366 * 24 * 60 * 60);
+
+/// An IP address and a port.
+pub const ADDRESS: Kind<SocketAddr> = Kind {
+    expected: "an IP address and port such as `127.0.0.1:9001`",
+    read: |text| text.parse().ok(),
+};
+
+/// One or more addresses, set apart by spaces.
+pub const ADDRESSES: Kind<Vec<SocketAddr>> = Kind {
+    expected: "one or more addresses set apart by spaces, such as `10.0.0.1:9001 10.0.0.2:9001`",
+    read: |text| words(text, |word| word.parse().ok()),
+};
+
+/// A name of letters, digits, `-`, `_` and `.`.
+pub const NAME: Kind<String> = Kind {
+    expected: "a name of at most 64 letters, digits, `-`, `_` or `.`",
+    read: |text| is_name(text).then(|| text.to_owned()),
+};
+
+/// A duration with its unit.
+pub const DURATION: Kind<Duration> = Kind {
+    expected: "a duration with its unit (ms, s, min, h or d) above 0, such as `500 ms` or `2 h`",
+    read: duration,
+};
+
+/// A duration with its unit, or `none`.
+pub const LIMIT: Kind<Option<Duration>> = Kind {
+    expected: "`none`, or a duration with its unit, such as `30 s`",
+    read: |text| match text {
+        "none" => Some(None),
+        _ => duration(text).map(Some),
+    },
+};
+
+/// A whole percentage from 0 to 100.
+pub const PERCENT: Kind<u8> = Kind {
+    expected: "a whole percentage from 0 % to 100 %, such as `30 %`",
+    read: |text| in_range(with_unit(text, "%")?, 0, 100),
+};
+
+/// `yes` or `no`.
+pub const FLAG: Kind<bool> = Kind {
+    expected: "`yes` or `no`",
+    read: |text| match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    },
+};
+
+/// A size with its unit, in bytes.
+pub const SIZE: Kind<u64> = Kind {
+    expected: "a size with its unit (B, KB, MB or GB) above 0, such as `64 KB`",
+    read: size,
+};
+
+/// Reads every word of a text that has at least one.
+pub fn words<T>(text: &str, read: fn(&str) -> Option<T>) -> Option<Vec<T>> {
+    let words: Vec<T> = text.split_whitespace().map(read).collect::<Option<_>>()?;
+    (!words.is_empty()).then_some(words)
+}
+
+/// Reads a whole number within bounds.
+pub fn in_range<T>(text: &str, low: T, high: T) -> Option<T>
+where
+    T: std::str::FromStr + PartialOrd,
+{
+    let plain = text.bytes().all(|byte| byte.is_ascii_digit());
+    let number = text.parse().ok().filter(|_| plain)?;
+    (low <= number && number <= high).then_some(number)
+}
+
+/// Returns the text before a unit.
+pub fn with_unit<'a>(text: &'a str, unit: &str) -> Option<&'a str> {
+    text.strip_suffix(unit).map(str::trim_end)
+}
+
+/// Returns whether a text is a name.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
+}
+
+fn duration(text: &str) -> Option<Duration> {
+    let (number, unit) = split_unit(text)?;
+    let unit_ms: u64 = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "min" => 60_000,
+        "h" => 3_600_000,
+        "d" => 86_400_000,
+        _ => return None,
+    };
+    let duration = Duration::from_millis(number.checked_mul(unit_ms)?);
+    (!duration.is_zero() && duration <= MAX_DURATION).then_some(duration)
+}
+
+fn size(text: &str) -> Option<u64> {
+    let (number, unit) = split_unit(text)?;
+    let unit_bytes: u64 = match unit {
+        "B" => 1,
+        "KB" => 1 << 10,
+        "MB" => 1 << 20,
+        "GB" => 1 << 30,
+        _ => return None,
+    };
+    number.checked_mul(unit_bytes).filter(|&bytes| bytes > 0)
+}
+
+fn split_unit(text: &str) -> Option<(u64, &str)> {
+    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+    let (number, unit) = text.split_at(digits);
+    Some((number.parse().ok()?, unit.trim_start()))
+}
--- /dev/null
+++ b/src/inifile/section.rs
@@ -0,0 +1,95 @@
+//! Reading the keys of one section.
+
+use std::collections::BTreeMap;
+
+use crate::inifile::Fault;
+use crate::inifile::Faults;
+use crate::inifile::Kind;
+use crate::inifile::lines::Lines;
+
+/// One section being read; each key that is asked for is taken out of it.
+#[derive(Debug)]
+pub struct Section<'a> {
+    name: &'a str,
+    pairs: BTreeMap<&'a str, &'a str>,
+    known: Vec<&'static str>,
+    lines: &'a Lines,
+    faults: &'a mut Faults,
+}
+
+impl<'a> Section<'a> {
+    pub(super) fn new(
+        name: &'a str,
+        pairs: BTreeMap<&'a str, &'a str>,
+        lines: &'a Lines,
+        faults: &'a mut Faults,
+    ) -> Self {
+        Self {
+            name,
+            pairs,
+            known: Vec::new(),
+            lines,
+            faults,
+        }
+    }
+
+    /// Reads a key that must be there; `None` leaves a fault behind.
+    pub fn required<T>(&mut self, key: &'static str, kind: &Kind<T>) -> Option<T> {
+        self.known.push(key);
+        match self.pairs.remove(key) {
+            Some(text) => self.read(key, text, kind),
+            None => {
+                let remedy = format!("add `{key} =` with {}", kind.expected);
+                self.refuse(key, "missing", &remedy);
+                None
+            }
+        }
+    }
+
+    /// Reads a key that may be left out.
+    pub fn optional<T>(&mut self, key: &'static str, kind: &Kind<T>, default: T) -> T {
+        self.known.push(key);
+        let text = self.pairs.remove(key);
+        text.and_then(|text| self.read(key, text, kind))
+            .unwrap_or(default)
+    }
+
+    /// Adds a fault at a key's line.
+    pub fn refuse(&mut self, key: &str, problem: &str, remedy: &str) {
+        self.faults.push(Fault {
+            line: self.lines.line_of(self.name, key),
+            section: self.name.to_owned(),
+            key: key.to_owned(),
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    /// Refuses every key that was not asked for.
+    pub fn finish(mut self) {
+        let remedy = match self.known.as_slice() {
+            [] => "remove it".to_owned(),
+            known => format!("remove it or use one of: {}", known.join(", ")),
+        };
+        for key in std::mem::take(&mut self.pairs).into_keys() {
+            self.refuse(key, "unknown key", &remedy);
+        }
+    }
+
+    fn read<T>(&mut self, key: &str, text: &str, kind: &Kind<T>) -> Option<T> {
+        let value = (kind.read)(text);
+        if value.is_none() {
+            let problem = format!("`{}` is not valid", shortened(text));
+            self.refuse(key, &problem, &format!("give {}", kind.expected));
+        }
+        value
+    }
+}
+
+fn shortened(text: &str) -> String {
+    const MAX_CHARS: usize = 60;
+    match text.char_indices().nth(MAX_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod events;
 pub mod ids;
+pub mod inifile;
 pub mod link;
 pub mod owner;
 pub mod platform;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,13 +1,22 @@
 //! The settings of the programs: one INI file per VM, checked whole at start.
 
+mod error;
+mod read;
+
+use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
+use log::LevelFilter;
+
 use crate::ids::DataCentre;
 use crate::ids::VmId;
 
+pub use error::SettingsError;
+
 /// The settings of one VM; every program reads the same file.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Settings {
     /// `[vm]`: who and where this VM is.
     pub vm: VmSettings,
@@ -19,6 +28,23 @@
     pub platform: PlatformSettings,
     /// `[security]`: the token of operators and peers.
     pub token: String,
+    /// `[report]`: the service-level objective.
+    pub report: ReportSettings,
+    /// `[log]`: where events go.
+    pub log: LogSettings,
+}
+
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Settings")
+            .field("vm", &self.vm)
+            .field("entry", &self.entry)
+            .field("controller", &self.controller)
+            .field("platform", &self.platform)
+            .field("report", &self.report)
+            .field("log", &self.log)
+            .finish_non_exhaustive()
+    }
 }
 
 /// Who and where a VM is.
@@ -66,3 +92,34 @@
     /// The list of VMs.
     pub vms: SocketAddr,
 }
+
+/// The service-level objective and the windows it is judged over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportSettings {
+    /// The share of requests to be answered in time, in percent; below 100.
+    pub objective: f64,
+    /// An answer counts as good within this time.
+    pub latency: Duration,
+    /// The windows of the burn report.
+    pub windows: Vec<BurnWindow>,
+    /// Admin addresses of the entries that the report is gathered from.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// A pair of windows that must both burn before an alert is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BurnWindow {
+    /// The window that shows whether it still burns.
+    pub short: Duration,
+    /// The window that shows whether it matters.
+    pub long: Duration,
+}
+
+/// Where the log goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Events below this level are left out.
+    pub level: LevelFilter,
+    /// The file to append to; `None` writes to standard error.
+    pub file: Option<PathBuf>,
+}
--- /dev/null
+++ b/src/settings/read.rs
@@ -0,0 +1,266 @@
+//! Reading the settings from their file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use crate::ids::DataCentre;
+use crate::ids::VmId;
+use crate::inifile::Document;
+use crate::inifile::Faults;
+use crate::inifile::Kind;
+use crate::inifile::kinds;
+use crate::settings::BurnWindow;
+use crate::settings::ControllerSettings;
+use crate::settings::EntrySettings;
+use crate::settings::LogSettings;
+use crate::settings::PlatformSettings;
+use crate::settings::ReportSettings;
+use crate::settings::Settings;
+use crate::settings::SettingsError;
+use crate::settings::VmSettings;
+
+const MAX_FILE_BYTES: usize = 64 << 10;
+const MAX_WINDOWS: usize = 8;
+const MIN_TOKEN_BYTES: usize = 16;
+const MAX_TOKEN_BYTES: usize = 256;
+const DEFAULT_THREADS: usize = 2;
+const DEFAULT_STALE_LIMIT: Duration = Duration::from_secs(30);
+const DEFAULT_OBJECTIVE_PERCENT: f64 = 99.9;
+const DEFAULT_LATENCY: Duration = Duration::from_millis(500);
+const DEFAULT_WINDOWS: [BurnWindow; 2] = [
+    BurnWindow {
+        short: Duration::from_secs(5 * 60),
+        long: Duration::from_secs(60 * 60),
+    },
+    BurnWindow {
+        short: Duration::from_secs(30 * 60),
+        long: Duration::from_secs(6 * 60 * 60),
+    },
+];
+const SECTIONS: [&str; 7] = [
+    "vm",
+    "entry",
+    "controller",
+    "platform",
+    "security",
+    "report",
+    "log",
+];
+
+const THREADS: Kind<usize> = Kind {
+    expected: "a whole number from 1 to 64",
+    read: |text| kinds::in_range(text, 1, 64),
+};
+
+const TOKEN: Kind<String> = Kind {
+    expected: "16 to 256 visible ASCII characters, the same on every VM",
+    read: |text| {
+        let long = (MIN_TOKEN_BYTES..=MAX_TOKEN_BYTES).contains(&text.len());
+        let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+        (long && visible).then(|| text.to_owned())
+    },
+};
+
+const OBJECTIVE: Kind<f64> = Kind {
+    expected: "a percentage of at least 50 % and below 100 %, such as `99.9 %`",
+    read: |text| {
+        let percent = kinds::with_unit(text, "%")?.parse().ok()?;
+        (50.0..100.0).contains(&percent).then_some(percent)
+    },
+};
+
+const WINDOWS: Kind<Vec<BurnWindow>> = Kind {
+    expected: "1 to 8 pairs of a shorter and a longer window, such as `5 min/1 h, 30 min/6 h`",
+    read: |text| {
+        let windows: Vec<BurnWindow> = text.split(',').map(window).collect::<Option<_>>()?;
+        (windows.len() <= MAX_WINDOWS).then_some(windows)
+    },
+};
+
+const LEVEL: Kind<LevelFilter> = Kind {
+    expected: "one of off, error, warn, info, debug, trace",
+    read: |text| text.parse().ok(),
+};
+
+const LOG_FILE: Kind<Option<PathBuf>> = Kind {
+    expected: "`none` for standard error, or the path of a file",
+    read: |text| match text {
+        "" => None,
+        "none" => Some(None),
+        _ => Some(Some(text.into())),
+    },
+};
+
+impl Settings {
+    /// Loads and validates a file; every fault that it has is listed in the error.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let name = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&name, &text).map_err(SettingsError::Invalid),
+            Err(source) => Err(SettingsError::Read { path: name, source }),
+        }
+    }
+
+    /// Reads and validates the text of a file of that name.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        let mut doc = Document::parse(file, text, MAX_FILE_BYTES);
+        refuse_sections(&mut doc);
+        let settings = read(&mut doc);
+        match settings {
+            Some(settings) if doc.faults.is_empty() => Ok(settings),
+            _ => Err(doc.faults),
+        }
+    }
+}
+
+// Every section is read before the first missing value ends the whole, so that all faults show.
+fn read(doc: &mut Document) -> Option<Settings> {
+    let vm = read_vm(doc);
+    let entry = read_entry(doc);
+    let controller = read_controller(doc);
+    let platform = read_platform(doc);
+    let token = read_token(doc);
+    let report = read_report(doc);
+    let log = read_log(doc);
+    let entry = entry?;
+    let controller = controller?;
+    refuse_shared_addresses(doc, &entry, &controller);
+    Some(Settings {
+        vm: vm?,
+        entry,
+        controller,
+        platform: platform?,
+        token: token?,
+        report,
+        log,
+    })
+}
+
+fn refuse_sections(doc: &mut Document) {
+    let remedy = format!("remove it or use one of: {}", SECTIONS.join(", "));
+    for name in doc.names() {
+        if !SECTIONS.contains(&name.as_str()) {
+            doc.refuse(&name, "", "unknown section", &remedy);
+        }
+    }
+}
+
+fn refuse_shared_addresses(
+    doc: &mut Document,
+    entry: &EntrySettings,
+    controller: &ControllerSettings,
+) {
+    let listeners = [
+        ("entry", "listen", entry.listen),
+        ("entry", "admin", entry.admin),
+        ("controller", "peer", controller.peer),
+        ("controller", "admin", controller.admin),
+    ];
+    for (i, (section, key, address)) in listeners.iter().enumerate() {
+        let taken = listeners[..i].iter().any(|(_, _, other)| other == address);
+        if taken && address.port() != 0 {
+            let problem = format!("{address} is given to another listener too");
+            doc.refuse(
+                section,
+                key,
+                &problem,
+                "give each listener a port of its own",
+            );
+        }
+    }
+}
+
+fn read_vm(doc: &mut Document) -> Option<VmSettings> {
+    let mut section = doc.section("vm");
+    let name = section.required("name", &kinds::NAME);
+    let data_centre = section.required("data_centre", &kinds::NAME);
+    section.finish();
+    Some(VmSettings {
+        name: VmId::from(name?),
+        data_centre: DataCentre::from(data_centre?),
+    })
+}
+
+fn read_entry(doc: &mut Document) -> Option<EntrySettings> {
+    let mut section = doc.section("entry");
+    let listen = section.required("listen", &kinds::ADDRESS);
+    let admin = section.required("admin", &kinds::ADDRESS);
+    let controllers = section.required("controllers", &kinds::ADDRESSES);
+    let threads = section.optional("threads", &THREADS, DEFAULT_THREADS);
+    let drain_limit = section.optional("drain_limit", &kinds::LIMIT, None);
+    let stale_limit = section.optional("stale_limit", &kinds::DURATION, DEFAULT_STALE_LIMIT);
+    section.finish();
+    Some(EntrySettings {
+        listen: listen?,
+        admin: admin?,
+        controllers: controllers?,
+        threads,
+        drain_limit,
+        stale_limit,
+    })
+}
+
+fn read_controller(doc: &mut Document) -> Option<ControllerSettings> {
+    let mut section = doc.section("controller");
+    let peer = section.required("peer", &kinds::ADDRESS);
+    let admin = section.required("admin", &kinds::ADDRESS);
+    section.finish();
+    Some(ControllerSettings {
+        peer: peer?,
+        admin: admin?,
+    })
+}
+
+fn read_platform(doc: &mut Document) -> Option<PlatformSettings> {
+    let mut section = doc.section("platform");
+    let table = section.required("table", &kinds::ADDRESS);
+    let objects = section.required("objects", &kinds::ADDRESS);
+    let vms = section.required("vms", &kinds::ADDRESS);
+    section.finish();
+    Some(PlatformSettings {
+        table: table?,
+        objects: objects?,
+        vms: vms?,
+    })
+}
+
+fn read_token(doc: &mut Document) -> Option<String> {
+    let mut section = doc.section("security");
+    let token = section.required("token", &TOKEN);
+    section.finish();
+    token
+}
+
+fn read_report(doc: &mut Document) -> ReportSettings {
+    let none: Vec<SocketAddr> = Vec::new();
+    let mut section = doc.section("report");
+    let report = ReportSettings {
+        objective: section.optional("objective", &OBJECTIVE, DEFAULT_OBJECTIVE_PERCENT),
+        latency: section.optional("latency", &kinds::DURATION, DEFAULT_LATENCY),
+        windows: section.optional("windows", &WINDOWS, DEFAULT_WINDOWS.to_vec()),
+        entries: section.optional("entries", &kinds::ADDRESSES, none),
+    };
+    section.finish();
+    report
+}
+
+fn read_log(doc: &mut Document) -> LogSettings {
+    let mut section = doc.section("log");
+    let log = LogSettings {
+        level: section.optional("level", &LEVEL, LevelFilter::Info),
+        file: section.optional("file", &LOG_FILE, None),
+    };
+    section.finish();
+    log
+}
+
+fn window(text: &str) -> Option<BurnWindow> {
+    let (short, long) = text.split_once('/')?;
+    let short = (kinds::DURATION.read)(short.trim())?;
+    let long = (kinds::DURATION.read)(long.trim())?;
+    (short < long).then_some(BurnWindow { short, long })
+}
