Set the imports of the settings test apart

Cause: the import check failed on tests/settings_load.rs. Ruled out: nothing else was wrong with the file. Change: crates first, then this crate. Figures: the import check passes. Conclusion: none beyond that.

--- a/tests/settings_load.rs
+++ b/tests/settings_load.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use proptest::prelude::*;
+
 use gooseberryloft::settings::Settings;
 use gooseberryloft::settings::SettingsError;
-use proptest::prelude::*;
 
 const SHORT: &str = "\
 ; the shortest file
