Add the entry: callers' HTTP in, targets' HTTP out, the view from a controller

Cause: nothing served callers yet. Ruled out: async-h1 for the traffic path. Its body reader is `reader.take(length)`, which reads a body that was cut short as a clean end; its server takes `transfer-encoding: gzip, chunked` as no body at all; and it loses pipelined bytes with each request's own buffer. httparse reads the heads instead, and the framing of bodies is our own. Ruled out: a timer of the runtime for each request, which costs a system call each; a traffic thread has one that ticks every 10 ms. Change: src/traffic with the program gooseberryloft-entry. One control thread follows a controller, N traffic threads each accept, route and stream in constant memory. Two headers beside the others in owner/order.rs: the group of a keyed request, and a number of the attempt for targets to echo. Two events, 501 and 502.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -26,6 +26,10 @@
     LinkLost = 400,
     /// A request was refused.
     RequestRefused = 500,
+    /// A graceful shutdown came to its limit and cut work in flight.
+    WorkCut = 501,
+    /// An entry's view was not confirmed for longer than the stale limit.
+    ViewStale = 502,
     /// The table service does not answer.
     TableDown = 600,
 }
@@ -39,7 +43,7 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost => Level::Warn,
+            Self::TableDown | Self::LinkLost | Self::WorkCut | Self::ViewStale => Level::Warn,
             Self::RequestRefused => Level::Debug,
             _ => Level::Info,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod route;
 pub mod settings;
 pub mod ticket;
+pub mod traffic;
 pub mod view;
--- a/src/owner/order.rs
+++ b/src/owner/order.rs
@@ -18,6 +18,11 @@
 pub const SHARD_HEADER: &str = "x-gooseberryloft-shard";
 /// Request header that names the fence the entry believes in force.
 pub const FENCE_HEADER: &str = "x-gooseberryloft-fence";
+/// Request header that names the group of a keyed request, as `SERVICE/INDEX`.
+pub const GROUP_HEADER: &str = "x-gooseberryloft-group";
+/// Request header with a number of the attempt's own; a target that echoes it in its answer lets
+/// the entry tell a crossed or doubled answer from the right one.
+pub const REQUEST_HEADER: &str = "x-gooseberryloft-request";
 /// Request header with the time left to answer, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-gooseberryloft-deadline-ms";
 /// Response header: `not-run` when the request certainly did not run, `unknown` when it may have.
--- /dev/null
+++ b/src/traffic/admin.rs
@@ -0,0 +1,43 @@
+//! Health, readiness and metrics, for the platform's balancer and operators.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use async_std::net::TcpListener;
+use tide::Request;
+use tide::Response;
+use tide::StatusCode;
+
+use crate::traffic::drain::Stage;
+use crate::traffic::worker::Shared;
+
+/// Serves `/healthz`, `/readyz` and `/metrics`.
+pub async fn run(listener: TcpListener, shared: Arc<Shared>) -> std::io::Result<()> {
+    let mut app = tide::with_state(shared);
+    app.at("/healthz").get(|_| async { Ok("alive\n") });
+    app.at("/readyz").get(ready);
+    app.at("/metrics").get(metrics);
+    app.listen(listener).await
+}
+
+async fn ready(request: Request<Arc<Shared>>) -> tide::Result {
+    let shared = request.state();
+    let text = match shared.drain.stage() {
+        Stage::Serving if shared.is_stale() => "no confirmed view yet\n",
+        Stage::Serving => return Ok(Response::from("ready\n")),
+        _ => "draining\n",
+    };
+    let status = StatusCode::ServiceUnavailable;
+    Ok(Response::builder(status).body(text).build())
+}
+
+async fn metrics(request: Request<Arc<Shared>>) -> tide::Result<String> {
+    let shared = request.state();
+    let mut text = String::new();
+    for (name, count) in shared.stats.all() {
+        writeln!(text, "gooseberryloft_entry_{name}_total {count}")?;
+    }
+    let in_flight = shared.drain.in_flight();
+    writeln!(text, "gooseberryloft_entry_in_flight {in_flight}")?;
+    Ok(text)
+}
--- /dev/null
+++ b/src/traffic/control.rs
@@ -0,0 +1,120 @@
+//! The control thread of an entry: drives a [`Follower`] over a real link.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future::timeout;
+use async_std::task;
+
+use crate::events::Event;
+use crate::events::record;
+use crate::ids::TicketNumber;
+use crate::link;
+use crate::link::Link;
+use crate::link::LinkError;
+use crate::link::Message;
+use crate::traffic::drain::Stage;
+use crate::traffic::follow::Action;
+use crate::traffic::follow::Follower;
+use crate::traffic::follow::OPEN_LIMIT;
+use crate::traffic::worker::Shared;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Keeps the view up to date for as long as the entry works.
+pub async fn run(mut follower: Follower, token: String, shared: Arc<Shared>) {
+    let mut control = Control {
+        link: None,
+        token,
+        shared,
+    };
+    while control.shared.drain.stage() < Stage::Cutting {
+        let actions = follower.tick(Instant::now(), Vec::new);
+        control.perform(&mut follower, actions).await;
+        control.receive(&mut follower).await;
+        control.publish_freshness(&follower);
+    }
+}
+
+struct Control {
+    link: Option<Link>,
+    token: String,
+    shared: Arc<Shared>,
+}
+
+impl Control {
+    async fn perform(&mut self, follower: &mut Follower, actions: Vec<Action>) {
+        let mut queue = std::collections::VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            queue.extend(self.act(follower, action).await);
+        }
+    }
+
+    async fn act(&mut self, follower: &mut Follower, action: Action) -> Vec<Action> {
+        match action {
+            Action::Open(peer) => {
+                let open = timeout(OPEN_LIMIT, link::connect(peer, &self.token)).await;
+                let Ok(Ok(link)) = open else {
+                    return follower.lost(Instant::now());
+                };
+                self.link = Some(link);
+                return follower.opened(Instant::now());
+            }
+            Action::Drop => {
+                if self.link.take().is_some() {
+                    record(Event::LinkLost, format_args!("trying another controller"));
+                }
+            }
+            Action::Send(message) => return self.send(follower, &message).await,
+            Action::Publish(view) => {
+                let number = view.state.number;
+                if number > self.number() {
+                    record(Event::TicketInForce, format_args!("ticket {number}"));
+                }
+                self.shared.router.update(view);
+            }
+        }
+        Vec::new()
+    }
+
+    async fn send(&mut self, follower: &mut Follower, message: &Message) -> Vec<Action> {
+        let Some(link) = &mut self.link else {
+            return Vec::new();
+        };
+        match timeout(OPEN_LIMIT, link.send(message)).await {
+            Ok(Ok(())) => Vec::new(),
+            _ => follower.lost(Instant::now()),
+        }
+    }
+
+    /// Waits for a message, at most until the next tick.
+    async fn receive(&mut self, follower: &mut Follower) {
+        let Some(link) = &mut self.link else {
+            return task::sleep(TICK).await;
+        };
+        let received: Result<Result<Message, LinkError>, _> = timeout(TICK, link.recv()).await;
+        let actions = match received {
+            Err(_) => return,
+            Ok(Ok(message)) => follower.received(message, Instant::now()),
+            Ok(Err(_)) => follower.lost(Instant::now()),
+        };
+        self.perform(follower, actions).await;
+    }
+
+    fn publish_freshness(&self, follower: &Follower) {
+        let stale = !follower.is_fresh(Instant::now());
+        let before = self.shared.stale.swap(stale, Ordering::Relaxed);
+        if stale && !before {
+            record(
+                Event::ViewStale,
+                format_args!("no controller confirmed the view within the stale limit"),
+            );
+        }
+    }
+
+    fn number(&self) -> TicketNumber {
+        self.shared.router.view().state.number
+    }
+}
--- /dev/null
+++ b/src/traffic/entry.rs
@@ -0,0 +1,156 @@
+//! The entry as a whole: its threads, and its graceful shutdown.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use thiserror::Error;
+
+use crate::events::Event;
+use crate::events::record;
+use crate::ids::BootId;
+use crate::settings::Settings;
+use crate::traffic::admin;
+use crate::traffic::control;
+use crate::traffic::drain::Stage;
+use crate::traffic::follow::Follower;
+use crate::traffic::follow::Identity;
+use crate::traffic::worker;
+use crate::traffic::worker::Shared;
+
+/// How long connections are still taken after readiness was withdrawn.
+const UNREADY_PERIOD: Duration = Duration::from_secs(1);
+const JOIN_TICK: Duration = Duration::from_millis(20);
+
+/// Why an entry does not start.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// An address cannot be bound.
+    #[error("cannot listen on {address} ({error}); free the address or change [entry] {key}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The key of the settings.
+        key: &'static str,
+        /// What the system said.
+        error: io::Error,
+    },
+    /// A thread cannot be started.
+    #[error("cannot start a thread ({0}); raise the limits of the process")]
+    Thread(#[from] io::Error),
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    shared: Arc<Shared>,
+    workers: Vec<JoinHandle<()>>,
+    drain_limit: Option<Duration>,
+    address: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl Entry {
+    /// Binds the listeners and starts all threads.
+    pub fn start(settings: &Settings) -> Result<Self, EntryError> {
+        let entry = &settings.entry;
+        let bind = |address: SocketAddr, key| {
+            let bound = TcpListener::bind(address);
+            bound.map_err(|error| EntryError::Bind {
+                address,
+                key,
+                error,
+            })
+        };
+        let listener = bind(entry.listen, "listen")?;
+        let admin = bind(entry.admin, "admin")?;
+        let shared = Arc::new(Shared {
+            stale: AtomicBool::new(true),
+            ..Shared::default()
+        });
+        let mut workers = Vec::new();
+        for index in 0..entry.threads.max(1) {
+            let listener = listener.try_clone()?;
+            let shared = shared.clone();
+            let thread = thread::Builder::new().name(format!("traffic-{index}"));
+            workers.push(thread.spawn(move || worker::run(listener, shared))?);
+        }
+        let running = Self {
+            workers,
+            drain_limit: entry.drain_limit,
+            address: listener.local_addr()?,
+            admin: admin.local_addr()?,
+            shared: shared.clone(),
+        };
+        spawn_control(settings, admin, shared)?;
+        record(Event::Started, format_args!("entry on {}", running.address));
+        Ok(running)
+    }
+
+    /// Returns where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns where health, readiness and metrics are served.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Returns what the threads share.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Ends gracefully: takes no new work, ends all that is in flight, then returns.
+    pub fn drain(self) {
+        let drain = &self.shared.drain;
+        record(
+            Event::Draining,
+            format_args!("{} in flight", drain.in_flight()),
+        );
+        let started = Instant::now();
+        drain.advance(Stage::Unready);
+        thread::sleep(UNREADY_PERIOD.min(self.drain_limit.unwrap_or(UNREADY_PERIOD)));
+        drain.advance(Stage::Closing);
+        while !self.workers.iter().all(JoinHandle::is_finished) {
+            let late = |limit| started.elapsed() >= limit;
+            if self.drain_limit.is_some_and(late) {
+                drain.advance(Stage::Cutting);
+            }
+            thread::sleep(JOIN_TICK);
+        }
+        drain.advance(Stage::Cutting);
+        record(Event::Stopped, format_args!("entry"));
+    }
+}
+
+fn spawn_control(
+    settings: &Settings,
+    admin: TcpListener,
+    shared: Arc<Shared>,
+) -> Result<(), io::Error> {
+    let identity = Identity {
+        vm: settings.vm.name.clone(),
+        boot: BootId(rand::random()),
+        data_centre: settings.vm.data_centre.clone(),
+    };
+    let controllers = settings.entry.controllers.clone();
+    let limit = settings.entry.stale_limit;
+    let follower = Follower::new(identity, controllers, limit, Instant::now());
+    let token = settings.token.clone();
+    let thread = thread::Builder::new().name("control".into());
+    thread.spawn(move || {
+        let admin = admin::run(admin.into(), shared.clone());
+        let follow = control::run(follower, token, shared);
+        task::block_on(futures::future::join(admin, follow))
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/src/traffic/exchange.rs
@@ -0,0 +1,314 @@
+//! One attempt: the request to a target, and its answer to the caller.
+
+use std::cell::Cell;
+use std::time::Instant;
+
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+use futures::future::Either;
+use futures::future::select;
+
+use crate::owner::order::OUTCOME_HEADER;
+use crate::route::AttemptEnd;
+use crate::route::Lane;
+use crate::traffic::body::BodyDecoder;
+use crate::traffic::body::BodyError;
+use crate::traffic::body::Framing;
+use crate::traffic::caller;
+use crate::traffic::caller::Caller;
+use crate::traffic::drain::Stage;
+use crate::traffic::forward;
+use crate::traffic::forward::Added;
+use crate::traffic::head::AnswerHead;
+use crate::traffic::head::RequestHead;
+use crate::traffic::head::head_length;
+use crate::traffic::head::parse_answer;
+use crate::traffic::pool;
+use crate::traffic::pool::TargetConn;
+use crate::traffic::reader::Reader;
+use crate::traffic::relay::RelayError;
+use crate::traffic::relay::Sink;
+use crate::traffic::relay::relay;
+use crate::traffic::request::Routed;
+use crate::traffic::stats::Stats;
+use crate::traffic::worker::Worker;
+
+const MAX_INTERIM_ANSWERS: usize = 16;
+
+/// A request with as much of its body as is kept.
+#[derive(Debug)]
+pub struct Request {
+    /// The head as the caller sent it.
+    pub head: RequestHead,
+    /// Its service and key.
+    pub routed: Routed,
+    /// The start of the body.
+    pub kept: Vec<u8>,
+    /// The part of the body that is still to come.
+    pub rest: BodyDecoder,
+    /// Whether part of the body was passed on that is not kept.
+    pub consumed: bool,
+}
+
+/// What became of an attempt.
+#[derive(Debug)]
+pub enum End {
+    /// Nothing went to the caller.
+    Failed(AttemptEnd),
+    /// The whole answer went to the caller.
+    Whole {
+        /// The status of the answer.
+        status: u16,
+        /// Whether the caller's connection ends with it.
+        close: bool,
+    },
+    /// The answer broke off after its head went to the caller.
+    Cut,
+    /// The caller went away.
+    Gone,
+    /// The caller's body is malformed.
+    BadBody(BodyError),
+}
+
+#[derive(Debug, Default)]
+struct Progress {
+    sent: Cell<bool>,
+    consumed: Cell<bool>,
+    uploaded: Cell<bool>,
+    answering: Cell<bool>,
+}
+
+enum Upload {
+    Gone,
+    Bad(BodyError),
+}
+
+/// Sends a request to a lane's target and its answer to the caller.
+pub async fn exchange(
+    worker: &Worker,
+    caller: &mut Caller,
+    request: &mut Request,
+    lane: &Lane,
+) -> End {
+    let now = Instant::now();
+    let repeatable = request.routed.info.idempotent;
+    let Some(conn) = worker.pool.take(lane.address, repeatable, now) else {
+        return exchange_fresh(worker, caller, request, lane).await;
+    };
+    if !repeatable || !request.rest.is_done() {
+        return attempt(worker, caller, request, lane, conn, lane.deadline).await;
+    }
+    // A connection that something on the way has lost track of swallows what is sent on it.
+    let half = now + lane.deadline.saturating_duration_since(now) / 2;
+    let first = attempt(worker, caller, request, lane, conn, half).await;
+    if !matches!(first, End::Failed(AttemptEnd::Silent)) {
+        return first;
+    }
+    match exchange_fresh(worker, caller, request, lane).await {
+        End::Failed(AttemptEnd::NotSent | AttemptEnd::NotRun) => first,
+        second => second,
+    }
+}
+
+async fn exchange_fresh(
+    worker: &Worker,
+    caller: &mut Caller,
+    request: &mut Request,
+    lane: &Lane,
+) -> End {
+    let left = lane.deadline.saturating_duration_since(Instant::now());
+    let connect = pool::connect(lane.address);
+    match worker.timers.within(left, connect).await {
+        Ok(Ok(conn)) => attempt(worker, caller, request, lane, conn, lane.deadline).await,
+        _ => End::Failed(AttemptEnd::NotSent),
+    }
+}
+
+async fn attempt(
+    worker: &Worker,
+    caller: &mut Caller,
+    request: &mut Request,
+    lane: &Lane,
+    mut conn: TargetConn,
+    until: Instant,
+) -> End {
+    let id = rand::random();
+    let progress = Progress::default();
+    let (out, chunked) = opening(request, lane, id);
+    let target = conn.reader.stream().clone();
+    let sink = Sink {
+        stream: &target,
+        chunked,
+        timers: &worker.timers,
+    };
+    let Caller { reader, stream } = caller;
+    let upload = upload(reader, stream, &mut request.rest, &sink, &out, &progress);
+    let mut upload = std::pin::pin!(upload);
+    let head = {
+        let head = std::pin::pin!(read_answer(&mut conn.reader, &request.head.method));
+        let timed = select(head, worker.timers.sleep_until(until));
+        match select(upload.as_mut(), timed).await {
+            Either::Left((end, _)) => Err(stopped(end)),
+            Either::Right((Either::Left((Some(head), _)), _)) => Ok(head),
+            Either::Right((Either::Left((None, _)), _)) => Err(End::Failed(AttemptEnd::Broken)),
+            Either::Right((Either::Right(_), _)) => Err(End::Failed(AttemptEnd::Silent)),
+        }
+    };
+    request.consumed |= progress.consumed.get();
+    let head = match head {
+        Ok(head) if is_own_answer(&head, id, &conn, &progress) => head,
+        Ok(_) => return End::Failed(AttemptEnd::Broken),
+        Err(end) => return failed(worker, &conn, end, &progress),
+    };
+    let mut decoder = BodyDecoder::new(head.framing);
+    if head.fields.only(OUTCOME_HEADER) == Some(b"not-run") {
+        let kept = head.keep_alive && progress.uploaded.get();
+        settle(worker, conn, &mut decoder, kept);
+        return End::Failed(AttemptEnd::NotRun);
+    }
+    progress.answering.set(true);
+    let draining = worker.shared.drain.stage() > Stage::Serving;
+    let close = draining || !request.head.keep_alive || !progress.uploaded.get();
+    let mut out = Vec::with_capacity(1024);
+    forward::answer_head(&mut out, &head, close);
+    let sink = Sink {
+        stream,
+        chunked: head.framing == Framing::Chunked,
+        timers: &worker.timers,
+    };
+    let answered = {
+        let answer = std::pin::pin!(relay(&mut conn.reader, &mut decoder, &sink, out));
+        match select(answer, upload).await {
+            Either::Left((answered, _)) => answered,
+            Either::Right(_) => Err(RelayError::Sink),
+        }
+    };
+    match answered {
+        Ok(()) => {
+            let kept = head.keep_alive && progress.uploaded.get();
+            settle(worker, conn, &mut decoder, kept);
+            End::Whole {
+                status: head.status,
+                close,
+            }
+        }
+        Err(RelayError::Sink) => End::Gone,
+        Err(_) => End::Cut,
+    }
+}
+
+/// Returns what is sent first, and whether the rest follows in chunks.
+fn opening(request: &Request, lane: &Lane, id: u64) -> (Vec<u8>, bool) {
+    let whole = request.rest.is_done();
+    let framing = match request.head.framing {
+        Framing::Chunked if whole => Framing::Length(request.kept.len() as u64),
+        framing => framing,
+    };
+    let added = Added {
+        group: request.routed.group.as_ref(),
+        shard: lane.shard,
+        left: lane.deadline.saturating_duration_since(Instant::now()),
+        id,
+    };
+    let mut out = Vec::with_capacity(1024 + request.kept.len());
+    forward::request_head(&mut out, &request.head, framing, &added);
+    let chunked = framing == Framing::Chunked;
+    if chunked && !request.kept.is_empty() {
+        forward::put(&mut out, format_args!("{:x}\r\n", request.kept.len()));
+    }
+    out.extend_from_slice(&request.kept);
+    if chunked && !request.kept.is_empty() {
+        out.extend_from_slice(b"\r\n");
+    }
+    (out, chunked)
+}
+
+/// Sends the request, then watches the caller. It returns only when there is nobody to answer.
+async fn upload(
+    reader: &mut Reader,
+    stream: &TcpStream,
+    rest: &mut BodyDecoder,
+    to: &Sink<'_>,
+    out: &[u8],
+    progress: &Progress,
+) -> Upload {
+    let mut target = to.stream;
+    let Ok(count) = target.write(out).await else {
+        return std::future::pending().await;
+    };
+    progress.sent.set(true);
+    if to.write(&out[count..]).await.is_err() {
+        return std::future::pending().await;
+    }
+    if !rest.is_done() {
+        progress.consumed.set(true);
+        match relay(reader, rest, to, Vec::new()).await {
+            Ok(()) => {}
+            Err(RelayError::Cut) => return Upload::Gone,
+            Err(RelayError::Malformed(error)) => return Upload::Bad(error),
+            // The target may have answered before it stopped reading.
+            Err(RelayError::Sink) => return std::future::pending().await,
+        }
+    }
+    progress.uploaded.set(true);
+    let may_probe = || !progress.answering.get();
+    caller::watch(reader, stream, to.timers, may_probe).await;
+    Upload::Gone
+}
+
+async fn read_answer(reader: &mut Reader, method: &str) -> Option<AnswerHead> {
+    for _ in 0..MAX_INTERIM_ANSWERS {
+        let length = loop {
+            match head_length(reader.data()).ok()? {
+                Some(length) => break length,
+                None => reader.fill().await.ok().filter(|count| *count > 0)?,
+            };
+        };
+        let head = parse_answer(&reader.data()[..length], method).ok()?;
+        reader.consume(length);
+        match head.status {
+            101 => return None,
+            100..=199 => {}
+            _ => return Some(head),
+        }
+    }
+    None
+}
+
+/// Returns whether an answer certainly belongs to the request, as far as can be told.
+fn is_own_answer(head: &AnswerHead, id: u64, conn: &TargetConn, progress: &Progress) -> bool {
+    let early = conn.reused && !progress.sent.get();
+    let echo = forward::echoed_id(head);
+    !early && echo.is_none_or(|echo| echo == format!("{id:016x}").as_bytes())
+}
+
+/// Keeps a target's connection if there is no doubt about its state.
+fn settle(worker: &Worker, mut conn: TargetConn, decoder: &mut BodyDecoder, kept: bool) {
+    while !decoder.is_done() {
+        match decoder.decode(conn.reader.data()) {
+            Ok(piece) if piece.used() > 0 => conn.reader.consume(piece.used()),
+            _ => return,
+        }
+    }
+    if kept && conn.reader.data().is_empty() {
+        worker.pool.put(conn, Instant::now());
+    }
+}
+
+fn failed(worker: &Worker, conn: &TargetConn, end: End, progress: &Progress) -> End {
+    if matches!(end, End::Failed(AttemptEnd::Silent)) {
+        Stats::count(&worker.shared.stats.silent);
+        worker.pool.drop_idle(conn.address);
+    }
+    match end {
+        End::Failed(_) if !progress.sent.get() => End::Failed(AttemptEnd::NotSent),
+        end => end,
+    }
+}
+
+fn stopped(upload: Upload) -> End {
+    match upload {
+        Upload::Gone => End::Gone,
+        Upload::Bad(error) => End::BadBody(error),
+    }
+}
--- /dev/null
+++ b/src/traffic/follow.rs
@@ -0,0 +1,230 @@
+//! Following a controller: which one, whether it is alive, and what it sends.
+//!
+//! A state machine without sockets: each event returns what the adapter is to do.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::BootId;
+use crate::ids::DataCentre;
+use crate::ids::VmId;
+use crate::link::EntryReport;
+use crate::link::Hello;
+use crate::link::HotKey;
+use crate::link::Message;
+use crate::link::Role;
+use crate::view::View;
+use crate::view::ViewChange;
+
+/// How long a link may stay silent.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+/// The time between pings.
+pub const PING_PERIOD: Duration = Duration::from_millis(500);
+/// The time between reports.
+pub const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// How long opening a link may take.
+pub const OPEN_LIMIT: Duration = Duration::from_secs(1);
+
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LAST_PAUSE: Duration = Duration::from_secs(1);
+
+/// What the adapter is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Open a link; report [`Follower::opened`] or [`Follower::lost`].
+    Open(SocketAddr),
+    /// Drop the link.
+    Drop,
+    /// Send a message on the link.
+    Send(Message),
+    /// Route by this view.
+    Publish(Arc<View>),
+}
+
+/// Who follows.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The VM.
+    pub vm: VmId,
+    /// The process.
+    pub boot: BootId,
+    /// Where the VM runs.
+    pub data_centre: DataCentre,
+}
+
+/// Follows one controller at a time.
+#[derive(Debug)]
+pub struct Follower {
+    identity: Identity,
+    controllers: Vec<SocketAddr>,
+    stale_limit: Duration,
+    view: View,
+    link: LinkState,
+    current: usize,
+    pause: Duration,
+    confirmed: Option<Instant>,
+    pings: u64,
+}
+
+#[derive(Debug)]
+enum LinkState {
+    Down { retry: Instant },
+    Opening { since: Instant },
+    Up(UpLink),
+}
+
+#[derive(Debug)]
+struct UpLink {
+    heard: Instant,
+    pinged: Instant,
+    reported: Instant,
+}
+
+impl Follower {
+    /// Starts without a view; `controllers` are in order of preference.
+    pub fn new(
+        identity: Identity,
+        controllers: Vec<SocketAddr>,
+        stale_limit: Duration,
+        now: Instant,
+    ) -> Self {
+        Self {
+            identity,
+            controllers,
+            stale_limit,
+            view: View::default(),
+            link: LinkState::Down { retry: now },
+            current: 0,
+            pause: FIRST_PAUSE,
+            confirmed: None,
+            pings: 0,
+        }
+    }
+
+    /// Returns the controller that is followed or tried.
+    pub fn controller(&self) -> SocketAddr {
+        self.controllers[self.current % self.controllers.len()]
+    }
+
+    /// Returns whether a view is held that a controller confirmed recently enough.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.confirmed.is_some_and(|at| age(at) <= self.stale_limit)
+    }
+
+    /// The link is open.
+    pub fn opened(&mut self, now: Instant) -> Vec<Action> {
+        self.link = LinkState::Up(UpLink {
+            heard: now,
+            pinged: now,
+            reported: now,
+        });
+        let Identity {
+            vm,
+            boot,
+            data_centre,
+        } = self.identity.clone();
+        let hello = Hello {
+            vm,
+            boot,
+            data_centre,
+            role: Role::Entry,
+            digest: self.view.digest(),
+        };
+        vec![Action::Send(Message::Hello(hello))]
+    }
+
+    /// The link could not be opened, or broke.
+    pub fn lost(&mut self, now: Instant) -> Vec<Action> {
+        if !matches!(self.link, LinkState::Down { .. }) {
+            self.current = (self.current + 1) % self.controllers.len();
+            let retry = now + self.pause;
+            self.link = LinkState::Down { retry };
+            self.pause = LAST_PAUSE.min(self.pause * 2);
+        }
+        vec![Action::Drop]
+    }
+
+    /// A message came.
+    pub fn received(&mut self, message: Message, now: Instant) -> Vec<Action> {
+        let LinkState::Up(up) = &mut self.link else {
+            return Vec::new();
+        };
+        up.heard = now;
+        self.pause = FIRST_PAUSE;
+        match message {
+            Message::Changes(changes) => self.apply(changes, now),
+            Message::Ping(number) => vec![Action::Send(Message::Pong(number))],
+            Message::Pong(_) => {
+                self.confirm(now);
+                Vec::new()
+            }
+            Message::Digest(theirs) if theirs != self.view.digest() => {
+                vec![Action::Send(Message::Digest(self.view.digest()))]
+            }
+            Message::Digest(_) => {
+                self.confirm(now);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Time passed. `hot_keys` are asked for when a report is due.
+    pub fn tick(&mut self, now: Instant, hot_keys: impl FnOnce() -> Vec<HotKey>) -> Vec<Action> {
+        match &mut self.link {
+            LinkState::Down { retry } if now >= *retry => {
+                self.link = LinkState::Opening { since: now };
+                vec![Action::Open(self.controller())]
+            }
+            LinkState::Down { .. } => Vec::new(),
+            LinkState::Opening { since } if now >= *since + OPEN_LIMIT => self.lost(now),
+            LinkState::Opening { .. } => Vec::new(),
+            LinkState::Up(up) if now >= up.heard + SILENCE_LIMIT => self.lost(now),
+            LinkState::Up(up) => {
+                let mut actions = Vec::new();
+                if now >= up.pinged + PING_PERIOD {
+                    up.pinged = now;
+                    self.pings += 1;
+                    actions.push(Action::Send(Message::Ping(self.pings)));
+                }
+                if now >= up.reported + REPORT_PERIOD {
+                    up.reported = now;
+                    let report = EntryReport {
+                        number: self.view.state.number,
+                        hot_keys: hot_keys(),
+                    };
+                    actions.push(Action::Send(Message::Report(report)));
+                }
+                actions
+            }
+        }
+    }
+
+    fn apply(&mut self, changes: Vec<ViewChange>, now: Instant) -> Vec<Action> {
+        let before = self.view.digest();
+        let mut gap = false;
+        for change in changes {
+            gap |= !self.view.apply(change);
+        }
+        let mut actions = Vec::new();
+        let digest = self.view.digest();
+        if digest != before {
+            actions.push(Action::Publish(Arc::new(self.view.clone())));
+        }
+        match gap {
+            true => actions.push(Action::Send(Message::Digest(digest))),
+            false => self.confirm(now),
+        }
+        actions
+    }
+
+    /// A controller stands behind the view; an empty one is none.
+    fn confirm(&mut self, now: Instant) {
+        if self.view.state.number.0 > 0 {
+            self.confirmed = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/traffic/head.rs
@@ -0,0 +1,279 @@
+//! The heads of requests and answers, read strictly: what is ambiguous is refused.
+
+use std::ops::Range;
+
+use thiserror::Error;
+
+use crate::traffic::body::Framing;
+
+/// The longest head, in bytes.
+pub const MAX_HEAD_BYTES: usize = 16 << 10;
+
+const MAX_FIELDS: usize = 100;
+const MAX_LENGTH_DIGITS: usize = 18;
+
+/// Why a head is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum HeadError {
+    /// The head exceeds [`MAX_HEAD_BYTES`].
+    #[error("the head is longer than 16 KB; send fewer or shorter header fields")]
+    TooLong,
+    /// The head has too many fields.
+    #[error("the head has more than 100 header fields; send fewer")]
+    TooManyFields,
+    /// A line ends with a bare LF, or holds a bare CR.
+    #[error("a line of the head does not end with CR LF; send heads as RFC 9112 has them")]
+    LineEnding,
+    /// The head is not HTTP.
+    #[error("the head is malformed; send heads as RFC 9112 has them")]
+    Syntax,
+    /// The version is not 1.1.
+    #[error("only HTTP/1.1 is served; ask with HTTP/1.1")]
+    Version,
+    /// The path is not absolute, holds dot segments or is badly escaped.
+    #[error("the request target is no plain absolute path; ask without dot segments")]
+    Path,
+    /// The host field is missing or doubled.
+    #[error("exactly one host field is needed; send one")]
+    Host,
+    /// The end of the body is ambiguous or cannot be told.
+    #[error("the length of the body is ambiguous; send one content-length or chunks, never both")]
+    Length,
+}
+
+/// The fields of a head.
+#[derive(Clone, Debug, Default)]
+pub struct Fields {
+    text: Vec<u8>,
+    list: Vec<Field>,
+}
+
+#[derive(Clone, Debug)]
+struct Field {
+    name: Range<usize>,
+    value: Range<usize>,
+}
+
+/// A request's head.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// The method, as sent.
+    pub method: String,
+    /// The path with its query, as sent.
+    pub path: String,
+    /// The fields.
+    pub fields: Fields,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the caller keeps the connection.
+    pub keep_alive: bool,
+    /// Whether the caller waits for leave to send the body.
+    pub expects: bool,
+}
+
+/// An answer's head.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// The status code.
+    pub status: u16,
+    /// The reason phrase.
+    pub reason: String,
+    /// The fields.
+    pub fields: Fields,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the target keeps the connection.
+    pub keep_alive: bool,
+}
+
+impl Fields {
+    /// Returns every field in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.list.iter().map(|field| {
+            let name = std::str::from_utf8(&self.text[field.name.clone()]).unwrap_or_default();
+            (name, &self.text[field.value.clone()])
+        })
+    }
+
+    /// Returns every value of a field.
+    pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
+        self.iter()
+            .filter(move |(given, _)| given.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
+    }
+
+    /// Returns the value of a field that occurs exactly once.
+    pub fn only(&self, name: &str) -> Option<&[u8]> {
+        let mut values = self.all(name);
+        let first = values.next()?;
+        values.next().is_none().then_some(first)
+    }
+
+    /// Returns whether a comma-separated field holds a token.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.tokens(name)
+            .any(|given| given.eq_ignore_ascii_case(token.as_bytes()))
+    }
+
+    fn tokens<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
+        self.all(name)
+            .flat_map(|value| value.split(|&byte| byte == b','))
+            .map(<[u8]>::trim_ascii)
+    }
+
+    fn new(text: &[u8], headers: &[httparse::Header<'_>]) -> Self {
+        let start = text.as_ptr() as usize;
+        let range = |part: &[u8]| {
+            let from = part.as_ptr() as usize - start;
+            from..from + part.len()
+        };
+        let list = headers.iter().map(|header| Field {
+            name: range(header.name.as_bytes()),
+            value: range(header.value),
+        });
+        Self {
+            list: list.collect(),
+            text: text.to_vec(),
+        }
+    }
+
+    /// Returns how the fields delimit a body; `None` when they do not.
+    fn framing(&self) -> Result<Option<Framing>, HeadError> {
+        let mut lengths = self.all("content-length");
+        let mut codings = self.all("transfer-encoding");
+        match (lengths.next(), codings.next()) {
+            (None, None) => Ok(None),
+            (Some(length), None) if lengths.next().is_none() => {
+                parse_length(length).map(|length| Some(Framing::Length(length)))
+            }
+            (None, Some(coding))
+                if codings.next().is_none() && coding.eq_ignore_ascii_case(b"chunked") =>
+            {
+                Ok(Some(Framing::Chunked))
+            }
+            _ => Err(HeadError::Length),
+        }
+    }
+}
+
+fn parse_length(text: &[u8]) -> Result<u64, HeadError> {
+    let digits = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+    if !digits || text.len() > MAX_LENGTH_DIGITS {
+        return Err(HeadError::Length);
+    }
+    let add = |sum, byte: &u8| sum * 10 + u64::from(byte - b'0');
+    Ok(text.iter().fold(0, add))
+}
+
+/// Returns the length of the head that starts `input`, once it is whole.
+pub fn head_length(input: &[u8]) -> Result<Option<usize>, HeadError> {
+    let limit = &input[..input.len().min(MAX_HEAD_BYTES)];
+    let mut line_start = 0;
+    for (at, _) in limit.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
+        if at == 0 || limit[at - 1] != b'\r' {
+            return Err(HeadError::LineEnding);
+        }
+        if at - line_start == 1 && line_start > 0 {
+            return Ok(Some(at + 1));
+        }
+        line_start = at + 1;
+    }
+    if input.len() >= MAX_HEAD_BYTES {
+        return Err(HeadError::TooLong);
+    }
+    Ok(None)
+}
+
+/// Parses the whole head of a request.
+pub fn parse_request(text: &[u8]) -> Result<RequestHead, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let status = parsed.parse(text).map_err(syntax)?;
+    if status != httparse::Status::Complete(text.len()) {
+        return Err(HeadError::Syntax);
+    }
+    if parsed.version != Some(1) {
+        return Err(HeadError::Version);
+    }
+    let path = parsed.path.ok_or(HeadError::Syntax)?;
+    check_path(path)?;
+    let fields = Fields::new(text, parsed.headers);
+    fields.only("host").ok_or(HeadError::Host)?;
+    Ok(RequestHead {
+        method: parsed.method.unwrap_or_default().to_owned(),
+        path: path.to_owned(),
+        framing: fields.framing()?.unwrap_or(Framing::Empty),
+        keep_alive: !fields.has_token("connection", "close"),
+        expects: fields.has_token("expect", "100-continue"),
+        fields,
+    })
+}
+
+/// Parses the whole head of an answer to a request with this method.
+pub fn parse_answer(text: &[u8], method: &str) -> Result<AnswerHead, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let complete = parsed.parse(text).map_err(syntax)?;
+    if complete != httparse::Status::Complete(text.len()) {
+        return Err(HeadError::Syntax);
+    }
+    let status = parsed.code.ok_or(HeadError::Syntax)?;
+    let minor = parsed.version.ok_or(HeadError::Version)?;
+    let fields = Fields::new(text, parsed.headers);
+    let delimited = fields.framing()?;
+    let bodiless = method == "HEAD" || matches!(status, 100..=199 | 204 | 304);
+    let framing = if bodiless {
+        Framing::Empty
+    } else {
+        // Without a length only the end of the connection ends the body, and a crashed target's
+        // connection ends the same way.
+        delimited.ok_or(HeadError::Length)?
+    };
+    if minor == 0 && framing == Framing::Chunked {
+        return Err(HeadError::Length);
+    }
+    Ok(AnswerHead {
+        status,
+        reason: parsed.reason.unwrap_or_default().to_owned(),
+        framing,
+        keep_alive: minor == 1 && !fields.has_token("connection", "close"),
+        fields,
+    })
+}
+
+/// Refuses paths that a target may read as another path than the router does.
+fn check_path(path: &str) -> Result<(), HeadError> {
+    let plain = path.split('?').next().unwrap_or_default();
+    if !plain.starts_with('/') || plain.contains(['#', '\\']) {
+        return Err(HeadError::Path);
+    }
+    let decoded = percent_decode(plain.as_bytes()).ok_or(HeadError::Path)?;
+    let mut segments = decoded.split(|&byte| byte == b'/');
+    if segments.any(|segment| segment == b"." || segment == b"..") {
+        return Err(HeadError::Path);
+    }
+    Ok(())
+}
+
+/// Replaces percent escapes by the bytes that they stand for; `None` when one is malformed.
+pub fn percent_decode(text: &[u8]) -> Option<Vec<u8>> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut bytes = text.iter();
+    while let Some(&byte) = bytes.next() {
+        if byte != b'%' {
+            decoded.push(byte);
+            continue;
+        }
+        let high = char::from(*bytes.next()?).to_digit(16)?;
+        let low = char::from(*bytes.next()?).to_digit(16)?;
+        decoded.push((high << 4 | low) as u8);
+    }
+    Some(decoded)
+}
+
+fn syntax(error: httparse::Error) -> HeadError {
+    match error {
+        httparse::Error::TooManyHeaders => HeadError::TooManyFields,
+        _ => HeadError::Syntax,
+    }
+}
--- /dev/null
+++ b/src/traffic/mod.rs
@@ -0,0 +1,24 @@
+//! Callers' HTTP in, targets' HTTP out.
+//!
+//! [`entry`] starts one control thread, which keeps the view, and the traffic threads. Each of
+//! these serves its own callers over its own connections to targets.
+
+mod admin;
+pub mod body;
+mod caller;
+mod control;
+pub mod drain;
+pub mod entry;
+mod exchange;
+pub mod follow;
+mod forward;
+pub mod head;
+mod pool;
+mod reader;
+mod refuse;
+mod relay;
+mod request;
+mod serve;
+mod stats;
+mod timers;
+mod worker;
--- /dev/null
+++ b/tests/traffic_path.rs
@@ -0,0 +1,93 @@
+//! Requests through an entry on real sockets, and back.
+
+mod traffic_support;
+
+use std::io::Write;
+
+use googletest::prelude::*;
+
+use crate::traffic_support::answering;
+use crate::traffic_support::connect;
+use crate::traffic_support::entry;
+use crate::traffic_support::exchange;
+use crate::traffic_support::get;
+use crate::traffic_support::keyed_view;
+use crate::traffic_support::read_answer;
+use crate::traffic_support::text;
+use crate::traffic_support::view;
+
+#[googletest::test]
+fn a_request_and_its_answer_pass_through() {
+    let target = answering(|seen| text(&seen.head));
+    let entry = entry(view(&[target]));
+    let answer = get(entry.address(), "/roster/7?day=5");
+    expect_that!(answer, starts_with("HTTP/1.1 200 OK\r\n"));
+    expect_that!(
+        answer,
+        contains_substring("GET /roster/7?day=5 HTTP/1.1\r\n")
+    );
+    expect_that!(answer, contains_substring("x-gooseberryloft-deadline-ms: "));
+    expect_that!(answer, not(contains_substring("x-gooseberryloft-shard")));
+}
+
+#[googletest::test]
+fn a_keyed_request_names_group_shard_and_fence() {
+    let target = answering(|seen| text(&seen.head));
+    let entry = entry(keyed_view(target));
+    let answer = get(entry.address(), "/jobs/a%20b/status");
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-group: roster/0\r\n")
+    );
+    expect_that!(answer, contains_substring("x-gooseberryloft-fence: 7\r\n"));
+    let shard = gooseberryloft::ids::key_hash(b"a b") % 4;
+    let line = format!("x-gooseberryloft-shard: {shard}\r\n");
+    expect_that!(answer, contains_substring(line));
+    let no_key = get(entry.address(), "/jobs");
+    expect_that!(no_key, starts_with("HTTP/1.1 400 "));
+    expect_that!(
+        no_key,
+        contains_substring("x-gooseberryloft-outcome: not-run\r\n")
+    );
+}
+
+#[googletest::test]
+fn pipelined_requests_are_answered_in_order() {
+    let target = answering(|seen| text(seen.head.lines().next().unwrap()));
+    let entry = entry(view(&[target]));
+    let mut conn = connect(entry.address());
+    let request = |n| format!("POST /{n} HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nab");
+    let all: String = (0..5).map(request).collect();
+    conn.get_mut().write_all(all.as_bytes()).unwrap();
+    for n in 0..5 {
+        let (_, body) = read_answer(&mut conn).expect("the answer is whole");
+        expect_that!(body, eq(format!("POST /{n} HTTP/1.1").as_bytes()));
+    }
+}
+
+#[googletest::test]
+fn callers_cannot_forge_the_fields_of_the_entry() {
+    let target = answering(|seen| text(&seen.head));
+    let entry = entry(view(&[target]));
+    let answer = exchange(
+        entry.address(),
+        b"GET / HTTP/1.1\r\nhost: x\r\nX-Gooseberryloft-Fence: 9\r\nkeep-alive: 5\r\nx-hop: 1\r\n\
+          connection: close, x-hop, host\r\n\r\n",
+    );
+    expect_that!(answer, starts_with("HTTP/1.1 200 "));
+    expect_that!(answer.to_lowercase(), not(contains_substring("fence")));
+    expect_that!(answer, not(contains_substring("x-hop")));
+    expect_that!(answer, not(contains_substring("keep-alive")));
+    expect_that!(answer, contains_substring("host: x"));
+}
+
+#[googletest::test]
+fn a_path_of_no_service_is_refused_as_not_run() {
+    let entry = entry(keyed_view("127.0.0.1:1".parse().unwrap()));
+    let answer = get(entry.address(), "/elsewhere");
+    expect_that!(answer, starts_with("HTTP/1.1 404 "));
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-outcome: not-run\r\n")
+    );
+}
