Split the attempt of the entry into waiting for the head and delivering the answer

Change: answer.rs reads answers and tells whom they belong to; await_head and deliver are steps of attempt. Conclusion: no change in behaviour.

--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -8,9 +8,12 @@
 use futures::future::Either;
 use futures::future::select;
 
-use crate::owner::order::OUTCOME_HEADER;
 use crate::route::AttemptEnd;
 use crate::route::Lane;
+use crate::traffic::answer::is_not_run;
+use crate::traffic::answer::is_own_answer;
+use crate::traffic::answer::read_answer;
+use crate::traffic::answer::skip_body;
 use crate::traffic::body::BodyDecoder;
 use crate::traffic::body::BodyError;
 use crate::traffic::body::Framing;
@@ -21,8 +24,6 @@
 use crate::traffic::forward::Added;
 use crate::traffic::head::AnswerHead;
 use crate::traffic::head::RequestHead;
-use crate::traffic::head::head_length;
-use crate::traffic::head::parse_answer;
 use crate::traffic::pool;
 use crate::traffic::pool::TargetConn;
 use crate::traffic::reader::Reader;
@@ -33,8 +34,6 @@
 use crate::traffic::stats::Stats;
 use crate::traffic::worker::Worker;
 
-const MAX_INTERIM_ANSWERS: usize = 16;
-
 /// A request with as much of its body as is kept.
 #[derive(Debug)]
 pub struct Request {
@@ -144,56 +143,76 @@
     let Caller { reader, stream } = caller;
     let upload = upload(reader, stream, &mut request.rest, &sink, &out, &progress);
     let mut upload = std::pin::pin!(upload);
-    let head = {
-        let head = std::pin::pin!(read_answer(&mut conn.reader, &request.head.method));
-        let timed = select(head, worker.timers.sleep_until(until));
-        match select(upload.as_mut(), timed).await {
-            Either::Left((end, _)) => Err(stopped(end)),
-            Either::Right((Either::Left((Some(head), _)), _)) => Ok(head),
-            Either::Right((Either::Left((None, _)), _)) => Err(End::Failed(AttemptEnd::Broken)),
-            Either::Right((Either::Right(_), _)) => Err(End::Failed(AttemptEnd::Silent)),
-        }
-    };
+    let method = &request.head.method;
+    let head = await_head(worker, &mut conn.reader, method, until, upload.as_mut()).await;
     request.consumed |= progress.consumed.get();
     let head = match head {
-        Ok(head) if is_own_answer(&head, id, &conn, &progress) => head,
-        Ok(_) => return End::Failed(AttemptEnd::Broken),
+        Ok(head) => head,
         Err(end) => return failed(worker, &conn, end, &progress),
     };
-    let mut decoder = BodyDecoder::new(head.framing);
-    if head.fields.only(OUTCOME_HEADER) == Some(b"not-run") {
-        let kept = head.keep_alive && progress.uploaded.get();
-        settle(worker, conn, &mut decoder, kept);
+    let early = conn.reused && !progress.sent.get();
+    if early || !is_own_answer(&head, id) {
+        return End::Failed(AttemptEnd::Broken);
+    }
+    let uploaded = progress.uploaded.get();
+    if is_not_run(&head) {
+        keep(worker, conn, &head, uploaded);
         return End::Failed(AttemptEnd::NotRun);
     }
     progress.answering.set(true);
     let draining = worker.shared.drain.stage() > Stage::Serving;
-    let close = draining || !request.head.keep_alive || !progress.uploaded.get();
+    let close = draining || !request.head.keep_alive || !uploaded;
+    match deliver(worker, &mut conn.reader, &head, stream, close, upload).await {
+        Ok(()) => {
+            keep(worker, conn, &head, progress.uploaded.get());
+            let status = head.status;
+            End::Whole { status, close }
+        }
+        Err(RelayError::Sink) => End::Gone,
+        Err(_) => End::Cut,
+    }
+}
+
+/// Waits for the head of the answer while the request goes out.
+async fn await_head(
+    worker: &Worker,
+    reader: &mut Reader,
+    method: &str,
+    until: Instant,
+    upload: impl Future<Output = Upload> + Unpin,
+) -> Result<AnswerHead, End> {
+    let head = std::pin::pin!(read_answer(reader, method));
+    let timed = select(head, worker.timers.sleep_until(until));
+    match select(upload, timed).await {
+        Either::Left((Upload::Gone, _)) => Err(End::Gone),
+        Either::Left((Upload::Bad(error), _)) => Err(End::BadBody(error)),
+        Either::Right((Either::Left((Some(head), _)), _)) => Ok(head),
+        Either::Right((Either::Left((None, _)), _)) => Err(End::Failed(AttemptEnd::Broken)),
+        Either::Right((Either::Right(_), _)) => Err(End::Failed(AttemptEnd::Silent)),
+    }
+}
+
+/// Passes the answer on while the rest of the request may still go out.
+async fn deliver(
+    worker: &Worker,
+    reader: &mut Reader,
+    head: &AnswerHead,
+    stream: &TcpStream,
+    close: bool,
+    upload: impl Future<Output = Upload> + Unpin,
+) -> Result<(), RelayError> {
     let mut out = Vec::with_capacity(1024);
-    forward::answer_head(&mut out, &head, close);
+    forward::answer_head(&mut out, head, close);
+    let mut decoder = BodyDecoder::new(head.framing);
     let sink = Sink {
         stream,
         chunked: head.framing == Framing::Chunked,
         timers: &worker.timers,
     };
-    let answered = {
-        let answer = std::pin::pin!(relay(&mut conn.reader, &mut decoder, &sink, out));
-        match select(answer, upload).await {
-            Either::Left((answered, _)) => answered,
-            Either::Right(_) => Err(RelayError::Sink),
-        }
-    };
-    match answered {
-        Ok(()) => {
-            let kept = head.keep_alive && progress.uploaded.get();
-            settle(worker, conn, &mut decoder, kept);
-            End::Whole {
-                status: head.status,
-                close,
-            }
-        }
-        Err(RelayError::Sink) => End::Gone,
-        Err(_) => End::Cut,
+    let answer = std::pin::pin!(relay(reader, &mut decoder, &sink, out));
+    match select(answer, upload).await {
+        Either::Left((answered, _)) => answered,
+        Either::Right(_) => Err(RelayError::Sink),
     }
 }
 
@@ -256,41 +275,15 @@
     Upload::Gone
 }
 
-async fn read_answer(reader: &mut Reader, method: &str) -> Option<AnswerHead> {
-    for _ in 0..MAX_INTERIM_ANSWERS {
-        let length = loop {
-            match head_length(reader.data()).ok()? {
-                Some(length) => break length,
-                None => reader.fill().await.ok().filter(|count| *count > 0)?,
-            };
-        };
-        let head = parse_answer(&reader.data()[..length], method).ok()?;
-        reader.consume(length);
-        match head.status {
-            101 => return None,
-            100..=199 => {}
-            _ => return Some(head),
-        }
-    }
-    None
-}
-
-/// Returns whether an answer certainly belongs to the request, as far as can be told.
-fn is_own_answer(head: &AnswerHead, id: u64, conn: &TargetConn, progress: &Progress) -> bool {
-    let early = conn.reused && !progress.sent.get();
-    let echo = forward::echoed_id(head);
-    !early && echo.is_none_or(|echo| echo == format!("{id:016x}").as_bytes())
-}
-
 /// Keeps a target's connection if there is no doubt about its state.
-fn settle(worker: &Worker, mut conn: TargetConn, decoder: &mut BodyDecoder, kept: bool) {
-    while !decoder.is_done() {
-        match decoder.decode(conn.reader.data()) {
-            Ok(piece) if piece.used() > 0 => conn.reader.consume(piece.used()),
-            _ => return,
-        }
+fn keep(worker: &Worker, mut conn: TargetConn, head: &AnswerHead, uploaded: bool) {
+    if !head.keep_alive || !uploaded {
+        return;
+    }
+    if is_not_run(head) && !skip_body(&mut conn.reader, head) {
+        return;
     }
-    if kept && conn.reader.data().is_empty() {
+    if conn.reader.data().is_empty() {
         worker.pool.put(conn, Instant::now());
     }
 }
@@ -305,10 +298,3 @@
         end => end,
     }
 }
-
-fn stopped(upload: Upload) -> End {
-    match upload {
-        Upload::Gone => End::Gone,
-        Upload::Bad(error) => End::BadBody(error),
-    }
-}
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -78,11 +78,6 @@
     out.extend_from_slice(b"\r\n");
 }
 
-/// Returns the request id that an answer echoes.
-pub fn echoed_id(head: &AnswerHead) -> Option<&[u8]> {
-    head.fields.all(REQUEST_HEADER).next()
-}
-
 /// Writes formatted text.
 pub fn put(out: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
     out.write_fmt(text).expect("writing to memory cannot fail");
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 //! these serves its own callers over its own connections to targets.
 
 mod admin;
+mod answer;
 pub mod body;
 mod caller;
 mod control;
