--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod clock;
 pub mod events;
 pub mod ids;
+pub mod inifile;
 pub mod link;
 pub mod owner;
 pub mod platform;
 pub mod route;
 pub mod settings;
 pub mod ticket;
+pub mod traffic;
 pub mod view;
