--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -20,6 +20,14 @@
     Stopped = 102,
     /// A VM took a newer ticket into force.
     TicketInForce = 200,
+    /// A ticket was accepted.
+    TicketAccepted = 201,
+    /// A ticket was filed again after it had been accepted.
+    TicketRepeated = 202,
+    /// A ticket was refused.
+    TicketRefused = 203,
+    /// It is not known whether a filed ticket was accepted.
+    TicketUnresolved = 204,
     /// A VM became the holder of a group.
     GroupTaken = 300,
     /// A link to a peer was lost.
@@ -39,7 +47,7 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost => Level::Warn,
+            Self::TableDown | Self::LinkLost | Self::TicketUnresolved => Level::Warn,
             Self::RequestRefused => Level::Debug,
             _ => Level::Info,
         }
--- a/src/inifile/fault.rs
+++ b/src/inifile/fault.rs
@@ -2,11 +2,14 @@
 
 use std::fmt;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// More faults than this are counted but not kept.
 const MAX_FAULTS: usize = 200;
 
 /// One fault of a file.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
     /// The line, from 1; 0 where the fault is something that is missing.
     pub line: usize,
@@ -21,7 +24,7 @@
 }
 
 /// All faults of one file, in the order in which they were found.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Faults {
     file: String,
     list: Vec<Fault>,
@@ -61,6 +64,15 @@
         self.list.len()
     }
 
+    /// Collects faults that were found without their lines.
+    pub fn from_list(file: &str, list: Vec<Fault>) -> Self {
+        let mut faults = Self::new(file);
+        for fault in list {
+            faults.push(fault);
+        }
+        faults
+    }
+
     /// Sets the file's name, where it became known later.
     pub fn named(mut self, file: &str) -> Self {
         file.clone_into(&mut self.file);
--- /dev/null
+++ b/src/ticket/check.rs
@@ -0,0 +1,234 @@
+//! What a ticket must fulfil beyond its form.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::inifile::Fault;
+use crate::ticket::InForce;
+use crate::ticket::Keying;
+use crate::ticket::Service;
+use crate::ticket::Target;
+use crate::ticket::TargetState;
+use crate::ticket::Ticket;
+
+/// The most services in force at a time.
+pub const MAX_SERVICES: usize = 1_000;
+/// The most targets in force at a time.
+pub const MAX_TARGETS: usize = 20_000;
+/// The longest deadline of a service.
+pub const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Checks a ticket by itself.
+pub fn shape(ticket: &Ticket) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    check_head(ticket, &mut faults);
+    for (name, service) in &ticket.services {
+        check_service(name, service, &mut faults);
+    }
+    check_shared(&ticket.services, &ticket.services, &mut faults);
+    faults
+}
+
+/// Checks that a ticket changes something and that each group of its services has a serving target.
+pub fn coverage(ticket: &Ticket) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if ticket.services.is_empty() && ticket.removed.is_empty() {
+        let remedy = "add a [service] with its targets, or a [remove]";
+        faults.push(fault("ticket".to_owned(), "", "changes nothing", remedy));
+    }
+    for (name, service) in &ticket.services {
+        for group in 0..groups(service) {
+            if !serving(service).any(|target| target.group == group) {
+                let problem = match service.keying {
+                    Some(_) => format!("group {group} has no serving target"),
+                    None => "the service has no serving target".to_owned(),
+                };
+                let remedy = "add a target in state serving, or remove the service";
+                faults.push(fault(service_section(name), "", &problem, remedy));
+            }
+        }
+    }
+    faults
+}
+
+/// Checks a ticket against the state that it changes.
+pub fn change(state: &InForce, ticket: &Ticket) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for name in &ticket.removed {
+        if !state.services.contains_key(name) {
+            let problem = "the service is not in force";
+            let remedy = "leave the section out, or correct the name";
+            faults.push(fault(format!("remove {name}"), "", problem, remedy));
+        }
+    }
+    for (name, service) in &ticket.services {
+        if let Some(old) = state.services.get(name) {
+            check_kept(name, old, service, &mut faults);
+        }
+    }
+    let next = state.apply(ticket);
+    check_sizes(&next, &mut faults);
+    check_shared(&ticket.services, &next.services, &mut faults);
+    faults
+}
+
+fn check_head(ticket: &Ticket, faults: &mut Vec<Fault>) {
+    if ticket.number <= ticket.base {
+        let problem = format!("{} is not above the base {}", ticket.number, ticket.base);
+        let remedy = "give the ticket a number above its base";
+        faults.push(fault("ticket".to_owned(), "number", &problem, remedy));
+    }
+    for name in &ticket.removed {
+        if ticket.services.contains_key(name) {
+            let problem = "the ticket also carries the service";
+            let remedy = "keep either the [service] or the [remove]";
+            faults.push(fault(format!("remove {name}"), "", problem, remedy));
+        }
+    }
+}
+
+fn check_service(name: &ServiceId, service: &Service, faults: &mut Vec<Fault>) {
+    let section = service_section(name);
+    if service.deadline_ms > MAX_DEADLINE_MS {
+        let problem = "longer than a day";
+        faults.push(fault(
+            section.clone(),
+            "deadline",
+            problem,
+            "give at most `24 h`",
+        ));
+    }
+    if let Some(keying) = &service.keying
+        && u32::from(keying.groups) > keying.shards
+    {
+        let problem = "more groups than shards";
+        faults.push(fault(
+            section,
+            "groups",
+            problem,
+            "give at most one group a shard",
+        ));
+    }
+    for (target_name, target) in &service.targets {
+        check_target(&target_section(name, target_name), service, target, faults);
+    }
+}
+
+fn check_target(section: &str, service: &Service, target: &Target, faults: &mut Vec<Fault>) {
+    if target.group >= groups(service) {
+        let problem = format!("the service has no group {}", target.group);
+        let remedy = "give a group below the service's `groups`, or leave the key out";
+        faults.push(fault(section.to_owned(), "group", &problem, remedy));
+    }
+    if target.connections < target.slots {
+        let problem = "fewer connections than slots";
+        let remedy = "give at least one connection a slot";
+        faults.push(fault(section.to_owned(), "connections", problem, remedy));
+    }
+    if target.address.port() == 0 || target.address.ip().is_unspecified() {
+        let problem = format!("nobody can connect to {}", target.address);
+        let remedy = "give the target's own IP address and port";
+        faults.push(fault(section.to_owned(), "address", &problem, remedy));
+    }
+}
+
+// What a service and its targets keep as long as they are in force: a change would let two targets
+// serve one key while the older grants still run.
+fn check_kept(name: &ServiceId, old: &Service, new: &Service, faults: &mut Vec<Fault>) {
+    if old.keying != new.keying {
+        let problem = format!("the keys are divided by {} in force", describe(&old.keying));
+        let remedy = "keep `key`, `shards` and `groups` as they are in force, or remove the \
+                      service and add it under another name";
+        faults.push(fault(service_section(name), "key", &problem, remedy));
+    }
+    for (target_name, target) in &new.targets {
+        let Some(held) = old.targets.get(target_name) else {
+            continue;
+        };
+        if held.address != target.address {
+            let problem = format!("the target is at {} in force", held.address);
+            let remedy = "give the server at the new address a target name of its own";
+            let section = target_section(name, target_name);
+            faults.push(fault(section, "address", &problem, remedy));
+        }
+    }
+}
+
+fn check_sizes(next: &InForce, faults: &mut Vec<Fault>) {
+    let targets: usize = next.services.values().map(|s| s.targets.len()).sum();
+    if next.services.len() > MAX_SERVICES || targets > MAX_TARGETS {
+        let problem = format!("{} services with {targets} targets", next.services.len());
+        let remedy = format!("keep to {MAX_SERVICES} services and {MAX_TARGETS} targets in all");
+        faults.push(fault("ticket".to_owned(), "", &problem, &remedy));
+    }
+}
+
+// Prefixes and addresses belong to one service each; `changed` are the ones that get the blame.
+fn check_shared(
+    changed: &BTreeMap<ServiceId, Service>,
+    all: &BTreeMap<ServiceId, Service>,
+    faults: &mut Vec<Fault>,
+) {
+    let mut prefixes: BTreeMap<&str, &ServiceId> = BTreeMap::new();
+    let mut addresses: BTreeMap<SocketAddr, (&ServiceId, &TargetId)> = BTreeMap::new();
+    let kept = all.iter().filter(|(name, _)| !changed.contains_key(*name));
+    for (name, service) in kept.chain(changed) {
+        if let Some(other) = prefixes.insert(&service.prefix, name) {
+            let problem = format!("service {other} has the same path");
+            let remedy = "give each service a path of its own";
+            faults.push(fault(service_section(name), "path", &problem, remedy));
+        }
+        for (target_name, target) in &service.targets {
+            let taken = addresses.insert(target.address, (name, target_name));
+            if let Some((other_service, other)) = taken {
+                let problem = format!("target {other_service} {other} has the same address");
+                let section = target_section(name, target_name);
+                faults.push(fault(
+                    section,
+                    "address",
+                    &problem,
+                    "give each target its own",
+                ));
+            }
+        }
+    }
+}
+
+fn groups(service: &Service) -> u16 {
+    service.keying.as_ref().map_or(1, |keying| keying.groups)
+}
+
+fn serving(service: &Service) -> impl Iterator<Item = &Target> {
+    let targets = service.targets.values();
+    targets.filter(|target| target.state == TargetState::Serving)
+}
+
+fn describe(keying: &Option<Keying>) -> String {
+    match keying {
+        None => "no key".to_owned(),
+        Some(keying) => format!(
+            "{:?} into {} shards and {} groups",
+            keying.source, keying.shards, keying.groups
+        ),
+    }
+}
+
+fn service_section(name: &ServiceId) -> String {
+    format!("service {name}")
+}
+
+fn target_section(service: &ServiceId, target: &TargetId) -> String {
+    format!("target {service} {target}")
+}
+
+fn fault(section: String, key: &str, problem: &str, remedy: &str) -> Fault {
+    Fault {
+        line: 0,
+        section,
+        key: key.to_owned(),
+        problem: problem.to_owned(),
+        remedy: remedy.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/ticket/parse.rs
@@ -0,0 +1,289 @@
+//! Reading a ticket from its INI text.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::ids::DataCentre;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::ids::TicketNumber;
+use crate::inifile::Document;
+use crate::inifile::Fault;
+use crate::inifile::Faults;
+use crate::inifile::Kind;
+use crate::inifile::Section;
+use crate::inifile::kinds;
+use crate::ticket::KeySource;
+use crate::ticket::Keying;
+use crate::ticket::Service;
+use crate::ticket::Target;
+use crate::ticket::TargetState;
+use crate::ticket::Ticket;
+use crate::ticket::check;
+
+/// The longest accepted text of a ticket.
+pub const MAX_TICKET_BYTES: usize = 4 << 20;
+/// The highest accepted ticket number.
+const MAX_NUMBER: u64 = 1_000_000_000_000;
+/// The longest accepted path prefix or header name.
+const MAX_TEXT_BYTES: usize = 256;
+/// What the faults call the file until its name is known.
+const FILE_NAME: &str = "ticket";
+const DEFAULT_PRIORITY: u8 = 5;
+const DEFAULT_SPREAD_PERCENT: u8 = 30;
+
+const SECTION_REMEDY: &str = "write `[ticket]`, `[service NAME]`, `[target SERVICE NAME]` or \
+     `[remove NAME]`, names being letters, digits, `-`, `_` or `.`";
+
+/// Everything that is wrong with a ticket, one fault a line.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[error("{0}")]
+pub struct TicketErrors(pub Faults);
+
+impl TicketErrors {
+    /// Collects faults that were found against the state in force.
+    pub fn from_list(list: Vec<Fault>) -> Self {
+        Self(Faults::from_list(FILE_NAME, list))
+    }
+}
+
+const NUMBER: Kind<u64> = Kind {
+    expected: "a whole number from 1 to 1000000000000",
+    read: |text| kinds::in_range(text, 1, MAX_NUMBER),
+};
+
+const BASE: Kind<u64> = Kind {
+    expected: "the number in force, a whole number from 0",
+    read: |text| kinds::in_range(text, 0, MAX_NUMBER),
+};
+
+const PREFIX: Kind<String> = Kind {
+    expected: "a path that starts with `/`, of at most 256 visible ASCII characters without `?`",
+    read: |text| {
+        let visible = text.bytes().all(|b| b.is_ascii_graphic() && b != b'?');
+        let fits = text.starts_with('/') && text.len() <= MAX_TEXT_BYTES;
+        (visible && fits).then(|| text.to_owned())
+    },
+};
+
+const KEY: Kind<Option<KeySource>> = Kind {
+    expected: "`path`, or `header NAME`",
+    read: |text| match text.split_whitespace().collect::<Vec<_>>()[..] {
+        ["path"] => Some(Some(KeySource::Path)),
+        ["header", name] if is_token(name) => {
+            Some(Some(KeySource::Header(name.to_ascii_lowercase())))
+        }
+        _ => None,
+    },
+};
+
+const SHARDS: Kind<u32> = Kind {
+    expected: "a power of two from 1 to 1048576",
+    read: |text| kinds::in_range(text, 1, 1 << 20).filter(|n: &u32| n.is_power_of_two()),
+};
+
+const GROUPS: Kind<u16> = Kind {
+    expected: "a whole number from 1 to 1024",
+    read: |text| kinds::in_range(text, 1, 1024),
+};
+
+const GROUP: Kind<u16> = Kind {
+    expected: "a whole number from 0, below the service's `groups`",
+    read: |text| kinds::in_range(text, 0, 1023),
+};
+
+const METHODS: Kind<Vec<String>> = Kind {
+    expected: "methods in upper case set apart by spaces, such as `GET HEAD`, or `none`",
+    read: |text| match text {
+        "none" => Some(Vec::new()),
+        _ => kinds::words(text, |word| {
+            let upper = word.len() <= 16 && word.bytes().all(|b| b.is_ascii_uppercase());
+            upper.then(|| word.to_owned())
+        }),
+    },
+};
+
+const PRIORITY: Kind<u8> = Kind {
+    expected: "a whole number from 0 to 9, higher is kept longer",
+    read: |text| kinds::in_range(text, 0, 9),
+};
+
+const SLOTS: Kind<u16> = Kind {
+    expected: "a whole number from 1 to 4096",
+    read: |text| kinds::in_range(text, 1, 4096),
+};
+
+const CONNECTIONS: Kind<u16> = Kind {
+    expected: "a whole number from 1 to 65535",
+    read: |text| kinds::in_range(text, 1, u16::MAX),
+};
+
+const STATE: Kind<TargetState> = Kind {
+    expected: "`serving` or `leaving`",
+    read: |text| text.parse().ok(),
+};
+
+/// Reads a ticket and checks what can be checked without the state in force.
+///
+/// # Errors
+///
+/// All faults at once, each with line, section, key and remedy.
+pub fn parse(text: &str) -> Result<Ticket, TicketErrors> {
+    let mut doc = Document::parse(FILE_NAME, text, MAX_TICKET_BYTES);
+    let names = doc.names();
+    let mut parts = Parts::default();
+    for name in &names {
+        parts.read(&mut doc, name);
+    }
+    let head = read_head(&mut doc);
+    let (number, base) = head.unwrap_or((TicketNumber(1), TicketNumber(0)));
+    let ticket = parts.join(&mut doc, number, base);
+    let mut findings = check::shape(&ticket);
+    if doc.faults.is_empty() {
+        findings.extend(check::coverage(&ticket));
+    }
+    for fault in findings {
+        doc.refuse(&fault.section, &fault.key, &fault.problem, &fault.remedy);
+    }
+    match doc.faults.is_empty() {
+        true => Ok(ticket),
+        false => Err(TicketErrors(doc.faults)),
+    }
+}
+
+#[derive(Default)]
+struct Parts {
+    declared: Vec<ServiceId>,
+    services: BTreeMap<ServiceId, Service>,
+    targets: Vec<TargetPart>,
+    removed: Vec<ServiceId>,
+}
+
+struct TargetPart {
+    service: ServiceId,
+    name: TargetId,
+    section: String,
+    target: Option<Target>,
+}
+
+impl Parts {
+    fn read(&mut self, doc: &mut Document, section: &str) {
+        let words: Vec<&str> = section.split_whitespace().collect();
+        let named = words.iter().skip(1).all(|word| kinds::is_name(word));
+        match words[..] {
+            ["ticket"] => {}
+            ["service", name] if named => {
+                let name = ServiceId::from(name);
+                if let Some(service) = read_service(doc.section(section)) {
+                    self.services.insert(name.clone(), service);
+                }
+                self.declared.push(name);
+            }
+            ["target", service, name] if named => self.targets.push(TargetPart {
+                service: service.into(),
+                name: name.into(),
+                section: section.to_owned(),
+                target: read_target(doc.section(section)),
+            }),
+            ["remove", name] if named => {
+                doc.section(section).finish();
+                self.removed.push(name.into());
+            }
+            _ => doc.refuse(section, "", "unknown section", SECTION_REMEDY),
+        }
+    }
+
+    fn join(mut self, doc: &mut Document, number: TicketNumber, base: TicketNumber) -> Ticket {
+        for part in self.targets {
+            if !self.declared.contains(&part.service) {
+                let problem = format!("the ticket has no service {}", part.service);
+                let remedy = "add its [service] section, since a ticket carries services whole";
+                doc.refuse(&part.section, "", &problem, remedy);
+            }
+            let service = self.services.get_mut(&part.service);
+            if let (Some(service), Some(target)) = (service, part.target) {
+                service.targets.insert(part.name, target);
+            }
+        }
+        Ticket {
+            number,
+            base,
+            services: self.services,
+            removed: self.removed,
+        }
+    }
+}
+
+fn read_head(doc: &mut Document) -> Option<(TicketNumber, TicketNumber)> {
+    let mut section = doc.section("ticket");
+    let number = section.required("number", &NUMBER);
+    let base = section.required("base", &BASE);
+    section.finish();
+    Some((TicketNumber(number?), TicketNumber(base?)))
+}
+
+fn read_service(mut section: Section<'_>) -> Option<Service> {
+    let prefix = section.required("path", &PREFIX);
+    let source = section.optional("key", &KEY, None);
+    let keying = match source {
+        Some(source) => read_keying(&mut section, source).map(Some),
+        None => Some(None),
+    };
+    let idempotent = section.required("idempotent", &METHODS);
+    let priority = section.optional("priority", &PRIORITY, DEFAULT_PRIORITY);
+    let spread_percent = section.optional("spread", &kinds::PERCENT, DEFAULT_SPREAD_PERCENT);
+    let deadline = section.required("deadline", &kinds::DURATION);
+    section.finish();
+    Some(Service {
+        prefix: prefix?,
+        keying: keying?,
+        idempotent: idempotent?,
+        priority,
+        spread_percent,
+        deadline_ms: millis(deadline?),
+        targets: BTreeMap::new(),
+    })
+}
+
+fn read_keying(section: &mut Section<'_>, source: KeySource) -> Option<Keying> {
+    let shards = section.required("shards", &SHARDS);
+    let groups = section.optional("groups", &GROUPS, 1);
+    Some(Keying {
+        source,
+        shards: shards?,
+        groups,
+    })
+}
+
+fn read_target(mut section: Section<'_>) -> Option<Target> {
+    let address = section.required("address", &kinds::ADDRESS);
+    let data_centre = section.required("data_centre", &kinds::NAME);
+    let slots = section.required("slots", &SLOTS);
+    let connections = section.required("connections", &CONNECTIONS);
+    let checks_term = section.required("checks_term", &kinds::FLAG);
+    let group = section.optional("group", &GROUP, 0);
+    let state = section.optional("state", &STATE, TargetState::Serving);
+    section.finish();
+    Some(Target {
+        address: address?,
+        data_centre: DataCentre::from(data_centre?),
+        slots: slots?,
+        connections: connections?,
+        checks_term: checks_term?,
+        group,
+        state,
+    })
+}
+
+fn is_token(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_".contains(&b);
+    !name.is_empty() && name.len() <= MAX_TEXT_BYTES && name.bytes().all(allowed)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
