File tickets by one conditional transaction, and resolve lost answers

Cause: two operators race on Friday afternoons, and a write can take effect while its answer is lost; filing must never say the wrong thing. Ruled out: giving up after a lost answer (the operator would have to guess); trusting a single read after it (the write may land later). All attempts of a filing carry one id and one condition, so a late write either is the accepted one or can no longer apply. Change: `Filing`, a state machine that loads the state in force, decides and commits, and after any failure loads again; `ticket::file` and `ticket::load` drive it. The row in-force carries a digest of the whole state, so that rows of two tickets are never joined into one state. Conclusion: accepted, already accepted and refused are only said when certain; anything else says that it is not known and is safe to file again.

--- /dev/null
+++ b/src/ticket/file.rs
@@ -0,0 +1,196 @@
+//! Filing a ticket: the decisions, without the table itself.
+//!
+//! Whatever goes wrong, the filing reads the state in force again and decides from what it finds.
+//! All its attempts carry one [`WriteId`] and one condition, so at most one takes effect, and a
+//! lost answer is resolved by the writer of the ticket's row.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::TicketNumber;
+use crate::platform::Condition;
+use crate::platform::Mutation;
+use crate::platform::Row;
+use crate::platform::TableError;
+use crate::platform::Transaction;
+use crate::platform::WriteId;
+use crate::ticket::InForce;
+use crate::ticket::LoadError;
+use crate::ticket::Outcome;
+use crate::ticket::Snapshot;
+use crate::ticket::Ticket;
+use crate::ticket::TicketErrors;
+use crate::ticket::check;
+use crate::ticket::parse;
+use crate::ticket::rows;
+use crate::ticket::rows::InForceRow;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// What the filing learned.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// The end of an [`Action::Load`].
+    Loaded(Result<Snapshot, LoadError>),
+    /// The end of an [`Action::Read`].
+    Read(Result<Option<Row>, TableError>),
+    /// The end of an [`Action::Commit`].
+    Committed(Result<(), TableError>),
+    /// The end of an [`Action::Wait`].
+    Woken,
+}
+
+/// What is to be done next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Load the state in force, by strong reads.
+    Load,
+    /// Read the row of that key, by a strong read.
+    Read(String),
+    /// Commit the transaction.
+    Commit(Transaction),
+    /// Let time pass until that instant.
+    Wait(Instant),
+    /// The filing has ended.
+    Done(Outcome),
+}
+
+/// One operator's filing of one ticket.
+#[derive(Debug)]
+pub struct Filing {
+    ticket: Ticket,
+    text: String,
+    id: WriteId,
+    deadline: Instant,
+    pause: Duration,
+    in_force: TicketNumber,
+}
+
+impl Filing {
+    /// Prepares to file a parsed ticket; `id` is drawn at random for this filing alone.
+    pub fn new(ticket: Ticket, text: &str, id: WriteId, deadline: Instant) -> Self {
+        Self {
+            ticket,
+            text: text.to_owned(),
+            id,
+            deadline,
+            pause: FIRST_PAUSE,
+            in_force: TicketNumber(0),
+        }
+    }
+
+    /// Returns the first action.
+    pub fn start(&self) -> Action {
+        Action::Load
+    }
+
+    /// Takes the end of the last action and returns the next.
+    pub fn step(&mut self, input: Input, now: Instant) -> Action {
+        match input {
+            Input::Woken => Action::Load,
+            Input::Loaded(Ok(snapshot)) => self.decide(&snapshot),
+            Input::Loaded(Err(error)) => self.pause(&error.to_string(), now),
+            Input::Read(Ok(row)) => Action::Done(self.judge(row.as_ref())),
+            Input::Committed(Ok(())) => Action::Done(Outcome::Accepted {
+                number: self.ticket.number,
+            }),
+            Input::Committed(Err(TableError::Conflict { .. })) if now < self.deadline => {
+                Action::Load
+            }
+            Input::Read(Err(error)) | Input::Committed(Err(error)) => {
+                self.pause(&error.to_string(), now)
+            }
+        }
+    }
+
+    fn decide(&mut self, snapshot: &Snapshot) -> Action {
+        let state = &snapshot.state;
+        self.in_force = state.number;
+        if self.ticket.number <= state.number {
+            return Action::Read(rows::ticket_key(self.ticket.number));
+        }
+        if self.ticket.base != state.number {
+            return Action::Done(self.base_replaced());
+        }
+        let faults = check::change(state, &self.ticket);
+        if faults.is_empty() {
+            return Action::Commit(self.transaction(snapshot));
+        }
+        let errors = TicketErrors::from_list(faults);
+        Action::Done(Outcome::Invalid { errors })
+    }
+
+    // The state in force has reached the ticket's number; its row tells whose ticket that was.
+    fn judge(&self, row: Option<&Row>) -> Outcome {
+        let number = self.ticket.number;
+        let in_force = self.in_force;
+        match row {
+            None => self.base_replaced(),
+            Some(row) if row.writer == self.id => Outcome::Accepted { number },
+            Some(row) if self.is_same(row) => Outcome::AlreadyAccepted { number, in_force },
+            Some(_) => Outcome::NumberTaken { number, in_force },
+        }
+    }
+
+    fn is_same(&self, row: &Row) -> bool {
+        let text = std::str::from_utf8(&row.value).ok();
+        let stored = text.and_then(|text| parse(text).ok());
+        stored.as_ref() == Some(&self.ticket)
+    }
+
+    fn base_replaced(&self) -> Outcome {
+        Outcome::BaseReplaced {
+            base: self.ticket.base,
+            in_force: self.in_force,
+        }
+    }
+
+    fn pause(&mut self, reason: &str, now: Instant) -> Action {
+        if now >= self.deadline {
+            return Action::Done(Outcome::Unresolved {
+                number: self.ticket.number,
+                reason: reason.to_owned(),
+            });
+        }
+        let until = now + self.pause;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        Action::Wait(until.min(self.deadline))
+    }
+
+    fn transaction(&self, snapshot: &Snapshot) -> Transaction {
+        let ticket_key = rows::ticket_key(self.ticket.number);
+        let next = snapshot.state.apply(&self.ticket);
+        let mut mutations = vec![
+            put(rows::IN_FORCE_KEY.to_owned(), in_force_row(&next)),
+            put(ticket_key.clone(), self.text.clone().into_bytes()),
+        ];
+        let services = self.ticket.services.iter();
+        mutations.extend(services.map(|(name, s)| put(rows::service_key(name), rows::encode(s))));
+        let removed = self.ticket.removed.iter().map(rows::service_key);
+        mutations.extend(removed.map(|key| Mutation::Delete { key }));
+        Transaction {
+            id: self.id,
+            conditions: vec![
+                condition(rows::IN_FORCE_KEY.to_owned(), snapshot.revision),
+                condition(ticket_key, 0),
+            ],
+            mutations,
+        }
+    }
+}
+
+fn in_force_row(next: &InForce) -> Vec<u8> {
+    rows::encode(&InForceRow {
+        number: next.number,
+        digest: rows::state_digest(next),
+    })
+}
+
+fn put(key: String, value: Vec<u8>) -> Mutation {
+    Mutation::Put { key, value }
+}
+
+fn condition(key: String, revision: u64) -> Condition {
+    Condition { key, revision }
+}
--- /dev/null
+++ b/src/ticket/filer.rs
@@ -0,0 +1,74 @@
+//! Driving a filing against the platform's table.
+
+use std::time::Duration;
+
+use async_std::task;
+
+use crate::clock::Clock;
+use crate::events::Event;
+use crate::events::record;
+use crate::platform::Table;
+use crate::platform::WriteId;
+use crate::ticket::Action;
+use crate::ticket::Filing;
+use crate::ticket::Input;
+use crate::ticket::LoadError;
+use crate::ticket::Outcome;
+use crate::ticket::Snapshot;
+use crate::ticket::parse;
+use crate::ticket::rows;
+
+/// Parses and files the text of a ticket, for at most about `limit` if the table answers badly.
+///
+/// `id` is drawn at random for this filing alone.
+pub async fn file<T: Table>(
+    table: &T,
+    clock: &impl Clock,
+    text: &str,
+    id: WriteId,
+    limit: Duration,
+) -> Outcome {
+    let ticket = match parse(text) {
+        Ok(ticket) => ticket,
+        Err(errors) => return Outcome::Invalid { errors },
+    };
+    let number = ticket.number;
+    let mut filing = Filing::new(ticket, text, id, clock.now() + limit);
+    let mut action = filing.start();
+    loop {
+        let input = match action {
+            Action::Load => Input::Loaded(load(table).await),
+            Action::Read(key) => Input::Read(table.get(&key).await),
+            Action::Commit(tx) => Input::Committed(table.commit(&tx).await),
+            Action::Wait(until) => {
+                task::sleep(until.saturating_duration_since(clock.now())).await;
+                Input::Woken
+            }
+            Action::Done(outcome) => {
+                record(event(&outcome), format_args!("ticket={number} {outcome}"));
+                return outcome;
+            }
+        };
+        action = filing.step(input, clock.now());
+    }
+}
+
+/// Loads the state in force.
+///
+/// # Errors
+///
+/// [`LoadError::Torn`] when a ticket was accepted between the reads; load again.
+pub async fn load<T: Table>(table: &T) -> Result<Snapshot, LoadError> {
+    let in_force = table.get(rows::IN_FORCE_KEY).await?;
+    let services = table.scan(rows::SERVICE_PREFIX).await?;
+    Snapshot::from_rows(in_force.as_ref(), &services)
+}
+
+fn event(outcome: &Outcome) -> Event {
+    match outcome {
+        Outcome::Accepted { .. } => Event::TicketAccepted,
+        Outcome::AlreadyAccepted { .. } => Event::TicketRepeated,
+        Outcome::Unresolved { .. } => Event::TicketUnresolved,
+        _ => Event::TicketRefused,
+    }
+}
--- /dev/null
+++ b/src/ticket/rows.rs
@@ -0,0 +1,51 @@
+//! The table rows that hold tickets and the state in force.
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::ids::ServiceId;
+use crate::ids::TicketNumber;
+use crate::ticket::InForce;
+
+/// The key of the row that names the number in force.
+pub const IN_FORCE_KEY: &str = "in-force";
+/// What the keys of the services' rows start with.
+pub const SERVICE_PREFIX: &str = "service/";
+
+/// The value of the row `in-force`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct InForceRow {
+    /// The number in force.
+    pub number: TicketNumber,
+    /// The digest of the whole state in force; see [`state_digest`].
+    #[serde(with = "serde_bytes")]
+    pub digest: Vec<u8>,
+}
+
+/// Returns the key of a ticket's row, which holds its text.
+pub fn ticket_key(number: TicketNumber) -> String {
+    format!("ticket/{number}")
+}
+
+/// Returns the key of a service's row, which holds a [`crate::ticket::Service`] in CBOR.
+pub fn service_key(name: &ServiceId) -> String {
+    format!("{SERVICE_PREFIX}{name}")
+}
+
+/// Digests a whole state; equal states give equal digests.
+pub(super) fn state_digest(state: &InForce) -> Vec<u8> {
+    Sha256::digest(encode(state)).to_vec()
+}
+
+pub(super) fn encode(value: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("writing to memory cannot fail");
+    bytes
+}
+
+pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    ciborium::from_reader(bytes).ok()
+}
