Add stand-ins for platform and target, and the platform over HTTP

Cause: the controller and the tests need a table, an object store, a list of VMs and targets on one machine, and an adapter that speaks to the real ones. Ruled out: tide for the stand-ins, since a lost answer has to break the connection; a client that retries a commit by itself, since an answer lost on the way leaves the outcome open. Change: HttpClient with kept-alive connections that counts body lengths; HttpPlatform for table, objects and VMs; FakeTable with faults; a stand-in target with slots, grants, a ledger and misbehaviour; a program for each. Conclusion: ready for the controller.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod platform;
 pub mod route;
 pub mod settings;
+pub mod standin;
 pub mod ticket;
 pub mod view;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,8 +1,11 @@
 //! The platform's services: the transactional table, the object store and the list of VMs.
 
+pub mod client;
+pub mod http;
 mod table;
 mod vms;
 
+pub use http::HttpPlatform;
 pub use table::Condition;
 pub use table::Mutation;
 pub use table::ObjectStore;
