Define the handle between operators' HTTP and the control thread

Cause: the operators' HTTP and the control thread are built apart and need one interface. Ruled out: a trait, since there is one implementation; a shared lock on the control state, since one thread owns it. Conclusion: both sides can be built against it.

--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,13 @@
+//! The controller's process: one control thread, and the adapters that feed it.
+
+mod handle;
+
+pub use handle::Ask;
+pub use handle::DataCentreStatus;
+pub use handle::GroupStatus;
+pub use handle::Handle;
+pub use handle::KeyOwner;
+pub use handle::OwnerCount;
+pub use handle::Status;
+pub use handle::Stopped;
+pub use handle::VmNumber;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! live in the adapters that drive them.
 
 pub mod clock;
+pub mod control;
 pub mod events;
 pub mod ids;
 pub mod link;
