--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod events;
 pub mod ids;
+pub mod inifile;
 pub mod link;
 pub mod owner;
 pub mod platform;
