Spread state along a tree of VMs, with links that find silence

Cause: 4,000 VMs cannot each poll the table, and a link can go silent for good. Ruled out: every VM linked to every other (links grow with the square); gossip with random peers (the time to reach the last VM has no bound to claim); whole changes over both parents (twice the bytes, near the limit of a node). Change: members and rendezvous ranks; Spread, a state machine for the tree within a data centre, the mesh of relays between them, summaries, repair by digest, readiness and the count of numbers in force; a pump per link with pings, a deadline for silence and a bounded queue of encoded frames.

--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -16,6 +16,7 @@
 use crate::ids::TicketNumber;
 use crate::ids::Version;
 use crate::ids::VmId;
+use crate::spread::VmNumber;
 use crate::ticket::InForce;
 
 /// A question with the channel for its answer.
@@ -73,17 +74,10 @@
     pub listed: u32,
     /// VMs that told their number lately.
     pub heard: u32,
-    /// The lowest numbers first; not all VMs where there are many.
-    pub vms: Vec<VmNumber>,
-}
-
-/// The number in force on a VM.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct VmNumber {
-    /// The number.
+    /// The highest number that one of them told.
     pub number: TicketNumber,
-    /// The VM.
-    pub vm: VmId,
+    /// Where many VMs were heard, those that lag; else all. Lowest numbers first.
+    pub vms: Vec<VmNumber>,
 }
 
 /// One group's control and owners.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,4 +10,3 @@
 pub use handle::OwnerCount;
 pub use handle::Status;
 pub use handle::Stopped;
-pub use handle::VmNumber;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -9,6 +9,9 @@
 use crate::ids::ServiceId;
 use crate::ids::TicketNumber;
 use crate::ids::VmId;
+use crate::spread::Census;
+use crate::spread::Feed;
+use crate::spread::Summary;
 use crate::view::ViewChange;
 use crate::view::ViewDigest;
 
@@ -23,6 +26,14 @@
     Digest(ViewDigest),
     /// Counts that an entry gathered since its last report.
     Report(EntryReport),
+    /// What the sender wants to be sent from now on.
+    Subscribe(Feed),
+    /// What the sender holds, in short.
+    Summary(Summary),
+    /// The numbers in force on the sender and the VMs below it.
+    Census(Census),
+    /// The numbers in force in every data centre; from a parent.
+    Centres(Vec<Census>),
     /// Asks for a [`Message::Pong`] with the same number.
     Ping(u64),
     /// Answers a ping.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,6 +1,7 @@
 //! Links between our processes: CBOR messages over WebSocket.
 
 mod message;
+mod pump;
 mod socket;
 
 pub use message::EntryReport;
@@ -8,7 +9,16 @@
 pub use message::HotKey;
 pub use message::Message;
 pub use message::Role;
+pub use pump::Frame;
+pub use pump::Outbox;
+pub use pump::PING_AFTER;
+pub use pump::SILENCE_LIMIT;
+pub use pump::run;
 pub use socket::Link;
 pub use socket::LinkError;
+pub use socket::LinkReceiver;
+pub use socket::LinkSender;
 pub use socket::accept;
 pub use socket::connect;
+pub use socket::decode;
+pub use socket::encode;
--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -4,7 +4,10 @@
 
 use async_std::net::TcpStream;
 use futures::SinkExt;
+use futures::Stream;
 use futures::StreamExt;
+use futures::stream::SplitSink;
+use futures::stream::SplitStream;
 use serde::Deserialize;
 use serde::Serialize;
 use subtle::ConstantTimeEq;
@@ -13,6 +16,7 @@
 use tokio_tungstenite::accept_hdr_async_with_config;
 use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite;
+use tokio_tungstenite::tungstenite::Bytes;
 use tokio_tungstenite::tungstenite::client::IntoClientRequest;
 use tokio_tungstenite::tungstenite::handshake::server::ErrorResponse;
 use tokio_tungstenite::tungstenite::handshake::server::Request;
@@ -43,6 +47,9 @@
     /// The peer sent what is not a message.
     #[error("peer sent a malformed message ({0}); check that both sides run the same release")]
     Malformed(String),
+    /// Nothing came from the peer, or it took nothing, for too long.
+    #[error("the link went silent; it is opened again by itself, check the network if it stays")]
+    Silent,
     /// The peer speaks a version that this release does not.
     #[error("peer speaks protocol version {0}, this release speaks 1; upgrade the older side")]
     Version(u16),
@@ -54,9 +61,21 @@
     message: M,
 }
 
+type Socket = WebSocketStream<Compat<TcpStream>>;
+
 /// One open link.
 pub struct Link {
-    socket: WebSocketStream<Compat<TcpStream>>,
+    socket: Socket,
+}
+
+/// The sending half of a link.
+pub struct LinkSender {
+    sink: SplitSink<Socket, tungstenite::Message>,
+}
+
+/// The receiving half of a link.
+pub struct LinkReceiver {
+    stream: SplitStream<Socket>,
 }
 
 /// Opens a link to a peer.
@@ -92,13 +111,45 @@
 
     /// Receives the next message.
     pub async fn recv(&mut self) -> Result<Message, LinkError> {
-        loop {
-            match self.socket.next().await {
-                None | Some(Ok(tungstenite::Message::Close(_))) => return Err(LinkError::Closed),
-                Some(Err(error)) => return Err(socket_error(error)),
-                Some(Ok(tungstenite::Message::Binary(bytes))) => return decode(&bytes),
-                Some(Ok(_)) => {}
-            }
+        decode(&next_frame(&mut self.socket).await?)
+    }
+
+    /// Splits the link, so that one task can send while another receives.
+    pub fn split(self) -> (LinkSender, LinkReceiver) {
+        let (sink, stream) = self.socket.split();
+        (LinkSender { sink }, LinkReceiver { stream })
+    }
+}
+
+impl LinkSender {
+    /// Sends one encoded message.
+    pub async fn send(&mut self, bytes: &[u8]) -> Result<(), LinkError> {
+        let frame = tungstenite::Message::binary(bytes.to_vec());
+        self.sink.send(frame).await.map_err(socket_error)
+    }
+
+    /// Tells the peer that the link ends.
+    pub async fn close(&mut self) {
+        let _ = self.sink.close().await;
+    }
+}
+
+impl LinkReceiver {
+    /// Receives the next encoded message.
+    pub async fn recv(&mut self) -> Result<Bytes, LinkError> {
+        next_frame(&mut self.stream).await
+    }
+}
+
+async fn next_frame(
+    stream: &mut (impl Stream<Item = Result<tungstenite::Message, tungstenite::Error>> + Unpin),
+) -> Result<Bytes, LinkError> {
+    loop {
+        match stream.next().await {
+            None | Some(Ok(tungstenite::Message::Close(_))) => return Err(LinkError::Closed),
+            Some(Err(error)) => return Err(socket_error(error)),
+            Some(Ok(tungstenite::Message::Binary(bytes))) => return Ok(bytes),
+            Some(Ok(_)) => {}
         }
     }
 }
--- /dev/null
+++ b/src/member/members.rs
@@ -0,0 +1,83 @@
+//! Who runs: the platform's list, which lags, corrected by what this VM's own links show.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::VmId;
+use crate::platform::VmEntry;
+
+/// How long a VM whose link failed is passed over before it is tried again.
+pub const SUSPECT_TIME: Duration = Duration::from_secs(10);
+
+/// The platform's list of VMs by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VmTable {
+    entries: BTreeMap<VmId, VmEntry>,
+}
+
+/// The VMs as one VM knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    list: Arc<VmTable>,
+    suspects: BTreeMap<VmId, Instant>,
+}
+
+impl VmTable {
+    /// Creates the list from the platform's answer.
+    pub fn new(list: Vec<VmEntry>) -> Self {
+        let named = list.into_iter().map(|entry| (entry.vm.clone(), entry));
+        let entries = named.collect();
+        Self { entries }
+    }
+}
+
+impl Members {
+    /// Takes the platform's list; returns whether it differs from the one before.
+    pub fn take_list(&mut self, list: Arc<VmTable>) -> bool {
+        let differs = *self.list != *list;
+        self.list = list;
+        let entries = &self.list.entries;
+        self.suspects.retain(|vm, _| entries.contains_key(vm));
+        differs
+    }
+
+    /// Takes note that a link to the VM failed.
+    pub fn suspect(&mut self, now: Instant, vm: &VmId) {
+        self.suspects.insert(vm.clone(), now);
+    }
+
+    /// Takes note that the VM answers; returns whether it was suspected.
+    pub fn heard(&mut self, vm: &VmId) -> bool {
+        self.suspects.remove(vm).is_some()
+    }
+
+    /// Returns whether any VM is passed over.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    /// Returns the platform's entry for a VM.
+    pub fn entry(&self, vm: &VmId) -> Option<&VmEntry> {
+        self.list.entries.get(vm)
+    }
+
+    /// Returns the number of VMs in the platform's list.
+    pub fn count(&self) -> usize {
+        self.list.entries.len()
+    }
+
+    /// Returns every VM of the platform's list.
+    pub fn listed(&self) -> impl Iterator<Item = &VmEntry> {
+        self.list.entries.values()
+    }
+
+    /// Returns the VMs believed to run: listed, and without a link that failed lately.
+    pub fn believed(&self, now: Instant) -> impl Iterator<Item = &VmEntry> {
+        self.listed().filter(move |entry| {
+            let since = self.suspects.get(&entry.vm);
+            since.is_none_or(|since| now.saturating_duration_since(*since) >= SUSPECT_TIME)
+        })
+    }
+}
--- /dev/null
+++ b/src/spread/links.rs
@@ -0,0 +1,156 @@
+//! Which links a VM keeps open, and what it asks for over each.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::VmId;
+use crate::link::Hello;
+use crate::link::Message;
+use crate::link::Role;
+use crate::spread::Action;
+use crate::spread::Feed;
+use crate::spread::LinkId;
+use crate::spread::Plan;
+use crate::spread::Spread;
+use crate::spread::peer::Peer;
+
+const REPLAN_INTERVAL: Duration = Duration::from_secs(1);
+const DIAL_INTERVAL: Duration = Duration::from_secs(1);
+const DIAL_LIMIT: Duration = Duration::from_secs(3);
+
+impl Spread {
+    pub(super) fn linked_up(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        hello: Hello,
+        dialled: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let peer = Peer::new(now, hello, dialled);
+        if dialled {
+            self.dialling.remove(&peer.vm);
+        }
+        if peer.role == Role::Entry {
+            self.catch_up(link, &peer, out);
+        } else {
+            self.replan_at = Some(now);
+            self.members.heard(&peer.vm);
+        }
+        self.links.insert(link, peer);
+    }
+
+    pub(super) fn unlinked(&mut self, now: Instant, link: LinkId) {
+        let Some(peer) = self.links.remove(&link) else {
+            return;
+        };
+        if peer.role == Role::Controller && self.link_to(&peer.vm).is_none() {
+            self.members.suspect(now, &peer.vm);
+            self.replan_at = Some(now);
+        }
+    }
+
+    pub(super) fn unreachable(&mut self, now: Instant, vm: &VmId) {
+        self.dialling.insert(vm.clone(), now + DIAL_INTERVAL);
+        if self.link_to(vm).is_none() {
+            self.members.suspect(now, vm);
+            self.replan_at = Some(now);
+        }
+    }
+
+    pub(super) fn subscribed(&mut self, now: Instant, link: LinkId, feed: Feed) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.down = feed;
+            peer.due = now;
+        }
+    }
+
+    /// Replans when due, opens what is missing and closes what is no longer wanted.
+    pub(super) fn maintain_links(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.replan_at.is_some_and(|at| now >= at) {
+            let suspects = self.members.has_suspects();
+            self.replan_at = suspects.then_some(now + REPLAN_INTERVAL);
+            let believed = self.members.believed(now);
+            self.plan = Plan::new(&self.conf.vm, &self.conf.data_centre, believed);
+        }
+        let sources: Vec<_> = self.sources().collect();
+        for (vm, feed) in &sources {
+            self.ask_feed(vm, *feed, out);
+        }
+        self.dial_missing(now, out);
+        let is_linked = |(vm, _): &(VmId, Feed)| self.link_to(vm).is_some();
+        if sources.iter().all(is_linked) {
+            self.close_surplus(out);
+        }
+    }
+
+    // Everybody to take state from, with what to ask for.
+    fn sources(&self) -> impl Iterator<Item = (VmId, Feed)> {
+        let parents = self.plan.parents.iter().enumerate();
+        let parents = parents.map(|(at, vm)| match at {
+            0 => (vm.clone(), Feed::Eager),
+            _ => (vm.clone(), Feed::Lazy),
+        });
+        let mesh = self.plan.mesh.iter().map(|vm| (vm.clone(), Feed::Mesh));
+        parents.chain(mesh)
+    }
+
+    fn ask_feed(&mut self, vm: &VmId, feed: Feed, out: &mut Vec<Action>) {
+        let Some(link) = self.link_to(vm) else {
+            return;
+        };
+        let Some(peer) = self.links.get_mut(&link) else {
+            return;
+        };
+        if peer.up != feed {
+            peer.up = feed;
+            let message = Message::Subscribe(feed);
+            let links = vec![link];
+            out.push(Action::Send { links, message });
+        }
+    }
+
+    fn dial_missing(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let sources = self.sources().map(|(vm, _)| vm);
+        let wanted: BTreeSet<_> = sources.chain(self.wanted.iter().cloned()).collect();
+        for vm in wanted {
+            let waits = self.dialling.get(&vm).is_some_and(|until| now < *until);
+            if vm == self.conf.vm || waits || self.link_to(&vm).is_some() {
+                continue;
+            }
+            let Some(entry) = self.members.entry(&vm) else {
+                continue;
+            };
+            let address = entry.address;
+            self.dialling.insert(vm.clone(), now + DIAL_LIMIT);
+            out.push(Action::Dial { vm, address });
+        }
+    }
+
+    fn close_surplus(&mut self, out: &mut Vec<Action>) {
+        let sources: BTreeSet<_> = self.sources().map(|(vm, _)| vm).collect();
+        for (link, peer) in &mut self.links {
+            if sources.contains(&peer.vm) || peer.role == Role::Entry {
+                continue;
+            }
+            let links = vec![*link];
+            if peer.up != Feed::Off {
+                peer.up = Feed::Off;
+                let message = Message::Subscribe(Feed::Off);
+                out.push(Action::Send { links, message });
+            } else if peer.dialled && peer.down == Feed::Off && !self.wanted.contains(&peer.vm) {
+                out.push(Action::Hangup(*link));
+            }
+        }
+    }
+
+    fn catch_up(&self, link: LinkId, peer: &Peer, out: &mut Vec<Action>) {
+        let changes = self.view.changes_since(&peer.hello.digest);
+        if !changes.is_empty() {
+            let message = Message::Changes(changes);
+            let links = vec![link];
+            out.push(Action::Send { links, message });
+        }
+    }
+}
--- /dev/null
+++ b/src/spread/mod.rs
@@ -0,0 +1,30 @@
+//! Spreading of state between our own VMs.
+//!
+//! Relays, two per data centre, read the table; everybody else is told along a tree. Whole changes
+//! go down one path and summaries down a second one, so a lost VM or message delays a change but
+//! does not stop it.
+
+mod changes;
+mod count;
+mod io;
+mod links;
+mod machine;
+mod message;
+mod peer;
+mod plan;
+mod ready;
+
+pub use io::Action;
+pub use io::Input;
+pub use io::LinkId;
+pub use io::SpreadConf;
+pub use io::TableAnswer;
+pub use machine::Spread;
+pub use message::Census;
+pub use message::Feed;
+pub use message::Summary;
+pub use message::VmNumber;
+pub use plan::FAN_OUT;
+pub use plan::Plan;
+pub use plan::RELAYS;
+pub use ready::Readiness;
