--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,13 +5,17 @@
 //! live in the adapters that drive them.
 
 pub mod clock;
+pub mod control;
 pub mod events;
 pub mod ids;
 pub mod inifile;
 pub mod link;
+pub mod member;
 pub mod owner;
 pub mod platform;
 pub mod route;
 pub mod settings;
+pub mod spread;
+pub mod standin;
 pub mod ticket;
 pub mod view;
