Serve operators, and give them a command

Cause: operators drive the system only by filing tickets and reading what is in force; they need an endpoint on every controller and a command. Ruled out: chunked ticket bodies (a body cut short would read as another, valid ticket); sending keys in paths (the command sends their hash). Change: `operator` serves filing, state, status and owners under a token compared in constant time, and health, readiness and metrics without it. `show` writes the state in force as the start of the next ticket. `metrics` keeps the instruments, `events::init` opens the log. The platform's HTTP client can carry the token, whose header's name the links now export.

--- /dev/null
+++ b/src/bin/gooseberryloft-ctl.rs
@@ -0,0 +1,52 @@
+//! The operator command: files tickets and reads what is in force.
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use clap::Command;
+
+use gooseberryloft::ctl::CtlError;
+use gooseberryloft::ctl::Exit;
+use gooseberryloft::ctl::cmd;
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  refused; nothing was changed
+  2  faulty arguments, settings or ticket; nothing was sent
+  3  no controller reached, or the outcome is not known yet";
+
+fn main() -> ExitCode {
+    match run(&arguments().get_matches()) {
+        Ok(()) => ExitCode::from(Exit::Done as u8),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit() as u8)
+        }
+    }
+}
+
+fn arguments() -> Command {
+    Command::new("gooseberryloft-ctl")
+        .version(clap::crate_version!())
+        .about("Files tickets and reads what is in force")
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(cmd::file::command())
+        .subcommand(cmd::check::command())
+        .subcommand(cmd::show::command())
+        .subcommand(cmd::status::command())
+        .subcommand(cmd::owner::command())
+}
+
+fn run(args: &ArgMatches) -> Result<(), CtlError> {
+    match args.subcommand() {
+        Some(("file", args)) => cmd::file::run(args),
+        Some(("check", args)) => cmd::check::run(args),
+        Some(("show", args)) => cmd::show::run(args),
+        Some(("status", args)) => cmd::status::run(args),
+        Some(("owner", args)) => cmd::owner::run(args),
+        _ => unreachable!("clap asks for one of the commands"),
+    }
+}
--- /dev/null
+++ b/src/ctl/cmd/check.rs
@@ -0,0 +1,50 @@
+//! `check`: checks a ticket without a controller.
+
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+use crate::ctl::CtlError;
+use crate::ctl::cmd::read_file;
+use crate::ticket;
+use crate::ticket::Ticket;
+use crate::ticket::TicketErrors;
+
+/// Describes the command.
+pub fn command() -> Command {
+    let about = "Checks a ticket by itself; nothing is sent";
+    let ticket = Arg::new("ticket")
+        .value_name("TICKET.ini")
+        .help("The ticket")
+        .value_parser(value_parser!(PathBuf))
+        .required(true);
+    Command::new("check").about(about).arg(ticket)
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// When the ticket has faults; all are listed.
+pub fn run(args: &ArgMatches) -> Result<(), CtlError> {
+    let path: &PathBuf = args.get_one("ticket").expect("the argument is required");
+    let text = read_file(path)?;
+    let ticket = parse(&path.display().to_string(), &text)?;
+    let targets: usize = ticket.services.values().map(|s| s.targets.len()).sum();
+    println!(
+        "ticket {} on {}: {} services with {targets} targets, {} removed; sound by itself",
+        ticket.number,
+        ticket.base,
+        ticket.services.len(),
+        ticket.removed.len()
+    );
+    Ok(())
+}
+
+/// Parses a ticket and names its file in the faults.
+pub(super) fn parse(file: &str, text: &str) -> Result<Ticket, TicketErrors> {
+    ticket::parse(text).map_err(|errors| TicketErrors(errors.0.named(file)))
+}
--- /dev/null
+++ b/src/ctl/cmd/file.rs
@@ -0,0 +1,130 @@
+//! `file`: files a ticket, and waits until it is in force everywhere if asked to.
+
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+use crate::control::DataCentreStatus;
+use crate::control::Status;
+use crate::ctl::Client;
+use crate::ctl::Config;
+use crate::ctl::CtlError;
+use crate::ctl::cmd::check;
+use crate::ctl::cmd::read_file;
+use crate::ids::TicketNumber;
+use crate::inifile::kinds;
+use crate::ticket::Outcome;
+
+const POLL_PERIOD: Duration = Duration::from_millis(250);
+const DEFAULT_WAIT: &str = "60 s";
+
+/// Describes the command.
+pub fn command() -> Command {
+    let about = "Files a ticket; filing the same file again is safe";
+    let ticket = Arg::new("ticket")
+        .value_name("TICKET.ini")
+        .help("The ticket")
+        .value_parser(value_parser!(PathBuf))
+        .required(true);
+    let wait = Arg::new("wait")
+        .long("wait")
+        .value_name("LIMIT")
+        .help("Returns when the ticket is in force on every VM, or at the limit")
+        .num_args(0..=1)
+        .default_missing_value(DEFAULT_WAIT)
+        .value_parser(wait_limit);
+    Config::arguments(Command::new("file").about(about).arg(ticket).arg(wait))
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// When the ticket is refused, or it is not known whether it is accepted or in force everywhere.
+pub fn run(args: &ArgMatches) -> Result<(), CtlError> {
+    let path: &PathBuf = args.get_one("ticket").expect("the argument is required");
+    let file = path.display().to_string();
+    let text = read_file(path)?;
+    let ticket = check::parse(&file, &text)?;
+    let client = Config::load(args)?.client();
+    let outcome = task::block_on(client.file(&text))?;
+    report(outcome, &file)?;
+    match args.get_one("wait") {
+        Some(&limit) => task::block_on(wait(&client, ticket.number, limit)),
+        None => Ok(()),
+    }
+}
+
+fn report(outcome: Outcome, file: &str) -> Result<(), CtlError> {
+    match outcome {
+        Outcome::Accepted { .. } | Outcome::AlreadyAccepted { .. } => {
+            println!("{outcome}");
+            Ok(())
+        }
+        Outcome::Invalid { errors } => {
+            let faults = errors.0.named(file);
+            Err(CtlError::Refused(format!(
+                "refused, nothing was changed:\n{faults}"
+            )))
+        }
+        Outcome::Unresolved { .. } => Err(CtlError::Unknown(outcome.to_string())),
+        _ => Err(CtlError::Refused(outcome.to_string())),
+    }
+}
+
+async fn wait(client: &Client, number: TicketNumber, limit: Duration) -> Result<(), CtlError> {
+    let start = Instant::now();
+    let mut shown = String::new();
+    loop {
+        let progress = match client.status().await {
+            Ok(status) if lagging(&status, number).is_empty() => {
+                let after = start.elapsed().as_secs_f64();
+                println!("ticket {number} is in force on every VM after {after:.1} s");
+                return Ok(());
+            }
+            Ok(status) => lagging(&status, number).join("; "),
+            Err(error) => error.to_string(),
+        };
+        if progress != shown {
+            eprintln!("{:.1} s: {progress}", start.elapsed().as_secs_f64());
+        }
+        if start.elapsed() >= limit {
+            return Err(CtlError::Unknown(format!(
+                "ticket {number} is accepted, but not seen in force everywhere within {limit:?}: \
+                 {progress}; see `gooseberryloft-ctl status`"
+            )));
+        }
+        shown = progress;
+        task::sleep(POLL_PERIOD).await;
+    }
+}
+
+fn lagging(status: &Status, number: TicketNumber) -> Vec<String> {
+    let data_centres = status.data_centres.iter();
+    data_centres.filter_map(|dc| lag(dc, number)).collect()
+}
+
+fn lag(dc: &DataCentreStatus, number: TicketNumber) -> Option<String> {
+    let late = dc.vms.iter().filter(|vm| vm.number < number);
+    let names: Vec<&str> = late.map(|vm| vm.vm.as_str()).collect();
+    let name = &dc.data_centre;
+    if !names.is_empty() {
+        return Some(format!("{name} lags on {}", names.join(", ")));
+    }
+    if dc.number < number {
+        return Some(format!("{name} lags"));
+    }
+    let unheard = dc.listed.saturating_sub(dc.heard);
+    (unheard > 0).then(|| format!("{name} not heard from {unheard} VMs"))
+}
+
+fn wait_limit(text: &str) -> Result<Duration, String> {
+    let limit = (kinds::DURATION.read)(text);
+    limit.ok_or_else(|| format!("give {}", kinds::DURATION.expected))
+}
--- /dev/null
+++ b/src/ctl/cmd/owner.rs
@@ -0,0 +1,57 @@
+//! `owner`: writes which target owns a key.
+
+use async_std::task;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::ctl::Config;
+use crate::ctl::CtlError;
+use crate::ctl::cmd::json_argument;
+use crate::ctl::cmd::text_argument;
+use crate::ids::ServiceId;
+use crate::inifile::kinds;
+
+/// Describes the command.
+pub fn command() -> Command {
+    let service = Arg::new("service")
+        .value_name("SERVICE")
+        .help("The keyed service")
+        .value_parser(service_name)
+        .required(true);
+    let key = Arg::new("key")
+        .value_name("KEY")
+        .help("The key as requests carry it")
+        .required(true);
+    let command = Command::new("owner").about("Writes which target owns a key");
+    Config::arguments(command.arg(service).arg(key).arg(json_argument()))
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// When the service is not keyed, or no controller answers.
+pub fn run(args: &ArgMatches) -> Result<(), CtlError> {
+    let client = Config::load(args)?.client();
+    let service = ServiceId::from(text_argument(args, "service"));
+    let key = text_argument(args, "key");
+    let owner = task::block_on(client.owner(&service, key))?;
+    if args.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&owner)?);
+        return Ok(());
+    }
+    let target = owner.target.as_ref();
+    println!(
+        "target {}",
+        target.map_or("none at present", |t| t.as_str())
+    );
+    println!("group  {}", owner.group);
+    println!("shard  {}", owner.shard);
+    println!("fence  {}", owner.fence);
+    Ok(())
+}
+
+fn service_name(text: &str) -> Result<String, String> {
+    (kinds::NAME.read)(text).ok_or_else(|| format!("give {}", kinds::NAME.expected))
+}
--- /dev/null
+++ b/src/ctl/cmd/show.rs
@@ -0,0 +1,54 @@
+//! `show`: writes the state in force, or an accepted ticket.
+
+use async_std::task;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+use crate::ctl::Config;
+use crate::ctl::CtlError;
+use crate::ctl::cmd::json_argument;
+use crate::ids::TicketNumber;
+use crate::ticket;
+
+/// Describes the command.
+pub fn command() -> Command {
+    let about = "Writes the state in force as the start of the next ticket, or an accepted ticket";
+    let number = Arg::new("number")
+        .value_name("N")
+        .help("The number of an accepted ticket")
+        .value_parser(value_parser!(u64));
+    let command = Command::new("show").about(about).arg(number);
+    Config::arguments(command.arg(json_argument()))
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// When there is no such ticket, or no controller answers.
+pub fn run(args: &ArgMatches) -> Result<(), CtlError> {
+    let client = Config::load(args)?.client();
+    let json = args.get_flag("json");
+    match args.get_one("number") {
+        Some(&number) => {
+            let text = task::block_on(client.ticket(TicketNumber(number)))?;
+            match json {
+                true => println!("{}", serde_json::to_string_pretty(&ticket::parse(&text)?)?),
+                false => print!("{text}"),
+            }
+        }
+        None => {
+            let state = task::block_on(client.state())?;
+            match json {
+                true => println!("{}", serde_json::to_string_pretty(&state)?),
+                false => {
+                    println!("; number in force: {}", state.number);
+                    print!("{}", ticket::write(&state.next_ticket()));
+                }
+            }
+        }
+    }
+    Ok(())
+}
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -1,11 +1,16 @@
 //! The numbered events of the log; `docs/EVENTS.md` is their catalogue.
 
+mod init;
+
 use std::fmt;
 
 use log::Level;
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
+pub use init::LogError;
+pub use init::init;
+
 /// Everything that the programs log. Numbers: 100 processes and settings, 200 tickets,
 /// 300 ownership, 400 membership and spreading, 500 routing and traffic, 600 the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, IntoStaticStr)]
@@ -18,6 +23,10 @@
     Draining = 101,
     /// A program ended.
     Stopped = 102,
+    /// An operator's request did not carry the token.
+    TokenRefused = 103,
+    /// The metrics could not be written.
+    MetricsFailed = 104,
     /// A VM took a newer ticket into force.
     TicketInForce = 200,
     /// A ticket was accepted.
@@ -47,7 +56,8 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost | Self::TicketUnresolved => Level::Warn,
+            Self::TableDown | Self::LinkLost => Level::Warn,
+            Self::TicketUnresolved | Self::TokenRefused | Self::MetricsFailed => Level::Warn,
             Self::RequestRefused => Level::Debug,
             _ => Level::Info,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,14 @@
 
 pub mod clock;
 pub mod control;
+pub mod ctl;
 pub mod events;
 pub mod ids;
 pub mod inifile;
 pub mod link;
 pub mod member;
+pub mod metrics;
+pub mod operator;
 pub mod owner;
 pub mod platform;
 pub mod route;
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -18,6 +18,7 @@
 pub use socket::LinkError;
 pub use socket::LinkReceiver;
 pub use socket::LinkSender;
+pub use socket::TOKEN_HEADER;
 pub use socket::accept;
 pub use socket::connect;
 pub use socket::decode;
--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -31,7 +31,8 @@
 
 const PROTOCOL_VERSION: u16 = 1;
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
-const TOKEN_HEADER: &str = "x-gooseberryloft-token";
+/// Request header with the token of the settings.
+pub const TOKEN_HEADER: &str = "x-gooseberryloft-token";
 
 /// Why a link failed.
 #[derive(Debug, Error)]
--- /dev/null
+++ b/src/metrics/instruments.rs
@@ -0,0 +1,115 @@
+//! The instruments that a process counts with.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::UpDownCounter;
+
+use crate::ids::DataCentre;
+use crate::ids::GroupId;
+use crate::ids::ServiceId;
+use crate::ids::Term;
+use crate::ids::TicketNumber;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS_S: [f64; 12] = [
+    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1.0, 5.0,
+];
+
+/// The instruments of a process.
+#[derive(Debug)]
+pub struct Instruments {
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    in_flight: UpDownCounter<i64>,
+    retries: Counter<u64>,
+    queued: Gauge<u64>,
+    in_force: Gauge<u64>,
+    terms: Gauge<u64>,
+    orders: Counter<u64>,
+    table_errors: Counter<u64>,
+}
+
+impl Instruments {
+    /// Creates the instruments of a meter.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        Self {
+            requests: counter("requests", "Requests by service, data centre and outcome"),
+            latency: meter
+                .f64_histogram("latency_seconds")
+                .with_description("Time from a request's head to its answer's head")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build(),
+            in_flight: meter
+                .i64_up_down_counter("in_flight")
+                .with_description("Requests in flight by service")
+                .build(),
+            retries: counter("retries", "Requests sent again, by service"),
+            queued: gauge("queued", "Requests waiting for a target, by service"),
+            in_force: gauge("ticket_in_force", "The number in force on this VM"),
+            terms: gauge("group_term", "The newest term known of each group"),
+            orders: counter("orders", "Orders to targets by outcome"),
+            table_errors: counter("table_errors", "Failed calls of the table service by kind"),
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn request(
+        &self,
+        service: &ServiceId,
+        data_centre: &DataCentre,
+        outcome: &'static str,
+        latency: Duration,
+    ) {
+        let place = [label("service", service), label("data_centre", data_centre)];
+        self.latency.record(latency.as_secs_f64(), &place);
+        let [service, data_centre] = place;
+        let outcome = KeyValue::new("outcome", outcome);
+        self.requests.add(1, &[service, data_centre, outcome]);
+    }
+
+    /// Adds to or takes from the requests in flight.
+    pub fn in_flight(&self, service: &ServiceId, by: i64) {
+        self.in_flight.add(by, &[label("service", service)]);
+    }
+
+    /// Counts a request that is sent again.
+    pub fn retry(&self, service: &ServiceId) {
+        self.retries.add(1, &[label("service", service)]);
+    }
+
+    /// Tells the number of requests that wait.
+    pub fn queued(&self, service: &ServiceId, length: u64) {
+        self.queued.record(length, &[label("service", service)]);
+    }
+
+    /// Tells the number in force.
+    pub fn in_force(&self, number: TicketNumber) {
+        self.in_force.record(number.0, &[]);
+    }
+
+    /// Tells the newest term of a group.
+    pub fn term(&self, group: &GroupId, term: Term) {
+        self.terms.record(term.0, &[label("group", group)]);
+    }
+
+    /// Counts an order to a target.
+    pub fn order(&self, outcome: &'static str) {
+        self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a failed call of the table service.
+    pub fn table_error(&self, kind: &'static str) {
+        self.table_errors.add(1, &[KeyValue::new("kind", kind)]);
+    }
+}
+
+fn label(key: &'static str, value: impl ToString) -> KeyValue {
+    KeyValue::new(key, value.to_string())
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,15 @@
+//! The operators' HTTP, which each controller serves on `[controller] admin`.
+//!
+//! Everything under `/operator` asks for the token of the settings; health, readiness and metrics
+//! do not.
+
+mod routes;
+mod server;
+mod token;
+
+pub use routes::OWNER_PATH;
+pub use routes::STATE_PATH;
+pub use routes::STATUS_PATH;
+pub use routes::TICKETS_PATH;
+pub use server::Operators;
+pub use server::run;
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -14,6 +14,8 @@
 use http_types::Url;
 use thiserror::Error;
 
+use crate::link::TOKEN_HEADER;
+
 const IDLE_CONNECTIONS: usize = 8;
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -52,6 +54,7 @@
 pub struct HttpClient {
     address: SocketAddr,
     limit: Duration,
+    token: Option<String>,
     idle: Mutex<Vec<TcpStream>>,
 }
 
@@ -61,10 +64,17 @@
         Self {
             address,
             limit,
+            token: None,
             idle: Mutex::new(Vec::new()),
         }
     }
 
+    /// Sends the token of the settings with every call.
+    pub fn with_token(self, token: &str) -> Self {
+        let token = Some(token.to_owned());
+        Self { token, ..self }
+    }
+
     /// Sends one request and reads the whole answer.
     pub async fn call(&self, method: Method, path: &str, body: &[u8]) -> Result<Reply, CallError> {
         let opened = bounded(self.limit, self.stream()).await;
@@ -97,6 +107,9 @@
         let url = Url::parse(&url).map_err(|e| e.to_string())?;
         let mut request = Request::new(method, url);
         request.set_body(body);
+        if let Some(token) = &self.token {
+            request.insert_header(TOKEN_HEADER, token.as_str());
+        }
         let answered = async_h1::connect(stream.clone(), request).await;
         let mut response = answered.map_err(|e| e.to_string())?;
         // A body cut short reads as a clean end, so its length is counted.
--- a/src/ticket/mod.rs
+++ b/src/ticket/mod.rs
@@ -8,6 +8,7 @@
 mod outcome;
 mod parse;
 mod rows;
+mod write;
 
 pub use file::Action;
 pub use file::Filing;
@@ -31,3 +32,4 @@
 pub use rows::SERVICE_PREFIX;
 pub use rows::service_key;
 pub use rows::ticket_key;
+pub use write::write;
--- /dev/null
+++ b/src/ticket/write.rs
@@ -0,0 +1,84 @@
+//! Writing a ticket as INI text.
+
+use std::fmt;
+use std::fmt::Write;
+
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::ticket::InForce;
+use crate::ticket::KeySource;
+use crate::ticket::Service;
+use crate::ticket::Target;
+use crate::ticket::Ticket;
+
+/// Returns the text of a ticket; [`crate::ticket::parse()`] reads the same ticket from it.
+pub fn write(ticket: &Ticket) -> String {
+    let mut text = String::new();
+    write_ticket(&mut text, ticket).expect("writing to memory cannot fail");
+    text
+}
+
+impl InForce {
+    /// Returns a ticket on top of this state that changes nothing: a start for the next one.
+    pub fn next_ticket(&self) -> Ticket {
+        Ticket {
+            number: self.number.next(),
+            base: self.number,
+            services: self.services.clone(),
+            removed: Vec::new(),
+        }
+    }
+}
+
+fn write_ticket(text: &mut String, ticket: &Ticket) -> fmt::Result {
+    writeln!(text, "[ticket]")?;
+    writeln!(text, "number = {}", ticket.number)?;
+    writeln!(text, "base = {}", ticket.base)?;
+    for (name, service) in &ticket.services {
+        write_service(text, name, service)?;
+        for (target_name, target) in &service.targets {
+            write_target(text, name, target_name, target)?;
+        }
+    }
+    for name in &ticket.removed {
+        writeln!(text, "\n[remove {name}]")?;
+    }
+    Ok(())
+}
+
+fn write_service(text: &mut String, name: &ServiceId, service: &Service) -> fmt::Result {
+    writeln!(text, "\n[service {name}]")?;
+    writeln!(text, "path = {}", service.prefix)?;
+    if let Some(keying) = &service.keying {
+        match &keying.source {
+            KeySource::Path => writeln!(text, "key = path")?,
+            KeySource::Header(header) => writeln!(text, "key = header {header}")?,
+        }
+        writeln!(text, "shards = {}", keying.shards)?;
+        writeln!(text, "groups = {}", keying.groups)?;
+    }
+    match service.idempotent.as_slice() {
+        [] => writeln!(text, "idempotent = none")?,
+        methods => writeln!(text, "idempotent = {}", methods.join(" "))?,
+    }
+    writeln!(text, "priority = {}", service.priority)?;
+    writeln!(text, "spread = {} %", service.spread_percent)?;
+    writeln!(text, "deadline = {} ms", service.deadline_ms)
+}
+
+fn write_target(
+    text: &mut String,
+    service: &ServiceId,
+    name: &TargetId,
+    target: &Target,
+) -> fmt::Result {
+    writeln!(text, "\n[target {service} {name}]")?;
+    writeln!(text, "address = {}", target.address)?;
+    writeln!(text, "data_centre = {}", target.data_centre)?;
+    writeln!(text, "slots = {}", target.slots)?;
+    writeln!(text, "connections = {}", target.connections)?;
+    let checks = if target.checks_term { "yes" } else { "no" };
+    writeln!(text, "checks_term = {checks}")?;
+    writeln!(text, "group = {}", target.group)?;
+    writeln!(text, "state = {}", target.state)
+}
