--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -1,11 +1,16 @@
 //! The numbered events of the log; `docs/EVENTS.md` is their catalogue.
 
+mod init;
+
 use std::fmt;
 
 use log::Level;
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
+pub use init::LogError;
+pub use init::init;
+
 /// Everything that the programs log. Numbers: 100 processes and settings, 200 tickets,
 /// 300 ownership, 400 membership and spreading, 500 routing and traffic, 600 the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, IntoStaticStr)]
@@ -18,8 +23,20 @@
     Draining = 101,
     /// A program ended.
     Stopped = 102,
+    /// An operator's request did not carry the token.
+    TokenRefused = 103,
+    /// The metrics could not be written.
+    MetricsFailed = 104,
     /// A VM took a newer ticket into force.
     TicketInForce = 200,
+    /// A ticket was accepted.
+    TicketAccepted = 201,
+    /// A ticket was filed again after it had been accepted.
+    TicketRepeated = 202,
+    /// A ticket was refused.
+    TicketRefused = 203,
+    /// It is not known whether a filed ticket was accepted.
+    TicketUnresolved = 204,
     /// A VM became the holder of a group.
     GroupTaken = 300,
     /// A link to a peer was lost.
@@ -43,8 +60,12 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost | Self::WorkCut | Self::ViewStale => Level::Warn,
+            Self::TokenRefused | Self::MetricsFailed => Level::Warn,
+            Self::TicketUnresolved => Level::Warn,
+            Self::LinkLost => Level::Warn,
+            Self::WorkCut | Self::ViewStale => Level::Warn,
             Self::RequestRefused => Level::Debug,
+            Self::TableDown => Level::Warn,
             _ => Level::Info,
         }
     }
