--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -34,6 +34,10 @@
     LinkLost = 400,
     /// A request was refused.
     RequestRefused = 500,
+    /// A graceful shutdown came to its limit and cut work in flight.
+    WorkCut = 501,
+    /// An entry's view was not confirmed for longer than the stale limit.
+    ViewStale = 502,
     /// The table service does not answer.
     TableDown = 600,
 }
@@ -47,7 +51,11 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost | Self::TicketUnresolved => Level::Warn,
+            Self::TableDown
+            | Self::LinkLost
+            | Self::TicketUnresolved
+            | Self::WorkCut
+            | Self::ViewStale => Level::Warn,
             Self::RequestRefused => Level::Debug,
             _ => Level::Info,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod spread;
 pub mod standin;
 pub mod ticket;
+pub mod traffic;
 pub mod view;
