Control one group per VM as a state machine

Cause: ownership had the target's side and the order, but nothing that decides. Ruled out: state machines per role behind a trait; the roles are a closed set and share the rows, the contacts of targets and the questions asked, so one enum with a shared base reads shorter. Change: owner::group::Group takes inputs and returns actions: reads and commits of the group's two rows, orders, peer messages, published assignments. The link gets Message::Owner for the peer messages. An order's reply now names the grants taken and those whose fence is too low; a target refuses grants and releases that carry no stamp, since they could be of any age.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -22,6 +22,23 @@
     TicketInForce = 200,
     /// A VM became the holder of a group.
     GroupTaken = 300,
+    /// Another VM became the holder of a group that this VM held.
+    GroupLost = 301,
+    /// A target does not answer; its shards are given to others once its lease lapsed.
+    TargetLost = 302,
+    /// Another process answers in a target's place; it gets the shards back once the lease of the
+    /// earlier one lapsed.
+    TargetRestarted = 303,
+    /// More targets are silent than may be given up at once; the shards of the others wait.
+    LossSpared = 304,
+    /// Shards get new owners, by one write to the table.
+    ShardsPlaced = 305,
+    /// Planned moves began.
+    MovesStarted = 306,
+    /// A target refuses a grant because it released the fence; the fence is raised.
+    GrantDenied = 307,
+    /// A row of the table cannot be read.
+    RowMalformed = 308,
     /// A link to a peer was lost.
     LinkLost = 400,
     /// A request was refused.
@@ -39,7 +56,8 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost => Level::Warn,
+            Self::TableDown | Self::LinkLost | Self::TargetLost | Self::LossSpared => Level::Warn,
+            Self::RowMalformed => Level::Error,
             Self::RequestRefused => Level::Debug,
             _ => Level::Info,
         }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,9 +6,11 @@
 
 use crate::ids::BootId;
 use crate::ids::DataCentre;
+use crate::ids::GroupId;
 use crate::ids::ServiceId;
 use crate::ids::TicketNumber;
 use crate::ids::VmId;
+use crate::owner::message::PeerMessage;
 use crate::view::ViewChange;
 use crate::view::ViewDigest;
 
@@ -27,6 +29,13 @@
     Ping(u64),
     /// Answers a ping.
     Pong(u64),
+    /// Concerns the control of one group.
+    Owner {
+        /// The group.
+        group: GroupId,
+        /// The message.
+        message: PeerMessage,
+    },
 }
 
 /// Who opens a link.
--- a/src/owner/grants.rs
+++ b/src/owner/grants.rs
@@ -67,13 +67,15 @@
         let group = self.groups.entry(order.group.clone()).or_default();
         group.lapse(now);
         let mut released = Vec::new();
+        let mut granted = Vec::new();
+        let mut denied = Vec::new();
         if refused.is_none() {
             group.term = group.term.max(order.term);
             released = group.release(stamp, &order.release);
             if let Some(from) = order.stamp {
                 let lease = Duration::from_millis(order.lease_ms);
                 group.extend(self.epoch + Duration::from_micros(from.0) + lease, now);
-                group.grant(&order.grant);
+                (granted, denied) = group.grant(&order.grant);
             }
         }
         OrderReply {
@@ -81,6 +83,8 @@
             stamp,
             refused,
             released,
+            granted,
+            denied,
             held: group.held.len() as u32,
             digest: digest(
                 group
@@ -127,6 +131,9 @@
         if self.checks_term && group.is_some_and(|group| order.term < group.term) {
             return Some(Refusal::OldTerm);
         }
+        if order.stamp.is_none() && !(order.release.is_empty() && order.grant.is_empty()) {
+            return Some(Refusal::OldStamp);
+        }
         let from = order.stamp?;
         let lease = Duration::from_millis(order.lease_ms);
         let lapsed = self.epoch + Duration::from_micros(from.0) + lease <= now;
@@ -169,14 +176,16 @@
         }
     }
 
-    fn grant(&mut self, shards: &[ShardFence]) {
-        for at in shards {
+    fn grant(&mut self, shards: &[ShardFence]) -> (Vec<ShardFence>, Vec<ShardFence>) {
+        shards.iter().partition(|at| {
             let floor = self.floors.get(&at.shard).copied().unwrap_or_default();
             let held = self.held.get(&at.shard).copied().unwrap_or_default();
-            if at.fence >= floor.max(held) {
+            let allowed = at.fence >= floor.max(held);
+            if allowed {
                 self.held.insert(at.shard, at.fence);
             }
-        }
+            allowed
+        })
     }
 }
 
--- /dev/null
+++ b/src/owner/group/base.rs
@@ -0,0 +1,267 @@
+//! What every role of a group's state machine shares.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::ids::Shard;
+use crate::ids::TargetId;
+use crate::ids::Term;
+use crate::ids::VmId;
+use crate::owner::group::Action;
+use crate::owner::group::FIRST_TERM;
+use crate::owner::group::GroupConf;
+use crate::owner::group::Loads;
+use crate::owner::group::Peer;
+use crate::owner::group::elect;
+use crate::owner::group::fleet::Fleet;
+use crate::owner::group::store::Rows;
+use crate::owner::group::store::Store;
+use crate::owner::message::Ask;
+use crate::owner::message::Member;
+use crate::owner::message::PeerMessage;
+use crate::owner::message::Place;
+use crate::owner::message::TargetBoot;
+use crate::owner::rows::GroupRow;
+use crate::owner::rows::ShardsRow;
+use crate::ticket::Service;
+use crate::ticket::Target;
+use crate::ticket::TargetState;
+
+const ASKS_KEPT: usize = 16;
+
+/// What the write on its way is for.
+#[derive(Clone, Debug)]
+pub(super) enum Pending {
+    /// To become the holder of a new term.
+    Take,
+    /// To place shards.
+    Shards(Vec<Shard>),
+    /// To prove the term, or to forget earlier ones.
+    Touch,
+}
+
+/// The questions asked lately, by number.
+#[derive(Debug, Default)]
+pub(super) struct Asks {
+    seq: u64,
+    open: VecDeque<(u64, Instant)>,
+}
+
+/// What every role shares.
+#[derive(Debug)]
+pub(super) struct Base {
+    pub conf: GroupConf,
+    pub rng: ChaCha8Rng,
+    pub service: Option<Service>,
+    pub peers: Vec<Peer>,
+    pub loads: Loads,
+    pub store: Store,
+    pub fleet: Fleet,
+    /// Who controls the group under the newest term known.
+    pub place: Option<Place>,
+    pub asks: Asks,
+    pub read_due: Instant,
+    pub pending: Option<Pending>,
+    /// Whether this process is about to stop as planned.
+    pub leaving: bool,
+}
+
+impl Asks {
+    fn ask(&mut self, now: Instant) -> u64 {
+        self.seq += 1;
+        self.open.push_back((self.seq, now));
+        if self.open.len() > ASKS_KEPT {
+            self.open.pop_front();
+        }
+        self.seq
+    }
+
+    /// Returns when a question was asked, if that was lately.
+    pub fn asked(&self, seq: u64) -> Option<Instant> {
+        let known = self.open.iter().find(|(known, _)| *known == seq);
+        known.map(|(_, asked)| *asked)
+    }
+}
+
+impl Base {
+    pub fn new(now: Instant, conf: GroupConf, seed: u64) -> Self {
+        Self {
+            store: Store::new(&conf.group),
+            conf,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            service: None,
+            peers: Vec::new(),
+            loads: Loads::default(),
+            fleet: Fleet::default(),
+            place: None,
+            asks: Asks::default(),
+            read_due: now,
+            pending: None,
+            leaving: false,
+        }
+    }
+
+    pub fn me(&self) -> Member {
+        Member {
+            vm: self.conf.me.clone(),
+            boot: self.conf.boot,
+            data_centre: self.conf.data_centre.clone(),
+        }
+    }
+
+    pub fn term(&self) -> Term {
+        self.place.as_ref().map_or(Term(0), |place| place.term)
+    }
+
+    /// Returns the members of the newest term other than this process.
+    pub fn others(&self) -> Vec<Member> {
+        let me = self.me();
+        let members = self.place.iter().flat_map(|place| &place.members);
+        members.filter(|m| **m != me).cloned().collect()
+    }
+
+    pub fn set_service(&mut self, now: Instant, service: Option<Service>) {
+        self.service = service;
+        for (target, address) in self
+            .targets()
+            .map(|(id, t)| (id.clone(), t.address))
+            .collect::<Vec<_>>()
+        {
+            self.fleet.name(now, &target, address);
+        }
+    }
+
+    /// Returns the targets of the group that the state in force names.
+    pub fn targets(&self) -> impl Iterator<Item = (&TargetId, &Target)> {
+        let index = self.conf.group.index;
+        let targets = self.service.iter().flat_map(|service| &service.targets);
+        targets.filter(move |(_, target)| target.group == index)
+    }
+
+    /// Returns the targets that may own shards by the state in force.
+    pub fn serving(&self) -> impl Iterator<Item = (&TargetId, &Target)> {
+        self.targets()
+            .filter(|(_, target)| target.state == TargetState::Serving)
+    }
+
+    /// Returns the hashed shards of the group.
+    pub fn hashed(&self) -> Vec<Shard> {
+        let keying = self
+            .service
+            .as_ref()
+            .and_then(|service| service.keying.as_ref());
+        let Some(keying) = keying else {
+            return Vec::new();
+        };
+        let index = self.conf.group.index;
+        let all = (0..keying.shards).map(Shard);
+        all.filter(|shard| keying.group_of(*shard) == index)
+            .collect()
+    }
+
+    /// Returns the owners as the table has them.
+    pub fn shards(&self) -> Option<&ShardsRow> {
+        self.store.rows()?.shards.as_ref()
+    }
+
+    pub fn send(&self, to: &VmId, message: PeerMessage, out: &mut Vec<Action>) {
+        let to = to.clone();
+        out.push(Action::Send { to, message });
+    }
+
+    /// Asks the other members whether they vouch for the term.
+    pub fn ask(&mut self, now: Instant, barred: &[TargetBoot], out: &mut Vec<Action>) {
+        let others = self.others();
+        let Some(place) = self.place.clone().filter(|_| !others.is_empty()) else {
+            return;
+        };
+        let seq = self.asks.ask(now);
+        for member in others {
+            let ask = Ask {
+                seq,
+                place: place.clone(),
+                barred: barred.to_vec(),
+            };
+            self.send(&member.vm, PeerMessage::Ask(ask), out);
+        }
+    }
+
+    /// Reads the rows if that is due.
+    pub fn read_if_due(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if now >= self.read_due && !self.store.reading() {
+            out.extend(self.store.read(now));
+        }
+    }
+
+    /// Writes this process into the row as the holder of a new term; `without` and `kept`
+    /// say whom else to name.
+    pub fn take(&mut self, now: Instant, without: &[VmId], kept: &[Member], out: &mut Vec<Action>) {
+        let Some(rows) = self.store.rows().cloned() else {
+            return;
+        };
+        let members = elect::members(self, without, kept);
+        let need = self.conf.policy.need(members.len());
+        let row = match rows.group {
+            None => GroupRow {
+                place: Place {
+                    term: FIRST_TERM,
+                    members,
+                    need,
+                },
+                prior: Vec::new(),
+            },
+            Some(row) => successor(row, members, need),
+        };
+        let shards = rows.shards.is_none().then(ShardsRow::default);
+        self.commit(now, Pending::Take, Some(row), shards, out);
+    }
+
+    pub fn commit(
+        &mut self,
+        now: Instant,
+        pending: Pending,
+        group: Option<GroupRow>,
+        shards: Option<ShardsRow>,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(action) = self.store.commit(now, &mut self.rng, group, shards) {
+            self.pending = Some(pending);
+            out.push(action);
+        }
+    }
+
+    /// Returns the rows of which both exist.
+    pub fn rows(&self) -> Option<(&GroupRow, &ShardsRow)> {
+        let Rows { group, shards, .. } = self.store.rows()?;
+        Some((group.as_ref()?, shards.as_ref()?))
+    }
+
+    /// Returns whether another VM can take over from this one.
+    pub fn has_heir(&self) -> bool {
+        !self.others().is_empty()
+    }
+
+    /// Spreads a period over the VMs: between three and five quarters of it.
+    pub fn jitter(&mut self, period: Duration) -> Duration {
+        period.mul_f64(self.rng.random_range(0.75..1.25))
+    }
+}
+
+fn successor(row: GroupRow, members: Vec<Member>, need: usize) -> GroupRow {
+    let term = row.place.term.next();
+    let mut prior = row.prior;
+    prior.push(row.place);
+    GroupRow {
+        place: Place {
+            term,
+            members,
+            need,
+        },
+        prior,
+    }
+}
--- /dev/null
+++ b/src/owner/group/orders.rs
@@ -0,0 +1,81 @@
+//! The orders that a member sends to the targets of its group.
+
+use std::time::Instant;
+
+use crate::ids::BootId;
+use crate::ids::TargetId;
+use crate::owner::group::Action;
+use crate::owner::group::base::Base;
+use crate::owner::message::TargetBoot;
+use crate::owner::order::GRANT_LEASE;
+use crate::owner::order::Order;
+use crate::owner::order::ShardFence;
+use crate::owner::right::Right;
+
+/// What an order says about shards.
+#[derive(Debug, Default)]
+pub(super) struct Shards {
+    pub grant: Vec<ShardFence>,
+    pub release: Vec<ShardFence>,
+}
+
+/// Extends the grants of every target that is due.
+pub(super) fn extend(
+    base: &mut Base,
+    now: Instant,
+    right: &Right,
+    barred: &[TargetBoot],
+    out: &mut Vec<Action>,
+) {
+    for target in due(base, now) {
+        send(base, now, right, barred, &target, Shards::default(), out);
+    }
+}
+
+/// Returns the targets that are due an order.
+pub(super) fn due(base: &Base, now: Instant) -> Vec<TargetId> {
+    let contacts = base.fleet.contacts.iter();
+    let due = contacts.filter(|(_, contact)| contact.due <= now);
+    due.map(|(target, _)| target.clone()).collect()
+}
+
+/// Sends one order. Without the right to extend the target it only asks for a stamp.
+pub(super) fn send(
+    base: &mut Base,
+    now: Instant,
+    right: &Right,
+    barred: &[TargetBoot],
+    target: &TargetId,
+    shards: Shards,
+    out: &mut Vec<Action>,
+) {
+    let at = base.fleet.process(target);
+    let term = base.term();
+    let Some(contact) = base.fleet.contacts.get_mut(target) else {
+        return;
+    };
+    let allowed = |at: &TargetBoot| !barred.contains(at) && right.covers(now, Some(at));
+    let stamp = contact.stamp(now);
+    let extended = at.as_ref().zip(stamp).filter(|(at, _)| allowed(at));
+    let mut order = Order {
+        group: base.conf.group.clone(),
+        term,
+        boot: contact.boot.unwrap_or(BootId(0)),
+        stamp: None,
+        grant: Vec::new(),
+        release: Vec::new(),
+        lease_ms: GRANT_LEASE.as_millis() as u64,
+    };
+    if let Some((at, (stamp, received))) = extended {
+        base.fleet.bounds.extend(at, received);
+        order.stamp = Some(stamp);
+        order.grant = shards.grant;
+        order.release = shards.release;
+    }
+    contact.sent(now);
+    out.push(Action::Order {
+        target: target.clone(),
+        address: contact.address,
+        order,
+    });
+}
--- /dev/null
+++ b/src/owner/group/show.rs
@@ -0,0 +1,110 @@
+//! What the holder publishes: the owners that may be sent requests now.
+
+use std::time::Instant;
+
+use crate::ids::BootId;
+use crate::ids::Shard;
+use crate::ids::Term;
+use crate::ids::Version;
+use crate::owner::assignment::Assignment;
+use crate::owner::assignment::Owner;
+use crate::owner::grants;
+use crate::owner::group::Action;
+use crate::owner::group::base::Base;
+use crate::owner::group::lead::Lead;
+use crate::owner::message::TargetBoot;
+use crate::owner::order::OrderReply;
+use crate::owner::rows::RowOwner;
+use crate::owner::rows::ShardsRow;
+use crate::view::ViewChange;
+
+const TERM_SHIFT: u32 = 32;
+
+/// What a target's process is to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Expect {
+    pub boot: BootId,
+    held: u32,
+    digest: u64,
+}
+
+impl Expect {
+    fn new(row: &ShardsRow, at: &TargetBoot) -> Self {
+        let shards = row.shards_of(at);
+        Self {
+            boot: at.boot,
+            held: shards.len() as u32,
+            digest: grants::digest(shards.into_iter()),
+        }
+    }
+
+    /// Returns whether the process holds something else.
+    pub fn differs(&self, reply: &OrderReply) -> bool {
+        reply.held != self.held || reply.digest != self.digest
+    }
+}
+
+impl Lead {
+    /// Publishes what changed since the last time.
+    pub fn show(&mut self, base: &Base, _now: Instant, out: &mut Vec<Action>) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
+        let Some((_, row)) = base.rows() else {
+            self.dirty = true;
+            return;
+        };
+        let boots = row.boots.iter().map(|(target, &boot)| TargetBoot {
+            target: target.clone(),
+            boot,
+        });
+        self.expect = boots
+            .map(|at| (at.target.clone(), Expect::new(row, &at)))
+            .collect();
+        let mut next = Assignment::empty(base.conf.group.clone());
+        next.owners = row
+            .owners
+            .iter()
+            .map(|(&shard, owner)| (shard, self.shown_owner(row, shard, owner)))
+            .collect();
+        next.hot_keys = row.hot_keys.clone();
+        self.unowned = next
+            .owners
+            .values()
+            .filter(|owner| owner.target.is_none())
+            .count();
+        self.publish(base.term(), next, out);
+    }
+
+    /// An owner is shown only while it may serve, and once it confirmed the grant.
+    fn shown_owner(&self, row: &ShardsRow, shard: Shard, owner: &RowOwner) -> Owner {
+        let barred = row
+            .owner(shard)
+            .is_none_or(|at| self.bars.contains_key(&at));
+        let hidden = barred || self.ungranted.contains(&shard) || self.moves.get(shard).is_some();
+        Owner {
+            target: (!hidden).then(|| owner.target.clone()),
+            fence: owner.fence,
+        }
+    }
+
+    fn publish(&mut self, term: Term, mut next: Assignment, out: &mut Vec<Action>) {
+        if next.owners.is_empty() {
+            return;
+        }
+        let first = Version(term.0 << TERM_SHIFT);
+        let Some(shown) = &self.shown else {
+            next.version = first.next();
+            self.shown = Some(next.clone());
+            out.push(Action::Publish(ViewChange::Group(next)));
+            return;
+        };
+        if shown.owners == next.owners && shown.hot_keys == next.hot_keys {
+            return;
+        }
+        next.version = shown.version.max(first).next();
+        let delta = shown.delta_to(&next);
+        self.shown = Some(next);
+        out.push(Action::Publish(ViewChange::Delta(delta)));
+    }
+}
--- /dev/null
+++ b/src/owner/group/store.rs
@@ -0,0 +1,353 @@
+//! The group's rows in the table: one read and one write at a time, lost answers resolved.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::ids::GroupId;
+use crate::owner::group::Action;
+use crate::owner::rows;
+use crate::owner::rows::GroupRow;
+use crate::owner::rows::RowError;
+use crate::owner::rows::ShardsRow;
+use crate::platform::Condition;
+use crate::platform::Mutation;
+use crate::platform::Row;
+use crate::platform::TableError;
+use crate::platform::Transaction;
+use crate::platform::WriteId;
+
+const READ_LIMIT: Duration = Duration::from_secs(3);
+const WRITE_LIMIT: Duration = Duration::from_millis(600);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// The rows as last read or written, with their revisions; revision 0 is a row that is absent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rows {
+    /// Who controls the group.
+    pub group: Option<GroupRow>,
+    /// The revision of the group's row.
+    pub group_revision: u64,
+    /// Who owns the shards.
+    pub shards: Option<ShardsRow>,
+    /// The revision of the shards' row.
+    pub shards_revision: u64,
+}
+
+/// What an answer of the table means.
+#[derive(Debug)]
+pub enum Outcome {
+    /// Nothing new.
+    Nothing,
+    /// The rows were read; `begun` is when the read began.
+    Read {
+        /// When the read began.
+        begun: Instant,
+    },
+    /// The write took effect; `begun` is when it was first sent.
+    Written {
+        /// When the write was first sent.
+        begun: Instant,
+    },
+    /// The write certainly had no effect: another writer was first, the rows were read again.
+    Beaten {
+        /// When the read began.
+        begun: Instant,
+    },
+    /// The table did not answer; the operation is repeated.
+    Failed,
+    /// A row cannot be read.
+    Malformed(RowError),
+}
+
+/// Access to the rows of one group.
+#[derive(Debug)]
+pub struct Store {
+    keys: [String; 2],
+    rows: Option<Rows>,
+    read: Option<Read>,
+    reads: u64,
+    write: Option<Write>,
+    pause: Duration,
+    failed: bool,
+    answered: Option<Instant>,
+    /// Revisions that the rows certainly reached; a read with older ones is stale.
+    floors: [u64; 2],
+}
+
+#[derive(Debug)]
+struct Read {
+    id: u64,
+    begun: Instant,
+}
+
+#[derive(Debug)]
+struct Write {
+    tx: Transaction,
+    after: Rows,
+    begun: Instant,
+    /// When to send it again, unless the answer comes.
+    again: Instant,
+    /// Whether an attempt was refused because of a row's revision.
+    refused: bool,
+}
+
+impl Store {
+    /// Starts without knowing the rows.
+    pub fn new(group: &GroupId) -> Self {
+        Self {
+            keys: [rows::group_key(group), rows::shards_key(group)],
+            rows: None,
+            read: None,
+            reads: 0,
+            write: None,
+            pause: FIRST_PAUSE,
+            failed: false,
+            answered: None,
+            floors: [0, 0],
+        }
+    }
+
+    /// Returns the rows as last known.
+    pub fn rows(&self) -> Option<&Rows> {
+        self.rows.as_ref()
+    }
+
+    /// Returns whether a write waits for its outcome.
+    pub fn writing(&self) -> bool {
+        self.write.is_some()
+    }
+
+    /// Returns whether a read waits for its answer.
+    pub fn reading(&self) -> bool {
+        self.read.is_some()
+    }
+
+    /// Returns whether the table answered within this time, and did not fail since.
+    pub fn works(&self, now: Instant, within: Duration) -> bool {
+        !self.failed && self.answered.is_some_and(|at| now <= at + within)
+    }
+
+    /// Returns whether the last answer was a failure.
+    pub fn failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Returns how long to wait before the next attempt after a failure.
+    pub fn pause(&self) -> Duration {
+        self.pause
+    }
+
+    /// Returns when [`Store::tick`] has something to do.
+    pub fn next_tick(&self) -> Option<Instant> {
+        let read = self.read.as_ref().map(|read| read.begun + READ_LIMIT);
+        let write = self
+            .write
+            .as_ref()
+            .filter(|write| !write.refused)
+            .map(|write| write.again);
+        read.into_iter().chain(write).min()
+    }
+
+    /// Reads the rows, unless a read is on its way.
+    pub fn read(&mut self, now: Instant) -> Option<Action> {
+        if self.read.is_some() {
+            return None;
+        }
+        self.reads += 1;
+        let id = self.reads;
+        self.read = Some(Read { id, begun: now });
+        Some(Action::Read {
+            id,
+            keys: self.keys.to_vec(),
+        })
+    }
+
+    /// Writes the rows given on the condition that both are as last known.
+    pub fn commit(
+        &mut self,
+        now: Instant,
+        rng: &mut ChaCha8Rng,
+        group: Option<GroupRow>,
+        shards: Option<ShardsRow>,
+    ) -> Option<Action> {
+        if self.write.is_some() {
+            return None;
+        }
+        let known = self.rows.clone()?;
+        let [group_key, shards_key] = self.keys.clone();
+        let conditions = vec![
+            condition(&group_key, known.group_revision),
+            condition(&shards_key, known.shards_revision),
+        ];
+        let mut after = known;
+        let mut mutations = Vec::new();
+        if let Some(row) = group {
+            mutations.push(put(group_key, &row));
+            after.group = Some(row);
+            after.group_revision += 1;
+        }
+        if let Some(row) = shards {
+            mutations.push(put(shards_key, &row));
+            after.shards = Some(row);
+            after.shards_revision += 1;
+        }
+        let tx = Transaction {
+            id: WriteId(rng.random()),
+            conditions,
+            mutations,
+        };
+        self.write = Some(Write {
+            tx: tx.clone(),
+            after,
+            begun: now,
+            again: now + WRITE_LIMIT,
+            refused: false,
+        });
+        Some(Action::Commit(tx))
+    }
+
+    /// Takes the answer to a read.
+    pub fn on_read(
+        &mut self,
+        now: Instant,
+        id: u64,
+        result: Result<Vec<Option<Row>>, TableError>,
+    ) -> Outcome {
+        let Some(read) = self.read.take_if(|read| read.id == id) else {
+            return Outcome::Nothing;
+        };
+        let rows = match result {
+            Ok(rows) => rows,
+            Err(_) => return self.fail(),
+        };
+        self.succeed(now);
+        let writer = |row: &Option<Row>| row.as_ref().map(|row| row.writer);
+        let writers: Vec<_> = rows.iter().map(writer).collect();
+        match self.parse(rows) {
+            Ok(rows) if self.is_stale(&rows) => return Outcome::Nothing,
+            Ok(rows) => self.set_rows(rows),
+            Err(error) => return Outcome::Malformed(error),
+        }
+        self.resolve(&writers, read.begun)
+    }
+
+    /// Takes the answer to a write.
+    pub fn on_committed(
+        &mut self,
+        now: Instant,
+        id: WriteId,
+        result: Result<(), TableError>,
+        out: &mut Vec<Action>,
+    ) -> Outcome {
+        let Some(write) = self.write.as_mut().filter(|write| write.tx.id == id) else {
+            return Outcome::Nothing;
+        };
+        match result {
+            Ok(()) => {
+                let begun = write.begun;
+                let after = write.after.clone();
+                self.write = None;
+                self.set_rows(after);
+                self.succeed(now);
+                Outcome::Written { begun }
+            }
+            Err(TableError::Conflict { key, found }) => {
+                write.refused = true;
+                let row = usize::from(key == self.keys[1]);
+                self.floors[row] = self.floors[row].max(found);
+                self.read = None;
+                out.extend(self.read(now));
+                Outcome::Nothing
+            }
+            Err(_) => {
+                write.again = now + self.pause;
+                self.fail()
+            }
+        }
+    }
+
+    /// Sends again what was not answered in time.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let expired = |read: &mut Read| now >= read.begun + READ_LIMIT;
+        if self.read.take_if(expired).is_some() {
+            self.fail();
+        }
+        let pause = self.pause;
+        let Some(write) = self.write.as_mut() else {
+            return;
+        };
+        if write.refused {
+            out.extend(self.read(now));
+        } else if now >= write.again {
+            write.again = now + pause.max(WRITE_LIMIT);
+            out.push(Action::Commit(write.tx.clone()));
+        }
+    }
+
+    /// A refused write took effect after all if a row names it as its writer.
+    fn resolve(&mut self, writers: &[Option<WriteId>], begun: Instant) -> Outcome {
+        let Some(write) = self.write.take_if(|write| write.refused) else {
+            return Outcome::Read { begun };
+        };
+        if writers.contains(&Some(write.tx.id)) {
+            return Outcome::Written { begun: write.begun };
+        }
+        Outcome::Beaten { begun }
+    }
+
+    fn is_stale(&self, rows: &Rows) -> bool {
+        rows.group_revision < self.floors[0] || rows.shards_revision < self.floors[1]
+    }
+
+    fn set_rows(&mut self, rows: Rows) {
+        self.floors = [rows.group_revision, rows.shards_revision];
+        self.rows = Some(rows);
+    }
+
+    fn parse(&self, rows: Vec<Option<Row>>) -> Result<Rows, RowError> {
+        let mut rows = rows.into_iter();
+        let group = rows.next().flatten();
+        let shards = rows.next().flatten();
+        let revision = |row: &Option<Row>| row.as_ref().map_or(0, |row| row.revision);
+        Ok(Rows {
+            group_revision: revision(&group),
+            shards_revision: revision(&shards),
+            group: group
+                .map(|row| rows::decode(&row.key, &row.value))
+                .transpose()?,
+            shards: shards
+                .map(|row| rows::decode(&row.key, &row.value))
+                .transpose()?,
+        })
+    }
+
+    fn fail(&mut self) -> Outcome {
+        self.failed = true;
+        self.pause = LONGEST_PAUSE.min(self.pause * 2);
+        Outcome::Failed
+    }
+
+    fn succeed(&mut self, now: Instant) {
+        self.failed = false;
+        self.answered = Some(now);
+        self.pause = FIRST_PAUSE;
+    }
+}
+
+fn condition(key: &str, revision: u64) -> Condition {
+    Condition {
+        key: key.into(),
+        revision,
+    }
+}
+
+fn put<T: serde::Serialize>(key: String, row: &T) -> Mutation {
+    Mutation::Put {
+        key,
+        value: rows::encode(row),
+    }
+}
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -1,5 +1,13 @@
 //! Ownership: which target serves each shard, and the leases that keep it exclusive.
 
 pub mod assignment;
+pub mod bound;
 pub mod grants;
+pub mod group;
+pub mod message;
+pub mod moves;
 pub mod order;
+pub mod plan;
+pub mod right;
+pub mod rows;
+pub mod takeover;
--- a/src/owner/order.rs
+++ b/src/owner/order.rs
@@ -55,7 +55,7 @@
     pub stamp: Option<Stamp>,
     /// Shards to serve from now on.
     pub grant: Vec<ShardFence>,
-    /// Shards to serve no longer, under this fence or an older one.
+    /// Shards to serve no longer, under this fence or an older one; needs a fresh stamp.
     pub release: Vec<ShardFence>,
     /// The length of the lease from the stamp, in milliseconds.
     pub lease_ms: u64,
@@ -72,6 +72,12 @@
     pub refused: Option<Refusal>,
     /// Shards confirmed as served no longer: the release is complete, nothing in flight.
     pub released: Vec<ShardFence>,
+    /// Shards of the order's grants that are held now.
+    #[serde(default)]
+    pub granted: Vec<ShardFence>,
+    /// Shards of the order's grants whose fence is too low for the target to hold them.
+    #[serde(default)]
+    pub denied: Vec<ShardFence>,
     /// The number of shards held after the order.
     pub held: u32,
     /// A digest of the shards and fences held after the order; see [`crate::owner::grants::digest`].
--- /dev/null
+++ b/src/owner/rows.rs
@@ -0,0 +1,119 @@
+//! The rows of the table that hold a group's control and assignment.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::ids::BootId;
+use crate::ids::Fence;
+use crate::ids::GroupId;
+use crate::ids::Shard;
+use crate::ids::TargetId;
+use crate::owner::message::Place;
+use crate::owner::message::TargetBoot;
+use crate::owner::order::ShardFence;
+
+/// A row cannot be read.
+#[derive(Debug, Error)]
+#[error("row {key} is malformed ({reason}); check that all VMs run the same release")]
+pub struct RowError {
+    key: String,
+    reason: String,
+}
+
+/// Who controls a group: the row `group/SERVICE/INDEX`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRow {
+    /// The members under the newest term.
+    pub place: Place,
+    /// Earlier terms that may not have ended.
+    pub prior: Vec<Place>,
+}
+
+/// The owners of a group's shards: the row `shards/SERVICE/INDEX`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardsRow {
+    /// The highest fence ever used in the group.
+    pub top: Fence,
+    /// The lowest number for the next single-key shard.
+    pub next_shard: Shard,
+    /// The process of each target that owns shards.
+    pub boots: BTreeMap<TargetId, BootId>,
+    /// The owner of each shard.
+    pub owners: BTreeMap<Shard, RowOwner>,
+    /// The single-key shards by hash of the key.
+    pub hot_keys: BTreeMap<u64, Shard>,
+}
+
+/// The owner of one shard as the table has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowOwner {
+    /// The target.
+    pub target: TargetId,
+    /// The fence.
+    pub fence: Fence,
+}
+
+impl ShardsRow {
+    /// Returns the process that owns a shard.
+    pub fn owner(&self, shard: Shard) -> Option<TargetBoot> {
+        let owner = self.owners.get(&shard)?;
+        let boot = *self.boots.get(&owner.target)?;
+        let target = owner.target.clone();
+        Some(TargetBoot { target, boot })
+    }
+
+    /// Returns the shards of a target's process, with their fences.
+    pub fn shards_of(&self, at: &TargetBoot) -> Vec<ShardFence> {
+        if self.boots.get(&at.target) != Some(&at.boot) {
+            return Vec::new();
+        }
+        let owned = self
+            .owners
+            .iter()
+            .filter(|(_, owner)| owner.target == at.target);
+        owned
+            .map(|(&shard, owner)| ShardFence {
+                shard,
+                fence: owner.fence,
+            })
+            .collect()
+    }
+
+    /// Forgets the processes of targets that own nothing.
+    pub fn prune(&mut self) {
+        let owns = |target: &TargetId| self.owners.values().any(|owner| owner.target == *target);
+        let gone: Vec<_> = self.boots.keys().filter(|t| !owns(t)).cloned().collect();
+        for target in gone {
+            self.boots.remove(&target);
+        }
+    }
+}
+
+/// Returns the key of the row that says who controls a group.
+pub fn group_key(group: &GroupId) -> String {
+    format!("group/{group}")
+}
+
+/// Returns the key of the row that holds a group's owners.
+pub fn shards_key(group: &GroupId) -> String {
+    format!("shards/{group}")
+}
+
+/// Encodes a row.
+pub fn encode<T: Serialize>(row: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(row, &mut bytes).expect("writing to memory cannot fail");
+    bytes
+}
+
+/// Decodes a row.
+pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, RowError> {
+    ciborium::from_reader(value).map_err(|error: ciborium::de::Error<_>| RowError {
+        key: key.into(),
+        reason: error.to_string(),
+    })
+}
