Add the controller: one control thread over spreading and ownership

Cause: the state machines of spreading and ownership need a process that feeds them and carries out what they ask. Ruled out: a thread per group (state shared across threads); awaiting the table on the control thread (a slow table would stop leases). Change: control thread with one queue of events, links taken and opened in tasks, calls to the platform and to targets in tasks that report back, a cheap look at one row per second by relays, health, readiness, filing and status over HTTP, and the program. Readiness without the table: relays of most data centres that agree confirm each other.

--- /dev/null
+++ b/src/control/event.rs
@@ -0,0 +1,48 @@
+//! Everything that the control thread reacts to.
+
+use crate::control::Ask;
+use crate::ids::GroupId;
+use crate::link::Hello;
+use crate::link::Message;
+use crate::link::Outbox;
+use crate::owner::group;
+use crate::spread;
+use crate::spread::LinkId;
+
+/// One thing for the control thread to react to.
+#[derive(Debug)]
+pub enum Event {
+    /// An operator asks.
+    Ask(Ask),
+    /// A link is open and both sides said who they are.
+    Linked {
+        /// The link.
+        link: LinkId,
+        /// The other side.
+        hello: Hello,
+        /// Whether this side opened it.
+        dialled: bool,
+        /// Takes what to send.
+        outbox: Outbox,
+    },
+    /// A link ended.
+    Unlinked(LinkId),
+    /// A message came over a link.
+    Received {
+        /// The link.
+        link: LinkId,
+        /// The message.
+        message: Message,
+    },
+    /// For the spreading of state.
+    Spread(spread::Input),
+    /// For the control of a group.
+    Group {
+        /// The group.
+        group: GroupId,
+        /// What it is told.
+        input: group::Input,
+    },
+    /// The process was asked to stop.
+    Stop,
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,15 @@
 //! The controller's process: one control thread, and the adapters that feed it.
 
+mod admin;
+mod event;
+mod groups;
 mod handle;
+mod links;
+mod outside;
+mod run;
+mod state;
+mod status;
+mod thread;
 
 pub use handle::Ask;
 pub use handle::DataCentreStatus;
@@ -10,3 +19,4 @@
 pub use handle::OwnerCount;
 pub use handle::Status;
 pub use handle::Stopped;
+pub use run::run;
--- /dev/null
+++ b/src/control/run.rs
@@ -0,0 +1,153 @@
+//! Starts the controller's threads and runs until it has stopped.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::channel::bounded;
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::task;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::control::Ask;
+use crate::control::Handle;
+use crate::control::admin;
+use crate::control::event::Event;
+use crate::control::links::Links;
+use crate::control::outside::Outside;
+use crate::control::thread::Control;
+use crate::events;
+use crate::events::record;
+use crate::ids::BootId;
+use crate::link::Hello;
+use crate::link::Role;
+use crate::owner::message::Member;
+use crate::platform::HttpPlatform;
+use crate::settings::Settings;
+use crate::spread::Spread;
+use crate::spread::SpreadConf;
+use crate::view::ViewDigest;
+
+const QUEUE_EVENTS: usize = 4096;
+const QUEUE_ASKS: usize = 64;
+const TICK: Duration = Duration::from_millis(25);
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(5);
+const FAREWELL: Duration = Duration::from_millis(200);
+
+/// Runs a controller until SIGTERM or SIGINT; leases are handed over first.
+pub async fn run(conf: Settings) -> anyhow::Result<()> {
+    let peers = TcpListener::bind(conf.controller.peer).await;
+    let peers = peers.with_context(|| {
+        let address = conf.controller.peer;
+        format!("cannot listen on {address}; check [controller] peer and that the port is free")
+    })?;
+    let (events, queue) = bounded(QUEUE_EVENTS);
+    let platform = Arc::new(HttpPlatform::new(&conf.platform));
+    let handle = serve_asks(events.clone());
+    let serving = admin::listen(&conf, handle, platform.clone()).await?;
+    task::spawn(serving);
+    watch_signals(events.clone())?;
+
+    let control = control(&conf, events, platform, peers);
+    let vm = &conf.vm.name;
+    record(events::Event::Started, format_args!("controller vm={vm}"));
+    let thread = thread::Builder::new().name("control".into());
+    let running = thread.spawn(move || task::block_on(drive(control, queue)))?;
+    task::spawn_blocking(move || running.join()).await.ok();
+    record(events::Event::Stopped, format_args!("controller vm={vm}"));
+    Ok(())
+}
+
+fn control(
+    conf: &Settings,
+    events: Sender<Event>,
+    platform: Arc<HttpPlatform>,
+    peers: TcpListener,
+) -> Control<HttpPlatform> {
+    let me = Member {
+        vm: conf.vm.name.clone(),
+        boot: BootId(rand::random()),
+        data_centre: conf.vm.data_centre.clone(),
+    };
+    let hello = Hello {
+        vm: me.vm.clone(),
+        boot: me.boot,
+        data_centre: me.data_centre.clone(),
+        role: Role::Controller,
+        digest: ViewDigest::default(),
+    };
+    let links = Links::new(hello, &conf.token, events.clone());
+    task::spawn(links.clone().accept_all(peers));
+    let spread = SpreadConf {
+        vm: me.vm.clone(),
+        boot: me.boot,
+        data_centre: me.data_centre.clone(),
+        stale_limit: conf.entry.stale_limit,
+    };
+    let clock = Arc::new(SystemClock);
+    let spread = Spread::new(spread, clock.now());
+    Control::new(me, clock, spread, links, Outside::new(platform, events))
+}
+
+async fn drive(mut control: Control<HttpPlatform>, queue: Receiver<Event>) {
+    let mut next_tick = Instant::now();
+    let mut stop_by = None;
+    loop {
+        let wake = control
+            .next_tick()
+            .map_or(next_tick, |at| at.min(next_tick));
+        let wait = wake.saturating_duration_since(Instant::now());
+        if let Ok(Ok(event)) = timeout(wait, queue.recv()).await {
+            if let Event::Stop = event {
+                record(events::Event::Draining, format_args!("controller"));
+                stop_by = Some(Instant::now() + HAND_OVER_LIMIT);
+            }
+            control.handle(event);
+        }
+        if Instant::now() >= next_tick {
+            next_tick = Instant::now() + TICK;
+            control.tick();
+        } else {
+            control.tick_groups();
+        }
+        let late = stop_by.is_some_and(|at| Instant::now() >= at);
+        if control.is_done() || late {
+            // Lets the last messages leave.
+            task::sleep(FAREWELL).await;
+            return;
+        }
+    }
+}
+
+// Questions queue apart from events, so that a flood of them cannot hold up the control work.
+fn serve_asks(events: Sender<Event>) -> Handle {
+    let (asks, waiting) = bounded::<Ask>(QUEUE_ASKS);
+    task::spawn(async move {
+        while let Ok(ask) = waiting.recv().await {
+            if events.send(Event::Ask(ask)).await.is_err() {
+                return;
+            }
+        }
+    });
+    Handle::new(asks)
+}
+
+fn watch_signals(events: Sender<Event>) -> anyhow::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let watch = move || {
+        for _ in signals.forever() {
+            let _ = events.send_blocking(Event::Stop);
+        }
+    };
+    thread::Builder::new().name("signals".into()).spawn(watch)?;
+    Ok(())
+}
--- /dev/null
+++ b/src/control/status.rs
@@ -0,0 +1,100 @@
+//! What operators are told.
+
+use std::collections::BTreeMap;
+
+use crate::control::DataCentreStatus;
+use crate::control::GroupStatus;
+use crate::control::KeyOwner;
+use crate::control::OwnerCount;
+use crate::control::Status;
+use crate::control::groups::Groups;
+use crate::ids::DataCentre;
+use crate::ids::GroupId;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::ids::VmId;
+use crate::owner::assignment::Assignment;
+use crate::spread::Spread;
+use crate::view::View;
+
+/// Gathers how the VMs and groups are.
+pub fn status(me: &VmId, spread: &Spread, groups: &Groups) -> Status {
+    let view = spread.view();
+    let assignments = view.groups.values();
+    Status {
+        vm: me.clone(),
+        number: view.state.number,
+        data_centres: data_centres(spread),
+        groups: assignments.map(|held| group(held, groups)).collect(),
+    }
+}
+
+/// Finds who owns a key.
+pub fn owner(view: &View, service: &ServiceId, key_hash: u64) -> Option<KeyOwner> {
+    let keying = view.state.services.get(service)?.keying.as_ref()?;
+    let hashed = keying.shard_of(key_hash);
+    let group = GroupId {
+        service: service.clone(),
+        index: keying.group_of(hashed),
+    };
+    let held = view.groups.get(&group);
+    let hot = held.and_then(|held| held.hot_keys.get(&key_hash));
+    let shard = hot.copied().unwrap_or(hashed);
+    let owner = held.and_then(|held| held.owners.get(&shard));
+    Some(KeyOwner {
+        group,
+        shard,
+        fence: owner.map(|owner| owner.fence).unwrap_or_default(),
+        target: owner.and_then(|owner| owner.target.clone()),
+    })
+}
+
+fn data_centres(spread: &Spread) -> Vec<DataCentreStatus> {
+    let mut listed: BTreeMap<&DataCentre, u32> = BTreeMap::new();
+    for entry in spread.members().listed() {
+        *listed.entry(&entry.data_centre).or_default() += 1;
+    }
+    for census in spread.centres() {
+        listed.entry(&census.data_centre).or_default();
+    }
+    let counted = |data_centre: &DataCentre| {
+        let mut centres = spread.centres().iter();
+        centres.find(|census| census.data_centre == *data_centre)
+    };
+    let centres = listed.into_iter().map(|(data_centre, listed)| {
+        let census = counted(data_centre);
+        DataCentreStatus {
+            data_centre: data_centre.clone(),
+            listed,
+            heard: census.map_or(0, |census| census.heard),
+            number: census.map(|census| census.number).unwrap_or_default(),
+            vms: census.map(|census| census.vms.clone()).unwrap_or_default(),
+        }
+    });
+    centres.collect()
+}
+
+fn group(held: &Assignment, groups: &Groups) -> GroupStatus {
+    let known = groups.get(&held.group).map(|machine| machine.status());
+    let mut owners: BTreeMap<&TargetId, u32> = BTreeMap::new();
+    let mut unowned = 0;
+    for owner in held.owners.values() {
+        match &owner.target {
+            Some(target) => *owners.entry(target).or_default() += 1,
+            None => unowned += 1,
+        }
+    }
+    let owners = owners.into_iter().map(|(target, shards)| OwnerCount {
+        target: target.clone(),
+        shards,
+    });
+    GroupStatus {
+        group: held.group.clone(),
+        term: known.as_ref().map(|status| status.term),
+        holder: known.as_ref().and_then(|status| status.holder.clone()),
+        deputies: known.map(|status| status.deputies).unwrap_or_default(),
+        version: held.version,
+        owners: owners.collect(),
+        unowned,
+    }
+}
--- a/src/link/pump.rs
+++ b/src/link/pump.rs
@@ -68,15 +68,18 @@
 }
 
 /// Runs a link until it fails, goes silent or its outbox is dropped; returns why it ended.
-pub async fn run(
+///
+/// What comes is wrapped and put into `inbox`; while that is full, nothing more is read.
+pub async fn run<T: Send>(
     link: Link,
     queue: Receiver<Frame>,
-    deliver: impl FnMut(Message) + Send,
+    inbox: Sender<T>,
+    wrap: impl Fn(Message) -> T + Send,
 ) -> LinkError {
     let (sender, receiver) = link.split();
     let (pongs, answers) = bounded(QUEUE_FRAMES);
     let send = send_all(sender, queue, answers).fuse();
-    let receive = receive_all(receiver, pongs, deliver).fuse();
+    let receive = receive_all(receiver, pongs, inbox, wrap).fuse();
     pin_mut!(send, receive);
     select! {
         error = send => error,
@@ -106,10 +109,11 @@
     }
 }
 
-async fn receive_all(
+async fn receive_all<T>(
     mut receiver: LinkReceiver,
     answers: Sender<Frame>,
-    mut deliver: impl FnMut(Message),
+    inbox: Sender<T>,
+    wrap: impl Fn(Message) -> T,
 ) -> LinkError {
     let mut heard = Instant::now();
     let mut pings = 0;
@@ -118,11 +122,18 @@
         match timeout(CHECK_INTERVAL, &mut next).await {
             Ok(Err(error)) => return error,
             Ok(Ok(bytes)) => {
-                heard = Instant::now();
                 match decode(&bytes) {
                     Err(error) => return error,
-                    Ok(message) => take(message, &answers, &mut deliver),
+                    Ok(Message::Ping(number)) => pong(&answers, number),
+                    Ok(Message::Pong(_)) => {}
+                    Ok(message) => {
+                        let taken = inbox.send(wrap(message)).await;
+                        if taken.is_err() {
+                            return LinkError::Closed;
+                        }
+                    }
                 }
+                heard = Instant::now();
                 drop(next);
                 next = Box::pin(receiver.recv().fuse());
             }
@@ -136,13 +147,7 @@
     }
 }
 
-fn take(message: Message, answers: &Sender<Frame>, deliver: &mut impl FnMut(Message)) {
-    match message {
-        // A peer that floods pings while it reads no pongs loses the surplus.
-        Message::Ping(number) => {
-            let _ = answers.try_send(Frame::new(&Message::Pong(number)));
-        }
-        Message::Pong(_) => {}
-        message => deliver(message),
-    }
+// A peer that floods pings while it reads no pongs loses the surplus.
+fn pong(answers: &Sender<Frame>, number: u64) {
+    let _ = answers.try_send(Frame::new(&Message::Pong(number)));
 }
--- a/src/spread/machine.rs
+++ b/src/spread/machine.rs
@@ -152,6 +152,7 @@
         self.maintain_links(now, out);
         self.sum_up(now, out);
         self.count(now, out);
+        self.confirm_by_relays(now);
         self.check_peers(now);
     }
 
@@ -205,13 +206,35 @@
         }
     }
 
+    // Without the table, relays of most data centres that hold the same confirm each other.
+    fn confirm_by_relays(&mut self, now: Instant) {
+        let number = self.view.state.number;
+        let agrees = |peer: &&Peer| {
+            let summary = peer.recent_summary(now);
+            let same = summary.is_some_and(|s| s.number == number && s.age_ms.is_some());
+            same && peer.is_mesh()
+        };
+        let agreeing = self.links.values().filter(agrees);
+        let near = &self.conf.data_centre;
+        let mut centres: BTreeSet<_> = agreeing.map(|peer| &peer.data_centre).collect();
+        if !self.is_relay() || centres.is_empty() {
+            return;
+        }
+        centres.insert(near);
+        let listed = self.members.listed().map(|entry| &entry.data_centre);
+        let all: BTreeSet<_> = listed.collect();
+        if centres.len() * 2 > all.len() {
+            self.ready.peer_confirms(now, Duration::ZERO);
+        }
+    }
+
     fn check_peers(&mut self, now: Instant) {
         let number = self.view.state.number;
         let sources = self.plan.parents.iter().chain(&self.plan.mesh);
         let linked: Vec<_> = sources.filter_map(|vm| self.link_to(vm)).collect();
         let agrees = |link: &LinkId| {
             let summary = self.links[link].summary;
-            summary.is_some_and(|summary| summary.number <= number)
+            summary.is_some_and(|(_, summary)| summary.number <= number)
         };
         let agree = !linked.is_empty() && linked.iter().all(agrees);
         self.ready.peers_agree(now, agree);
--- a/src/spread/peer.rs
+++ b/src/spread/peer.rs
@@ -12,6 +12,8 @@
 use crate::spread::Feed;
 use crate::spread::Summary;
 
+const SUMMARY_LIMIT: Duration = Duration::from_secs(3);
+
 /// Where a change came from; decides who is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -55,8 +57,8 @@
     pub down: Feed,
     /// What it held when the link was opened.
     pub hello: Hello,
-    /// Its last summary.
-    pub summary: Option<Summary>,
+    /// Its last summary, and when it came.
+    pub summary: Option<(Instant, Summary)>,
     /// When a summary is due to it.
     pub due: Instant,
     /// Since when its summary differs from what is held here.
@@ -130,9 +132,15 @@
         }
     }
 
+    /// Returns its last summary, unless it is old.
+    pub fn recent_summary(&self, now: Instant) -> Option<&Summary> {
+        let (at, summary) = self.summary.as_ref()?;
+        (now.saturating_duration_since(*at) < SUMMARY_LIMIT).then_some(summary)
+    }
+
     /// Takes a summary of the other end; `held` is this side's.
     pub fn summed_up(&mut self, now: Instant, theirs: Summary, held: &Summary) {
-        self.summary = Some(theirs);
+        self.summary = Some((now, theirs));
         if theirs.matches(held) {
             self.doubt = None;
         } else {
@@ -142,7 +150,9 @@
 
     /// Returns whether the other end has differed for so long that it should be asked.
     pub fn is_doubtful(&self, now: Instant, held: &Summary, wait: Duration) -> bool {
-        let differs = self.summary.is_some_and(|theirs| !theirs.matches(held));
+        let differs = self
+            .summary
+            .is_some_and(|(_, theirs)| !theirs.matches(held));
         let waited = |since| now.saturating_duration_since(since) >= wait;
         differs && self.doubt.is_some_and(waited)
     }
