--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -39,6 +39,23 @@
     TicketUnresolved = 204,
     /// A VM became the holder of a group.
     GroupTaken = 300,
+    /// Another VM became the holder of a group that this VM held.
+    GroupLost = 301,
+    /// A target does not answer; its shards are given to others once its lease lapsed.
+    TargetLost = 302,
+    /// Another process answers in a target's place; it gets the shards back once the lease of the
+    /// earlier one lapsed.
+    TargetRestarted = 303,
+    /// More targets are silent than may be given up at once; the shards of the others wait.
+    LossSpared = 304,
+    /// Shards get new owners, by one write to the table.
+    ShardsPlaced = 305,
+    /// Planned moves began.
+    MovesStarted = 306,
+    /// A target refuses a grant because it released the fence; the fence is raised.
+    GrantDenied = 307,
+    /// A row of the table cannot be read.
+    RowMalformed = 308,
     /// A link to a peer was lost.
     LinkLost = 400,
     /// A request was refused.
@@ -62,6 +79,8 @@
         match self {
             Self::TokenRefused | Self::MetricsFailed => Level::Warn,
             Self::TicketUnresolved => Level::Warn,
+            Self::TargetLost | Self::LossSpared => Level::Warn,
+            Self::RowMalformed => Level::Error,
             Self::LinkLost => Level::Warn,
             Self::WorkCut | Self::ViewStale => Level::Warn,
             Self::RequestRefused => Level::Debug,
