Compile the view into a routing table and bound what an entry sends

Cause: the first cut walked ordered maps and took one lock for every decision, and knew neither limits nor budgets nor crashes. Ruled out: patching the table in place, since a reader would need a lock; a whole rebuild costs milliseconds on the control thread only, and unchanged groups are kept. Change: a table of dense indices swapped in whole; queues at the entry with admission; ejection of at most half of a service's targets; slow start; retry budget; shares of connections by rank; quarantine of requests that crash targets; reports of work in flight between entries.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -26,6 +26,10 @@
     LinkLost = 400,
     /// A request was refused.
     RequestRefused = 500,
+    /// Requests alike crashed several targets and are refused for a while.
+    RequestQuarantined = 501,
+    /// A target failed repeatedly and gets no requests for a while.
+    TargetEjected = 502,
     /// The table service does not answer.
     TableDown = 600,
 }
@@ -39,7 +43,9 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost => Level::Warn,
+            Self::TableDown | Self::LinkLost | Self::RequestQuarantined | Self::TargetEjected => {
+                Level::Warn
+            }
             Self::RequestRefused => Level::Debug,
             _ => Level::Info,
         }
--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -3,14 +3,36 @@
 //! The traffic adapter drives a [`Call`]: [`Call::step`] says where to send it next,
 //! [`Call::ended`] takes what became of the attempt.
 
+use std::sync::Arc;
 use std::task::Waker;
+use std::time::Duration;
 use std::time::Instant;
 
 use strum::Display;
 
 use crate::ids::ServiceId;
+use crate::owner::order::ShardFence;
 use crate::route::Lane;
 use crate::route::Router;
+use crate::route::admit;
+use crate::route::admit::Admission;
+use crate::route::choice;
+use crate::route::choice::Choice;
+use crate::route::choice::NoChoice;
+use crate::route::lane::LaneInfo;
+use crate::route::queue::Place;
+use crate::route::queue::WaitQueue;
+use crate::route::stats::average;
+use crate::route::table::ServiceRoute;
+use crate::route::table::TargetRoute;
+
+/// Most times that a request is sent, apart from those the target certainly did not run.
+const MAX_ATTEMPTS: u32 = 3;
+/// Most times that targets may refuse a request before its caller is told.
+const MAX_REFUSALS: u32 = 64;
+/// How long a call holds after its owner's first refusal, if no newer owner shows up.
+const OWNER_PAUSE: Duration = Duration::from_millis(5);
+const OWNER_PAUSE_DOUBLINGS: u32 = 5;
 
 /// What the router needs to know of a request.
 #[derive(Clone, Debug)]
@@ -117,7 +139,18 @@
 pub struct Call {
     info: RequestInfo,
     attempts: u32,
+    refusals: u32,
     uncertain: bool,
+    avoid: Option<u64>,
+    refused: Option<OwnerRefusal>,
+    place: Option<Place>,
+}
+
+/// An owner's refusal to run a request.
+#[derive(Clone, Copy, Debug)]
+struct OwnerRefusal {
+    at: ShardFence,
+    until: Instant,
 }
 
 impl Call {
@@ -126,39 +159,56 @@
         Self {
             info,
             attempts: 0,
+            refusals: 0,
             uncertain: false,
+            avoid: None,
+            refused: None,
+            place: None,
         }
     }
 
     /// Returns what to do next. When the answer is [`Step::Wait`], `waker` is woken on a change.
     pub fn step(&mut self, router: &Router, now: Instant, waker: &Waker) -> Step {
-        if now >= self.info.deadline {
-            return Step::Refuse(self.refusal(Refusal::Expired));
-        }
-        let step = router.choose(&self.info, now, waker);
-        if let Step::Send(_) = step {
-            self.attempts += 1;
+        let step = self.decide(router, now, waker);
+        if !matches!(step, Step::Wait(_)) {
+            self.place = None;
         }
         step
     }
 
     /// Takes the end of an attempt.
-    pub fn ended(&mut self, _router: &Router, _now: Instant, lane: Lane, end: AttemptEnd) -> Next {
-        drop(lane);
+    pub fn ended(&mut self, router: &Router, now: Instant, lane: Lane, end: AttemptEnd) -> Next {
+        let micros = now.saturating_duration_since(lane.started).as_micros() as u64;
         match end {
-            AttemptEnd::Answered { .. } => Next::Deliver,
-            AttemptEnd::NotSent | AttemptEnd::NotRun if self.may_repeat() => Next::Again,
-            AttemptEnd::NotSent | AttemptEnd::NotRun => {
-                Next::Refuse(self.refusal(Refusal::NoTarget))
+            AttemptEnd::Answered { status } => {
+                if status >= 500 {
+                    router.target_failed(&lane, now);
+                } else {
+                    lane.stats.answered(micros);
+                    average(&lane.shared.latency, micros);
+                }
+                router.crashes.answered(self.info.fingerprint, now);
+                Next::Deliver
             }
-            AttemptEnd::Broken | AttemptEnd::Silent => {
+            AttemptEnd::NotSent => {
+                router.target_failed(&lane, now);
+                self.after_failure(&lane)
+            }
+            AttemptEnd::NotRun => self.after_refusal(router, &lane, now),
+            AttemptEnd::Broken => {
                 self.uncertain = true;
-                let again = self.info.idempotent && self.may_repeat();
-                if again {
-                    Next::Again
-                } else {
-                    Next::Refuse(Refusal::Unknown)
+                router.target_failed(&lane, now);
+                let (service, target) = (&lane.service, &lane.target);
+                let fingerprint = self.info.fingerprint;
+                router.crashes.crashed(fingerprint, service, target, now);
+                self.after_failure(&lane)
+            }
+            AttemptEnd::Silent => {
+                self.uncertain = true;
+                if lane.stats.fell_silent() {
+                    router.target_failed(&lane, now);
                 }
+                self.after_failure(&lane)
             }
             AttemptEnd::Cancelled => Next::Refuse(Refusal::Unknown),
         }
@@ -169,11 +219,230 @@
         self.info.replayable = false;
     }
 
+    fn decide(&mut self, router: &Router, now: Instant, waker: &Waker) -> Step {
+        if now >= self.info.deadline {
+            return self.refuse(Refusal::Expired);
+        }
+        if router.crashes.is_quarantined(self.info.fingerprint, now) {
+            return self.refuse(Refusal::Quarantined);
+        }
+        if self
+            .place
+            .as_ref()
+            .is_some_and(|place| place.refresh(waker))
+        {
+            return self.refuse(Refusal::Overloaded);
+        }
+        let table = router.table.load();
+        let Some(route) = table.services.get(&self.info.service) else {
+            return self.refuse(Refusal::NoService);
+        };
+        if route.service.keying.is_none() {
+            return self.decide_unkeyed(router, route, now, waker);
+        }
+        match self.info.key_hash {
+            Some(hash) => self.decide_keyed(router, route, hash, now, waker),
+            None => self.refuse(Refusal::NoKey),
+        }
+    }
+
+    fn decide_keyed(
+        &mut self,
+        router: &Router,
+        route: &ServiceRoute,
+        hash: u64,
+        now: Instant,
+        waker: &Waker,
+    ) -> Step {
+        let Some(key) = route.key_route(hash) else {
+            return self.refuse(Refusal::NoKey);
+        };
+        let hold = route.shared.hold_of(key.at.shard);
+        let Some(owner) = key.owner else {
+            return self.wait(router, route, hold, admit::HOLD, self.info.deadline, waker);
+        };
+        let paused = self.refused.filter(|r| r.at == key.at && now < r.until);
+        if let Some(refused) = paused {
+            return self.wait(router, route, hold, admit::HOLD, refused.until, waker);
+        }
+        if owner.share == 0 {
+            return self.refuse(Refusal::NoTarget);
+        }
+        if self.is_next(&owner.stats.queue) && owner.stats.enter(owner.share) {
+            return self.send(router, route, owner, Some(key.at), now);
+        }
+        let queue = &owner.stats.queue;
+        let step = self.wait(
+            router,
+            route,
+            queue,
+            admit::QUEUE,
+            self.info.deadline,
+            waker,
+        );
+        // A place that was given back before this call joined the queue woke nobody.
+        if matches!(step, Step::Wait(_)) && self.is_next(queue) && owner.stats.enter(owner.share) {
+            return self.send(router, route, owner, Some(key.at), now);
+        }
+        step
+    }
+
+    fn decide_unkeyed(
+        &mut self,
+        router: &Router,
+        route: &ServiceRoute,
+        now: Instant,
+        waker: &Waker,
+    ) -> Step {
+        if route.near.is_empty() && route.far.is_empty() {
+            return self.refuse(Refusal::NoTarget);
+        }
+        let queue = &route.shared.queue;
+        let waited = self.is_in(queue);
+        if waited && admit::is_too_late(route, self.info.deadline, now) {
+            return self.refuse(Refusal::Overloaded);
+        }
+        let mut until = self.info.deadline;
+        if self.is_next(queue) {
+            match self.choose(router, route, now) {
+                Ok(target) => return self.send(router, route, target, None, now),
+                Err(none) => until = until.min(retry_at(router, none).unwrap_or(until)),
+            }
+        }
+        if waited {
+            return Step::Wait(until);
+        }
+        if admit::is_hopeless(route, self.info.deadline, now) {
+            return self.refuse(Refusal::Overloaded);
+        }
+        let step = self.wait(router, route, queue, admit::QUEUE, until, waker);
+        // A slot that was given back before this call joined the queue woke nobody.
+        if matches!(step, Step::Wait(_))
+            && self.is_next(queue)
+            && let Ok(target) = self.choose(router, route, now)
+        {
+            return self.send(router, route, target, None, now);
+        }
+        step
+    }
+
+    fn choose<'a>(
+        &self,
+        router: &Router,
+        route: &'a ServiceRoute,
+        now: Instant,
+    ) -> Result<&'a TargetRoute, NoChoice> {
+        let several = route.near.len() + route.far.len() > 1;
+        let choice = Choice {
+            now: router.micros(now),
+            random: router.random(),
+            avoid: self.avoid.filter(|_| several),
+            suspect: router.crashes.is_suspect(self.info.fingerprint, now),
+            idempotent: self.info.idempotent,
+        };
+        choice::choose(route, choice)
+    }
+
+    fn send(
+        &mut self,
+        router: &Router,
+        route: &ServiceRoute,
+        target: &TargetRoute,
+        shard: Option<ShardFence>,
+        now: Instant,
+    ) -> Step {
+        if self.attempts == 0 && self.refusals == 0 {
+            route.shared.budget.deposit();
+        }
+        if self.is_in(&route.shared.queue) {
+            route.shared.departed(router.micros(now));
+        }
+        self.attempts += 1;
+        let info = LaneInfo {
+            shard,
+            suspect: router.crashes.is_suspect(self.info.fingerprint, now),
+            started: now,
+            deadline: self.attempt_deadline(now),
+        };
+        Step::Send(Lane::open(route, target, info))
+    }
+
+    /// An attempt that may be repeated leaves half of the time for the others.
+    fn attempt_deadline(&self, now: Instant) -> Instant {
+        if self.info.idempotent && self.may_repeat() {
+            now + self.info.deadline.saturating_duration_since(now) / 2
+        } else {
+            self.info.deadline
+        }
+    }
+
+    fn after_failure(&mut self, lane: &Lane) -> Next {
+        self.avoid = Some(choice::stats_id(&lane.stats));
+        let harmless = self.info.idempotent || !self.uncertain;
+        if harmless && self.may_repeat() && lane.shared.budget.withdraw() {
+            return Next::Again;
+        }
+        Next::Refuse(self.outcome(Refusal::NoTarget))
+    }
+
+    fn after_refusal(&mut self, router: &Router, lane: &Lane, now: Instant) -> Next {
+        lane.stats.refused(router.micros(now), router.random());
+        self.attempts -= 1;
+        self.refusals += 1;
+        if let Some(at) = lane.shard {
+            let pause = OWNER_PAUSE * (1 << self.refusals.min(OWNER_PAUSE_DOUBLINGS));
+            let until = now + pause;
+            self.refused = Some(OwnerRefusal { at, until });
+        }
+        if self.info.replayable && self.refusals < MAX_REFUSALS {
+            return Next::Again;
+        }
+        Next::Refuse(self.outcome(Refusal::Overloaded))
+    }
+
     fn may_repeat(&self) -> bool {
-        self.info.replayable && self.attempts < 3
+        self.info.replayable && self.attempts < MAX_ATTEMPTS
+    }
+
+    fn wait(
+        &mut self,
+        router: &Router,
+        route: &ServiceRoute,
+        queue: &Arc<WaitQueue>,
+        limit: usize,
+        until: Instant,
+        waker: &Waker,
+    ) -> Step {
+        let until = until.min(self.info.deadline);
+        if self.is_in(queue) {
+            return Step::Wait(until);
+        }
+        self.place = None;
+        match admit::admit(router, route, queue, limit) {
+            Admission::Enter => {}
+            Admission::Refuse => return self.refuse(Refusal::Overloaded),
+        }
+        self.place = Some(Place::join(queue, &router.waiting, waker));
+        Step::Wait(until)
+    }
+
+    /// Returns whether no other call waits before this one.
+    fn is_next(&self, queue: &Arc<WaitQueue>) -> bool {
+        match &self.place {
+            Some(place) if place.is_in(queue) => place.is_first(),
+            _ => queue.len() == 0,
+        }
+    }
+
+    fn is_in(&self, queue: &Arc<WaitQueue>) -> bool {
+        self.place.as_ref().is_some_and(|place| place.is_in(queue))
     }
 
-    fn refusal(&self, refusal: Refusal) -> Refusal {
+    fn refuse(&self, refusal: Refusal) -> Step {
+        Step::Refuse(self.outcome(refusal))
+    }
+
+    fn outcome(&self, refusal: Refusal) -> Refusal {
         if self.uncertain {
             Refusal::Unknown
         } else {
@@ -181,3 +450,8 @@
         }
     }
 }
+
+fn retry_at(router: &Router, none: NoChoice) -> Option<Instant> {
+    let micros = Some(none.retry_at).filter(|&at| at > 0)?;
+    router.instant(micros)
+}
--- /dev/null
+++ b/src/route/choice.rs
@@ -0,0 +1,119 @@
+//! The choice among the targets of an unkeyed service.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use crate::route::stats::Stats;
+use crate::route::table::ServiceRoute;
+use crate::route::table::TargetRoute;
+
+/// Targets looked at in each part of the list before the rest is tried.
+const WINDOW: usize = 8;
+/// Most targets looked at for one decision.
+const MAX_LOOKS: usize = 128;
+/// Added to a target's cost, in thousandths of its slots, for each per cent of distance.
+const FAR_COST_PER_PERCENT: u32 = 10;
+const SLOW_COST: u32 = 2_000;
+const SLOW_RATIO: u64 = 3;
+const HINT_COST_PER_PERCENT: u32 = 2;
+const SUSPECT_COST: u32 = 4_000;
+
+/// What a choice depends on besides the targets' observations.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Choice {
+    /// The time, in microseconds since the router's epoch.
+    pub(crate) now: u64,
+    /// A random number.
+    pub(crate) random: u64,
+    /// A target to leave out while there is another: the last attempt failed there.
+    pub(crate) avoid: Option<u64>,
+    /// Whether a request like this one crashed a target before.
+    pub(crate) suspect: bool,
+    /// Whether the request may run twice; others do not try out a target that failed.
+    pub(crate) idempotent: bool,
+}
+
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NoChoice {
+    /// When a target opens again without any other event, in microseconds; 0 for never.
+    pub(crate) retry_at: u64,
+}
+
+/// Takes a place at the best target that has a free slot and a free connection.
+pub(crate) fn choose(route: &ServiceRoute, choice: Choice) -> Result<&TargetRoute, NoChoice> {
+    let mut retry_at = 0;
+    let far_cost =
+        FAR_COST_PER_PERCENT * 100u32.saturating_sub(route.service.spread_percent.into());
+    let parts = [(&route.near, 0), (&route.far, far_cost)];
+    let longest = route.near.len().max(route.far.len()).min(MAX_LOOKS);
+    let mut from = 0;
+    while from < longest {
+        let mut best: Option<(u32, &TargetRoute)> = None;
+        for (list, extra) in parts {
+            for target in window(route, list, choice.random, from) {
+                let shut = target.stats.shut_until(choice.now);
+                if shut > 0 && (retry_at == 0 || shut < retry_at) {
+                    retry_at = shut;
+                }
+                let Some(cost) = cost(route, target, choice) else {
+                    continue;
+                };
+                if best.is_none_or(|(least, _)| cost + extra < least) {
+                    best = Some((cost + extra, target));
+                }
+            }
+        }
+        match best {
+            Some((_, target)) if target.stats.enter(target.share) => return Ok(target),
+            Some(_) => {}
+            None => from += WINDOW,
+        }
+    }
+    Err(NoChoice { retry_at })
+}
+
+fn window<'a>(
+    route: &'a ServiceRoute,
+    list: &'a [u32],
+    random: u64,
+    from: usize,
+) -> impl Iterator<Item = &'a TargetRoute> {
+    let len = list.len();
+    let start = (random % len.max(1) as u64) as usize;
+    let looks = len.saturating_sub(from).min(WINDOW);
+    (0..looks).map(move |i| &route.targets[list[(start + from + i) % len] as usize])
+}
+
+/// Returns the cost of one more request in thousandths of the target's slots; `None` when the
+/// target takes none now.
+fn cost(route: &ServiceRoute, target: &TargetRoute, choice: Choice) -> Option<u32> {
+    let stats = &target.stats;
+    let own = stats.in_flight.load(Ordering::SeqCst);
+    let busy = stats.busy();
+    if choice.avoid == Some(stats_id(stats)) {
+        return None;
+    }
+    let room = stats.ramp(target.target.slots, choice.now);
+    if own >= target.share || busy >= room || stats.shut_until(choice.now) > 0 {
+        return None;
+    }
+    let slots = u32::from(target.target.slots.max(1));
+    let mut cost = (busy + 1) * 1_000 / slots;
+    cost += stats.hint(choice.now) * HINT_COST_PER_PERCENT;
+    if stats.latency() > SLOW_RATIO * route.shared.latency.load(Ordering::Relaxed) {
+        cost += SLOW_COST;
+    }
+    if choice.suspect && stats.suspects.load(Ordering::Relaxed) > 0 {
+        cost += SUSPECT_COST;
+    }
+    if stats.is_failing() && !choice.idempotent {
+        cost += SLOW_COST;
+    }
+    Some(cost)
+}
+
+/// Returns a number that tells a target from all others while it is observed.
+pub(crate) fn stats_id(stats: &Arc<Stats>) -> u64 {
+    Arc::as_ptr(stats) as usize as u64
+}
--- /dev/null
+++ b/src/route/crash.rs
@@ -0,0 +1,246 @@
+//! Recognises requests that crash each target that runs them.
+//!
+//! A crash leaves a *sighting* on every request that was at the target. A request is quarantined
+//! once it has sightings on two targets, unless an answer to a request alike came in between, or
+//! as many crashes without it happened in the same time, which makes chance the likelier cause.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::events;
+use crate::events::Event;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+
+/// How long a quarantine lasts.
+pub const QUARANTINE: Duration = Duration::from_secs(300);
+/// How long a crash is held against the requests that were at the target.
+pub const CRASH_MEMORY: Duration = Duration::from_secs(60);
+/// Broken connections of one target within this time count as one crash.
+pub const CRASH_SPAN: Duration = Duration::from_secs(1);
+
+const MAX_FACTS: usize = 512;
+const CRASHES_TO_QUARANTINE: usize = 2;
+
+/// What one VM knows of crashes; ages instead of times, since clocks differ.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The facts, oldest first.
+    pub facts: Vec<CrashFact>,
+}
+
+/// One observation about requests with a fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFact {
+    /// The requests' fingerprint.
+    pub fingerprint: u64,
+    /// How long ago it was observed, in milliseconds.
+    pub age_ms: u64,
+    /// What was observed.
+    pub kind: CrashKind,
+}
+
+/// What was observed of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashKind {
+    /// The target crashed while it had the request.
+    Crashed {
+        /// The target's service.
+        service: ServiceId,
+        /// The target.
+        target: TargetId,
+    },
+    /// A target answered the request.
+    Answered,
+}
+
+/// The crashes that a VM has observed or heard of, bounded in number and time.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    facts: Mutex<VecDeque<Fact>>,
+    quarantined: Mutex<HashMap<u64, Instant>>,
+    fact_count: AtomicUsize,
+    quarantine_count: AtomicUsize,
+}
+
+#[derive(Clone, Debug)]
+struct Fact {
+    at: Instant,
+    fingerprint: u64,
+    kind: CrashKind,
+}
+
+impl Crashes {
+    /// Returns whether requests with the fingerprint are refused now.
+    pub(crate) fn is_quarantined(&self, fingerprint: u64, now: Instant) -> bool {
+        if self.quarantine_count.load(Ordering::Relaxed) == 0 {
+            return false;
+        }
+        let mut held = lock(&self.quarantined);
+        held.retain(|_, until| *until > now);
+        self.quarantine_count.store(held.len(), Ordering::Relaxed);
+        held.contains_key(&fingerprint)
+    }
+
+    /// Returns whether a target crashed under such a request and none was answered since.
+    pub(crate) fn is_suspect(&self, fingerprint: u64, now: Instant) -> bool {
+        if self.fact_count.load(Ordering::Relaxed) == 0 {
+            return false;
+        }
+        let facts = lock(&self.facts);
+        !open_crashes(&facts, fingerprint, now).is_empty()
+    }
+
+    /// Records that a target crashed while it had such a request.
+    pub(crate) fn crashed(
+        &self,
+        fingerprint: u64,
+        service: &ServiceId,
+        target: &TargetId,
+        now: Instant,
+    ) {
+        let kind = CrashKind::Crashed {
+            service: service.clone(),
+            target: target.clone(),
+        };
+        self.learn(fingerprint, kind, now, now);
+    }
+
+    /// Records that a target answered such a request.
+    pub(crate) fn answered(&self, fingerprint: u64, now: Instant) {
+        if self.is_suspect(fingerprint, now) {
+            self.learn(fingerprint, CrashKind::Answered, now, now);
+        }
+    }
+
+    /// Returns what is known.
+    pub(crate) fn report(&self, now: Instant) -> CrashReport {
+        let facts = lock(&self.facts);
+        let told = facts.iter().map(|fact| CrashFact {
+            fingerprint: fact.fingerprint,
+            age_ms: now.saturating_duration_since(fact.at).as_millis() as u64,
+            kind: fact.kind.clone(),
+        });
+        CrashReport {
+            facts: told.collect(),
+        }
+    }
+
+    /// Takes what another VM knows.
+    pub(crate) fn merge(&self, report: &CrashReport, now: Instant) {
+        for fact in report.facts.iter().take(MAX_FACTS) {
+            let age = Duration::from_millis(fact.age_ms);
+            if let Some(at) = now.checked_sub(age).filter(|_| age < CRASH_MEMORY) {
+                self.learn(fact.fingerprint, fact.kind.clone(), at, now);
+            }
+        }
+    }
+
+    fn learn(&self, fingerprint: u64, kind: CrashKind, at: Instant, now: Instant) {
+        let fact = Fact {
+            at,
+            fingerprint,
+            kind,
+        };
+        let mut facts = lock(&self.facts);
+        facts.retain(|f| now.saturating_duration_since(f.at) < CRASH_MEMORY);
+        if !facts.iter().any(|held| held.is_same(&fact)) {
+            insert(&mut facts, fact);
+        }
+        self.fact_count.store(facts.len(), Ordering::Relaxed);
+        if is_poison(&facts, fingerprint, now) {
+            drop(facts);
+            self.quarantine(fingerprint, now);
+        }
+    }
+
+    fn quarantine(&self, fingerprint: u64, now: Instant) {
+        let mut held = lock(&self.quarantined);
+        if held.len() < MAX_FACTS && held.insert(fingerprint, now + QUARANTINE).is_none() {
+            events::record(
+                Event::RequestQuarantined,
+                format_args!("fingerprint {fingerprint:016x}"),
+            );
+        }
+        self.quarantine_count.store(held.len(), Ordering::Relaxed);
+    }
+}
+
+impl Fact {
+    fn is_same(&self, other: &Self) -> bool {
+        self.fingerprint == other.fingerprint
+            && self.kind == other.kind
+            && gap(self.at, other.at) < CRASH_SPAN
+    }
+
+    fn is_crash(&self) -> bool {
+        matches!(self.kind, CrashKind::Crashed { .. })
+    }
+
+    fn is_same_crash(&self, other: &Self) -> bool {
+        self.kind == other.kind && gap(self.at, other.at) < CRASH_SPAN
+    }
+}
+
+fn insert(facts: &mut VecDeque<Fact>, fact: Fact) {
+    if facts.len() == MAX_FACTS {
+        facts.pop_front();
+    }
+    let place = facts.partition_point(|held| held.at <= fact.at);
+    facts.insert(place, fact);
+}
+
+/// Returns the crashes held against a fingerprint since it was last answered.
+fn open_crashes(facts: &VecDeque<Fact>, fingerprint: u64, now: Instant) -> Vec<&Fact> {
+    let recent = facts
+        .iter()
+        .filter(|f| now.saturating_duration_since(f.at) < CRASH_MEMORY);
+    let mut open = Vec::new();
+    for fact in recent.filter(|f| f.fingerprint == fingerprint) {
+        match fact.kind {
+            CrashKind::Answered => open.clear(),
+            CrashKind::Crashed { .. } => open.push(fact),
+        }
+    }
+    open
+}
+
+fn is_poison(facts: &VecDeque<Fact>, fingerprint: u64, now: Instant) -> bool {
+    let own = distinct(&open_crashes(facts, fingerprint, now));
+    let Some(first) = own.first() else {
+        return false;
+    };
+    let others: Vec<&Fact> = facts
+        .iter()
+        .filter(|f| f.is_crash() && f.at >= first.at)
+        .filter(|f| !own.iter().any(|crash| crash.is_same_crash(f)))
+        .collect();
+    own.len() >= CRASHES_TO_QUARANTINE && own.len() > distinct(&others).len()
+}
+
+fn distinct<'a>(crashes: &[&'a Fact]) -> Vec<&'a Fact> {
+    let mut kept: Vec<&Fact> = Vec::new();
+    for crash in crashes {
+        if !kept.iter().any(|held| held.is_same_crash(crash)) {
+            kept.push(crash);
+        }
+    }
+    kept
+}
+
+fn gap(one: Instant, other: Instant) -> Duration {
+    one.max(other) - one.min(other)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
--- /dev/null
+++ b/src/route/prefix.rs
@@ -0,0 +1,55 @@
+//! Finds the longest path prefix in a sorted list.
+
+use crate::ids::ServiceId;
+
+/// The path prefixes of all services.
+#[derive(Debug, Default)]
+pub(crate) struct Prefixes {
+    sorted: Vec<Prefix>,
+}
+
+#[derive(Debug)]
+struct Prefix {
+    text: String,
+    service: ServiceId,
+    /// The longest other prefix that this one starts with.
+    parent: Option<usize>,
+}
+
+impl Prefixes {
+    /// Sorts the prefixes.
+    pub(crate) fn new<'a>(prefixes: impl Iterator<Item = (&'a str, &'a ServiceId)>) -> Self {
+        let mut all: Vec<_> = prefixes.collect();
+        all.sort();
+        let mut list = Self::default();
+        for (text, service) in all {
+            let parent = list.find(text);
+            list.sorted.push(Prefix {
+                text: text.to_owned(),
+                service: service.clone(),
+                parent,
+            });
+        }
+        list
+    }
+
+    /// Returns the service with the longest prefix of a path.
+    pub(crate) fn service(&self, path: &str) -> Option<&ServiceId> {
+        self.find(path).map(|index| &self.sorted[index].service)
+    }
+
+    /// Every prefix of `path` that sorts before another one is a prefix of that one too, or of
+    /// one of its parents.
+    fn find(&self, path: &str) -> Option<usize> {
+        let after = self.sorted.partition_point(|p| p.text.as_str() <= path);
+        let mut candidate = after.checked_sub(1);
+        while let Some(index) = candidate {
+            let prefix = &self.sorted[index];
+            if path.starts_with(&prefix.text) {
+                return Some(index);
+            }
+            candidate = prefix.parent;
+        }
+        None
+    }
+}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -1,174 +1,249 @@
 //! The state that all calls of an entry share.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU32;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::task::Waker;
+use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
 
-use crate::ids::GroupId;
+use crate::events;
+use crate::events::Event;
+use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
-use crate::owner::order::ShardFence;
-use crate::route::RequestInfo;
-use crate::route::Step;
-use crate::ticket::Target;
-use crate::ticket::TargetState;
+use crate::ids::VmId;
+use crate::route::crash::CrashReport;
+use crate::route::crash::Crashes;
+use crate::route::lane::Lane;
+use crate::route::load::LoadReport;
+use crate::route::load::PeerLoads;
+use crate::route::load::TargetLoad;
+use crate::route::share::EntryRank;
+use crate::route::table::Table;
 use crate::view::View;
 
-/// Chooses targets for an entry's calls.
-#[derive(Debug, Default)]
-pub struct Router {
-    view: ArcSwap<View>,
-    in_flight: Mutex<HashMap<SocketAddr, Arc<AtomicU32>>>,
-    waiting: Arc<Mutex<Vec<Waker>>>,
+/// Who a router routes for.
+#[derive(Clone, Debug)]
+pub struct RouterConfig {
+    /// The entry's VM.
+    pub vm: VmId,
+    /// Where the entry runs.
+    pub data_centre: DataCentre,
+    /// The entry's position among all entries.
+    pub rank: EntryRank,
+    /// Seeds the random choices.
+    pub seed: u64,
 }
 
-/// A place in a target's work; dropping it gives the place back.
+/// Chooses targets for an entry's calls.
 #[derive(Debug)]
-pub struct Lane {
-    /// The target's name.
-    pub target: TargetId,
-    /// Where to send the request.
-    pub address: SocketAddr,
-    /// The shard and fence to name, for a keyed service.
-    pub shard: Option<ShardFence>,
-    /// When to give up on this attempt.
-    pub deadline: Instant,
-    in_flight: Arc<AtomicU32>,
-    waiting: Arc<Mutex<Vec<Waker>>>,
+pub struct Router {
+    pub(crate) table: ArcSwap<Table>,
+    pub(crate) crashes: Crashes,
+    /// Calls that wait in any queue.
+    pub(crate) waiting: Arc<AtomicUsize>,
+    config: Mutex<RouterConfig>,
+    peers: Mutex<PeerLoads>,
+    reports: AtomicU64,
+    epoch: OnceLock<Instant>,
+    random: AtomicU64,
 }
 
-impl Drop for Lane {
-    fn drop(&mut self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
-        wake_all(&self.waiting);
+impl Default for RouterConfig {
+    fn default() -> Self {
+        Self {
+            vm: VmId::from("entry"),
+            data_centre: DataCentre::from(""),
+            rank: EntryRank::default(),
+            seed: 0,
+        }
     }
 }
 
 impl Router {
-    /// Starts with a view.
+    /// Starts with a view, as the only entry.
     pub fn new(view: Arc<View>) -> Self {
+        Self::with_config(view, RouterConfig::default())
+    }
+
+    /// Starts with a view, as one of several entries.
+    pub fn with_config(view: Arc<View>, config: RouterConfig) -> Self {
+        let empty = Table::default();
+        let table = Table::compile(view, &empty, config.rank, &config.data_centre);
         Self {
-            view: ArcSwap::new(view),
-            ..Self::default()
+            table: ArcSwap::from_pointee(table),
+            crashes: Crashes::default(),
+            waiting: Arc::default(),
+            peers: Mutex::default(),
+            reports: AtomicU64::new(0),
+            epoch: OnceLock::new(),
+            random: AtomicU64::new(config.seed),
+            config: Mutex::new(config),
         }
     }
 
     /// Takes a newer view.
     pub fn update(&self, view: Arc<View>) {
-        self.view.store(view);
-        wake_all(&self.waiting);
+        let config = lock(&self.config);
+        self.recompile(view, &config);
+    }
+
+    /// Takes the entry's new position among all entries; the shares of connections follow.
+    pub fn set_rank(&self, rank: EntryRank) {
+        let mut config = lock(&self.config);
+        if config.rank != rank {
+            config.rank = rank;
+            self.recompile(self.view(), &config);
+        }
     }
 
     /// Returns the view in use.
     pub fn view(&self) -> Arc<View> {
-        self.view.load_full()
+        self.table.load().view.clone()
     }
 
     /// Returns the service that a path belongs to: the one with the longest matching prefix.
     pub fn service_of(&self, path: &str) -> Option<ServiceId> {
-        let view = self.view.load();
-        let fits = view
-            .state
-            .services
-            .iter()
-            .filter(|(_, s)| path.starts_with(&s.prefix));
-        fits.max_by_key(|(_, s)| s.prefix.len())
-            .map(|(name, _)| name.clone())
+        self.table.load().prefixes.service(path).cloned()
     }
 
-    pub(crate) fn choose(&self, info: &RequestInfo, now: Instant, waker: &Waker) -> Step {
-        let view = self.view.load();
-        let lane = match info.key_hash {
-            Some(hash) => self.owner_lane(&view, info, hash),
-            None => self.least_busy_lane(&view, info),
-        };
-        match lane {
-            Some(lane) => Step::Send(lane),
-            None => {
-                lock(&self.waiting).push(waker.clone());
-                Step::Wait(info.deadline.max(now))
+    /// Takes what a target's load endpoint tells, in percent; it moves the choice only a little.
+    pub fn observe_load(&self, service: &ServiceId, target: &TargetId, percent: u32, now: Instant) {
+        let name = (service.clone(), target.clone());
+        if let Some(stats) = self.table.load().stats.get(&name) {
+            stats.set_hint(percent, self.micros(now));
+        }
+    }
+
+    /// Returns the requests of this entry at the targets of unkeyed services, to tell the others.
+    pub fn loads(&self) -> LoadReport {
+        let table = self.table.load();
+        let unkeyed = table
+            .services
+            .values()
+            .filter(|route| route.service.keying.is_none());
+        let mut busy = Vec::new();
+        for route in unkeyed {
+            for target in &route.targets {
+                let in_flight = target.stats.in_flight.load(Ordering::SeqCst);
+                if in_flight > 0 {
+                    let service = route.id.clone();
+                    let target = target.id.clone();
+                    busy.push(TargetLoad {
+                        service,
+                        target,
+                        in_flight,
+                    });
+                }
             }
         }
+        LoadReport {
+            vm: lock(&self.config).vm.clone(),
+            number: self.reports.fetch_add(1, Ordering::Relaxed) + 1,
+            busy,
+        }
     }
 
-    fn owner_lane(&self, view: &View, info: &RequestInfo, hash: u64) -> Option<Lane> {
-        let service = view.state.services.get(&info.service)?;
-        let keying = service.keying.as_ref()?;
-        let hashed = keying.shard_of(hash);
-        let group = GroupId {
-            service: info.service.clone(),
-            index: keying.group_of(hashed),
-        };
-        let group = view.groups.get(&group)?;
-        let shard = group.hot_keys.get(&hash).copied().unwrap_or(hashed);
-        let owner = group.owners.get(&shard)?;
-        let name = owner.target.as_ref()?;
-        let target = service.targets.get(name)?;
-        let at = ShardFence {
-            shard,
-            fence: owner.fence,
-        };
-        Some(self.lane(name, target, Some(at), info.deadline))
-    }
-
-    fn least_busy_lane(&self, view: &View, info: &RequestInfo) -> Option<Lane> {
-        let service = view.state.services.get(&info.service)?;
-        let serving = service
-            .targets
-            .iter()
-            .filter(|(_, t)| t.state == TargetState::Serving);
-        let free = serving.filter(|(_, t)| self.load(t) < u32::from(t.slots));
-        let (name, target) = free.min_by_key(|(_, t)| self.load(t))?;
-        Some(self.lane(name, target, None, info.deadline))
-    }
-
-    fn lane(
-        &self,
-        name: &TargetId,
-        target: &Target,
-        shard: Option<ShardFence>,
-        deadline: Instant,
-    ) -> Lane {
-        let in_flight = self.counter(target);
-        in_flight.fetch_add(1, Ordering::Relaxed);
-        let waiting = self.waiting.clone();
-        let target_id = name.clone();
-        Lane {
-            target: target_id,
-            address: target.address,
-            shard,
-            deadline,
-            in_flight,
-            waiting,
+    /// Takes the report of another entry.
+    pub fn learn_loads(&self, report: &LoadReport, now: Instant) {
+        let table = self.table.load();
+        lock(&self.peers).learn(report, &table.stats, now);
+        for route in table.services.values() {
+            route.shared.queue.wake_first();
         }
     }
 
-    fn load(&self, target: &Target) -> u32 {
-        self.counter(target).load(Ordering::Relaxed)
+    /// Forgets the reports of entries that fell silent; call it about once a second.
+    pub fn tick(&self, now: Instant) {
+        lock(&self.peers).expire(now);
     }
 
-    fn counter(&self, target: &Target) -> Arc<AtomicU32> {
-        lock(&self.in_flight)
-            .entry(target.address)
-            .or_default()
-            .clone()
+    /// Returns what this entry knows of requests that crash targets, to tell the others.
+    pub fn crashes(&self, now: Instant) -> CrashReport {
+        self.crashes.report(now)
     }
-}
 
-fn wake_all(waiting: &Mutex<Vec<Waker>>) {
-    let wakers = std::mem::take(&mut *lock(waiting));
-    wakers.into_iter().for_each(Waker::wake);
+    /// Takes what another entry knows of requests that crash targets.
+    pub fn learn_crashes(&self, report: &CrashReport, now: Instant) {
+        self.crashes.merge(report, now);
+    }
+
+    /// Returns the number of calls that wait at the entry.
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::SeqCst)
+    }
+
+    /// Returns the requests of this entry at a target.
+    pub fn in_flight(&self, service: &ServiceId, target: &TargetId) -> u32 {
+        let name = (service.clone(), target.clone());
+        let table = self.table.load();
+        let stats = table.stats.get(&name);
+        stats.map_or(0, |stats| stats.in_flight.load(Ordering::SeqCst))
+    }
+
+    /// Returns the time since the router's first event, in microseconds, from 1.
+    pub(crate) fn micros(&self, now: Instant) -> u64 {
+        let epoch = *self.epoch.get_or_init(|| now);
+        now.saturating_duration_since(epoch).as_micros() as u64 + 1
+    }
+
+    /// Returns the instant of a count of microseconds.
+    pub(crate) fn instant(&self, micros: u64) -> Option<Instant> {
+        let since = Duration::from_micros(micros.saturating_sub(1));
+        self.epoch.get().map(|epoch| *epoch + since)
+    }
+
+    /// Draws a random number.
+    pub(crate) fn random(&self) -> u64 {
+        let step = 0x9e37_79b9_7f4a_7c15_u64;
+        let mut x = self.random.fetch_add(step, Ordering::Relaxed);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+
+    /// Records a failure of a lane's target, and ejects it unless too many others are ejected.
+    pub(crate) fn target_failed(&self, lane: &Lane, now: Instant) {
+        let stats = &lane.stats;
+        stats.failed();
+        let micros = self.micros(now);
+        if !stats.is_failing() || stats.is_ejected(micros) {
+            return;
+        }
+        let table = self.table.load();
+        let Some(route) = table.services.get(&lane.service) else {
+            return;
+        };
+        if route.may_eject(micros) {
+            stats.eject(micros);
+            events::record(
+                Event::TargetEjected,
+                format_args!("service {} target {}", lane.service, lane.target),
+            );
+        }
+    }
+
+    fn recompile(&self, view: Arc<View>, config: &RouterConfig) {
+        let old = self.table.load_full();
+        let table = Table::compile(view, &old, config.rank, &config.data_centre);
+        let table = Arc::new(table);
+        self.table.store(table.clone());
+        let queues = old.services.values().chain(table.services.values());
+        for route in queues {
+            route.shared.wake_all();
+            for target in &route.targets {
+                target.stats.queue.wake_all();
+            }
+        }
+    }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
