--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -64,6 +64,10 @@
     WorkCut = 501,
     /// An entry's view was not confirmed for longer than the stale limit.
     ViewStale = 502,
+    /// Requests alike crashed several targets and are refused for a while.
+    RequestQuarantined = 510,
+    /// A target failed repeatedly and gets no requests for a while.
+    TargetEjected = 511,
     /// The table service does not answer.
     TableDown = 600,
 }
@@ -83,6 +87,7 @@
             Self::RowMalformed => Level::Error,
             Self::LinkLost => Level::Warn,
             Self::WorkCut | Self::ViewStale => Level::Warn,
+            Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused => Level::Debug,
             Self::TableDown => Level::Warn,
             _ => Level::Info,
