Report how fast services use up their objective

Cause: the operators want to see service-level burn per service and data centre, over several windows, and to be told when it matters. Ruled out: a single window (a short spike would alert, or a slow burn would not); cumulative counters sampled by the report (it would have to run all the time); keeping samples per target (memory grows with targets). A threshold that can never be reached is a fault of the settings.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! event and an [`std::time::Instant`] and return actions; sockets, the table service and threads
 //! live in the adapters that drive them.
 
+pub mod burn;
 pub mod clock;
 pub mod control;
 pub mod ctl;
@@ -16,6 +17,7 @@
 pub mod operator;
 pub mod owner;
 pub mod platform;
+pub mod report;
 pub mod route;
 pub mod settings;
 pub mod spread;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -107,12 +107,14 @@
 }
 
 /// A pair of windows that must both burn before an alert is due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BurnWindow {
     /// The window that shows whether it still burns.
     pub short: Duration,
     /// The window that shows whether it matters.
     pub long: Duration,
+    /// The burn rate from which both windows mean an alert.
+    pub threshold: f64,
 }
 
 /// Where the log goes.
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -25,6 +25,7 @@
 
 const MAX_FILE_BYTES: usize = 64 << 10;
 const MAX_WINDOWS: usize = 8;
+const MAX_WINDOW: Duration = Duration::from_secs(30 * 24 * 60 * 60);
 const MIN_TOKEN_BYTES: usize = 16;
 const MAX_TOKEN_BYTES: usize = 256;
 const DEFAULT_THREADS: usize = 2;
@@ -35,10 +36,12 @@
     BurnWindow {
         short: Duration::from_secs(5 * 60),
         long: Duration::from_secs(60 * 60),
+        threshold: 14.4,
     },
     BurnWindow {
         short: Duration::from_secs(30 * 60),
         long: Duration::from_secs(6 * 60 * 60),
+        threshold: 6.0,
     },
 ];
 const SECTIONS: [&str; 7] = [
@@ -74,7 +77,8 @@
 };
 
 const WINDOWS: Kind<Vec<BurnWindow>> = Kind {
-    expected: "1 to 8 pairs of a shorter and a longer window, such as `5 min/1 h, 30 min/6 h`",
+    expected: "1 to 8 pairs of a shorter and a longer window of at most 30 days, each with the burn \
+               rate of an alert, such as `5 min/1 h at 14.4, 30 min/6 h at 6`",
     read: |text| {
         let windows: Vec<BurnWindow> = text.split(',').map(window).collect::<Option<_>>()?;
         (windows.len() <= MAX_WINDOWS).then_some(windows)
@@ -244,6 +248,12 @@
         windows: section.optional("windows", &WINDOWS, DEFAULT_WINDOWS.to_vec()),
         entries: section.optional("entries", &kinds::ADDRESSES, none),
     };
+    let highest = 100.0 / (100.0 - report.objective);
+    if report.windows.iter().any(|w| w.threshold > highest) {
+        let problem = format!("a threshold is above {highest:.1}, the highest burn rate there is");
+        let remedy = "lower the threshold or raise `objective`";
+        section.refuse("windows", &problem, remedy);
+    }
     section.finish();
     report
 }
@@ -259,8 +269,15 @@
 }
 
 fn window(text: &str) -> Option<BurnWindow> {
-    let (short, long) = text.split_once('/')?;
+    let (windows, threshold) = text.split_once(" at ")?;
+    let (short, long) = windows.split_once('/')?;
     let short = (kinds::DURATION.read)(short.trim())?;
     let long = (kinds::DURATION.read)(long.trim())?;
-    (short < long).then_some(BurnWindow { short, long })
+    let threshold: f64 = threshold.trim().parse().ok()?;
+    let valid = short < long && long <= MAX_WINDOW && threshold.is_finite() && threshold > 0.0;
+    valid.then_some(BurnWindow {
+        short,
+        long,
+        threshold,
+    })
 }
--- a/tests/settings_load.rs
+++ b/tests/settings_load.rs
@@ -98,6 +98,25 @@
     );
 }
 
+#[googletest::test]
+fn an_alert_that_could_never_come_is_refused() {
+    let text = format!("{SHORT}[report]\nobjective = 90 %\n");
+    expect_that!(
+        faults(&text),
+        elements_are![contains_substring(
+            "[report] windows: a threshold is above 10.0"
+        )]
+    );
+    let text = format!("{SHORT}[report]\nobjective = 99 %\nwindows = 5 min/1 h at 14.4\n");
+    expect_that!(
+        Settings::parse("vm.ini", &text)
+            .expect("valid")
+            .report
+            .windows,
+        len(eq(1))
+    );
+}
+
 #[googletest::test]
 fn a_missing_file_is_named() {
     let loaded = Settings::load(Path::new("no/such/vm.ini"));
