Serve operators from the controller, and start without the list of VMs

Cause: the operators' routes are there and replace the stopgap; a VM that starts while the platform's list cannot be read knew no peers. Ruled out: waiting for the list, since an outage of the platform must not keep a restarted VM unready. Change: the operators' HTTP on the control thread's handle, the log, the settings' other controllers as seeds, an event when the table answers again, counts told soon after a change, the target stand-in echoes the request number.

--- a/src/bin/gooseberryloft-controller.rs
+++ b/src/bin/gooseberryloft-controller.rs
@@ -9,6 +9,7 @@
 use clap::value_parser;
 
 use gooseberryloft::control;
+use gooseberryloft::events;
 use gooseberryloft::settings::Settings;
 
 fn main() -> anyhow::Result<()> {
@@ -19,6 +20,7 @@
         println!("settings are valid");
         return Ok(());
     }
+    events::init("gooseberryloft-controller", &conf.log)?;
     async_std::task::block_on(control::run(conf))
 }
 
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Opens a link in the background.
-    pub fn dial(&self, vm: VmId, address: SocketAddr) {
+    /// Opens a link in the background; to whoever answers if no VM is named.
+    pub fn dial(&self, vm: Option<VmId>, address: SocketAddr) {
         task::spawn(self.clone().open(vm, address));
     }
 
@@ -76,12 +76,17 @@
         }
     }
 
-    async fn open(self, vm: VmId, address: SocketAddr) {
+    async fn open(self, vm: Option<VmId>, address: SocketAddr) {
         let connected = link::connect(address, &self.token);
         match bounded(self.greet(connected)).await {
             // Another VM may have taken over the address.
-            Ok((link, hello)) if hello.vm == vm => self.run(link, hello, true).await,
+            Ok((link, hello)) if vm.as_ref().is_none_or(|vm| *vm == hello.vm) => {
+                self.run(link, hello, true).await;
+            }
             _ => {
+                let Some(vm) = vm else {
+                    return;
+                };
                 let input = spread::Input::Unreachable(vm);
                 let _ = self.events.send(Event::Spread(input)).await;
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,5 @@
 //! The controller's process: one control thread, and the adapters that feed it.
 
-mod admin;
 mod event;
 mod groups;
 mod handle;
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -1,5 +1,6 @@
 //! Starts the controller's threads and runs until it has stopped.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -20,7 +21,6 @@
 use crate::clock::SystemClock;
 use crate::control::Ask;
 use crate::control::Handle;
-use crate::control::admin;
 use crate::control::event::Event;
 use crate::control::links::Links;
 use crate::control::outside::Outside;
@@ -30,6 +30,8 @@
 use crate::ids::BootId;
 use crate::link::Hello;
 use crate::link::Role;
+use crate::operator;
+use crate::operator::Operators;
 use crate::owner::message::Member;
 use crate::platform::HttpPlatform;
 use crate::settings::Settings;
@@ -45,16 +47,16 @@
 
 /// Runs a controller until SIGTERM or SIGINT; leases are handed over first.
 pub async fn run(conf: Settings) -> anyhow::Result<()> {
-    let peers = TcpListener::bind(conf.controller.peer).await;
-    let peers = peers.with_context(|| {
-        let address = conf.controller.peer;
-        format!("cannot listen on {address}; check [controller] peer and that the port is free")
-    })?;
+    let peers = bind(conf.controller.peer, "peer").await?;
     let (events, queue) = bounded(QUEUE_EVENTS);
     let platform = Arc::new(HttpPlatform::new(&conf.platform));
-    let handle = serve_asks(events.clone());
-    let serving = admin::listen(&conf, handle, platform.clone()).await?;
-    task::spawn(serving);
+    let operators = Operators {
+        platform: platform.clone(),
+        handle: serve_asks(events.clone()),
+        token: conf.token.clone(),
+    };
+    let admin = bind(conf.controller.admin, "admin").await?;
+    task::spawn(operator::run(admin, operators));
     watch_signals(events.clone())?;
 
     let control = control(&conf, events, platform, peers);
@@ -67,6 +69,13 @@
     Ok(())
 }
 
+async fn bind(address: SocketAddr, key: &str) -> anyhow::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.with_context(|| {
+        format!("cannot listen on {address}; check [controller] {key} and that the port is free")
+    })
+}
+
 fn control(
     conf: &Settings,
     events: Sender<Event>,
@@ -92,12 +101,21 @@
         boot: me.boot,
         data_centre: me.data_centre.clone(),
         stale_limit: conf.entry.stale_limit,
+        seeds: seeds(conf),
     };
     let clock = Arc::new(SystemClock);
     let spread = Spread::new(spread, clock.now());
     Control::new(me, clock, spread, links, Outside::new(platform, events))
 }
 
+// The settings name controllers for the entry; they serve too where the list cannot be read.
+fn seeds(conf: &Settings) -> Vec<SocketAddr> {
+    let named = conf.entry.controllers.iter().copied();
+    named
+        .filter(|address| *address != conf.controller.peer)
+        .collect()
+}
+
 async fn drive(mut control: Control<HttpPlatform>, queue: Receiver<Event>) {
     let mut next_tick = Instant::now();
     let mut stop_by = None;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use crate::events::Event;
 use crate::events::record;
@@ -23,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct StateReader {
     known: Mutex<Known>,
+    down: AtomicBool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -35,9 +38,16 @@
     /// Reads what is newer than `held`; `verify` proves by a transaction that it is not stale.
     pub async fn read(&self, table: &impl Table, held: TicketNumber, verify: bool) -> TableAnswer {
         match self.try_read(table, held, verify).await {
-            Ok(answer) => answer,
+            Ok(answer) => {
+                if self.down.swap(false, Ordering::Relaxed) {
+                    record(Event::TableUp, format_args!("the table answers again"));
+                }
+                answer
+            }
             Err(error) => {
-                record(Event::TableDown, format_args!("{error}"));
+                if !self.down.swap(true, Ordering::Relaxed) {
+                    record(Event::TableDown, format_args!("{error}"));
+                }
                 TableAnswer::Failed
             }
         }
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -241,9 +241,7 @@
                     self.send(&links, &Message::Owner { group, message });
                 }
                 group::Action::Publish(change) => self.publish(now, change),
-                group::Action::Record(event, details) => {
-                    record(event, format_args!("group={group} {details}"));
-                }
+                group::Action::Record(event, details) => record(event, format_args!("{details}")),
             }
         }
     }
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -66,6 +66,8 @@
     ViewStale = 502,
     /// The table service does not answer.
     TableDown = 600,
+    /// The table service answers again.
+    TableUp = 601,
 }
 
 impl Event {
--- a/src/spread/changes.rs
+++ b/src/spread/changes.rs
@@ -20,6 +20,8 @@
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 /// How soon a change is summed up to those that are not told it whole.
 const SUMMARY_SOON: Duration = Duration::from_millis(100);
+/// How soon a change is counted.
+const COUNT_SOON: Duration = Duration::from_millis(250);
 /// How long the whole change may still come by itself.
 const DOUBT_WAIT: Duration = Duration::from_millis(250);
 
@@ -66,6 +68,7 @@
             out.push(Action::Send { links, message });
         }
         if !fresh.is_empty() {
+            self.count_at = self.count_at.min(now + COUNT_SOON);
             self.tell(now, source, from, fresh, out);
         }
     }
--- a/src/spread/count.rs
+++ b/src/spread/count.rs
@@ -74,8 +74,10 @@
         let own = self.conf.data_centre.clone();
         let mut sum = Census::of(own, self.conf.vm.clone(), number);
         let children = self.links.values().filter(|peer| peer.down == Feed::Eager);
-        for census in children.filter_map(|peer| recent(peer, now)) {
-            sum.add(census);
+        let near = |census: &&Census| census.data_centre == sum.data_centre;
+        let counts = children.filter_map(|peer| recent(peer, now));
+        for census in counts.filter(near).cloned().collect::<Vec<_>>() {
+            sum.add(&census);
         }
         sum
     }
--- a/src/spread/io.rs
+++ b/src/spread/io.rs
@@ -30,6 +30,8 @@
     pub data_centre: DataCentre,
     /// How long a VM that can confirm its state from no one stays ready.
     pub stale_limit: Duration,
+    /// Controllers to link to while the platform's list cannot be read.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// What a read of the table found.
@@ -73,7 +75,7 @@
     },
     /// A link ended.
     Unlinked(LinkId),
-    /// An attempt to open a link failed.
+    /// An attempt to open a link to a VM of the list failed.
     Unreachable(VmId),
     /// A message came over a link.
     Received {
@@ -102,8 +104,8 @@
     },
     /// Open a link; answer with [`Input::Linked`] or [`Input::Unreachable`].
     Dial {
-        /// The VM.
-        vm: VmId,
+        /// The VM; `None` takes whoever answers.
+        vm: Option<VmId>,
         /// Where it takes links.
         address: SocketAddr,
     },
--- a/src/spread/links.rs
+++ b/src/spread/links.rs
@@ -12,6 +12,7 @@
 use crate::spread::Feed;
 use crate::spread::LinkId;
 use crate::spread::Plan;
+use crate::spread::RELAYS;
 use crate::spread::Spread;
 use crate::spread::peer::Peer;
 
@@ -74,26 +75,31 @@
             let believed = self.members.believed(now);
             self.plan = Plan::new(&self.conf.vm, &self.conf.data_centre, believed);
         }
-        let sources: Vec<_> = self.sources().collect();
+        let sources = self.sources();
         for (vm, feed) in &sources {
             self.ask_feed(vm, *feed, out);
         }
         self.dial_missing(now, out);
+        self.dial_seeds(now, out);
         let is_linked = |(vm, _): &(VmId, Feed)| self.link_to(vm).is_some();
         if sources.iter().all(is_linked) {
             self.close_surplus(out);
         }
     }
 
-    // Everybody to take state from, with what to ask for.
-    fn sources(&self) -> impl Iterator<Item = (VmId, Feed)> {
-        let parents = self.plan.parents.iter().enumerate();
+    /// Returns everybody to take state from, with what to ask for.
+    pub(super) fn sources(&self) -> Vec<(VmId, Feed)> {
+        let mesh = self.plan.mesh.iter().map(|vm| (vm.clone(), Feed::Mesh));
+        let parents = match self.members.count() {
+            0 => self.linked().map(|hello| hello.vm.clone()).collect(),
+            _ => self.plan.parents.clone(),
+        };
+        let parents = parents.into_iter().take(RELAYS).enumerate();
         let parents = parents.map(|(at, vm)| match at {
-            0 => (vm.clone(), Feed::Eager),
-            _ => (vm.clone(), Feed::Lazy),
+            0 => (vm, Feed::Eager),
+            _ => (vm, Feed::Lazy),
         });
-        let mesh = self.plan.mesh.iter().map(|vm| (vm.clone(), Feed::Mesh));
-        parents.chain(mesh)
+        parents.chain(mesh).collect()
     }
 
     fn ask_feed(&mut self, vm: &VmId, feed: Feed, out: &mut Vec<Action>) {
@@ -112,7 +118,7 @@
     }
 
     fn dial_missing(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let sources = self.sources().map(|(vm, _)| vm);
+        let sources = self.sources().into_iter().map(|(vm, _)| vm);
         let wanted: BTreeSet<_> = sources.chain(self.wanted.iter().cloned()).collect();
         for vm in wanted {
             let waits = self.dialling.get(&vm).is_some_and(|until| now < *until);
@@ -124,12 +130,24 @@
             };
             let address = entry.address;
             self.dialling.insert(vm.clone(), now + DIAL_LIMIT);
+            let vm = Some(vm);
             out.push(Action::Dial { vm, address });
         }
     }
 
+    fn dial_seeds(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.members.count() > 0 || now < self.seeds_at || self.linked().next().is_some() {
+            return;
+        }
+        self.seeds_at = now + DIAL_LIMIT;
+        for address in self.conf.seeds.iter().copied() {
+            out.push(Action::Dial { vm: None, address });
+        }
+    }
+
     fn close_surplus(&mut self, out: &mut Vec<Action>) {
-        let sources: BTreeSet<_> = self.sources().map(|(vm, _)| vm).collect();
+        let sources = self.sources().into_iter();
+        let sources: BTreeSet<_> = sources.map(|(vm, _)| vm).collect();
         for (link, peer) in &mut self.links {
             if sources.contains(&peer.vm) || peer.role == Role::Entry {
                 continue;
--- a/src/spread/machine.rs
+++ b/src/spread/machine.rs
@@ -44,6 +44,7 @@
     pub(super) dialling: BTreeMap<VmId, Instant>,
     pub(super) ready: Readiness,
     pub(super) centres: Vec<Census>,
+    pub(super) seeds_at: Instant,
     pub(super) count_at: Instant,
     table_at: Instant,
     list_at: Instant,
@@ -66,6 +67,7 @@
             links: BTreeMap::new(),
             dialling: BTreeMap::new(),
             centres: Vec::new(),
+            seeds_at: now + LIST_INTERVAL,
             count_at: now + phase,
             table_at: now + phase,
             list_at: now,
@@ -228,10 +230,14 @@
         }
     }
 
+    // At the start: whether everybody to take state from was heard and holds nothing newer.
     fn check_peers(&mut self, now: Instant) {
         let number = self.view.state.number;
-        let sources = self.plan.parents.iter().chain(&self.plan.mesh);
-        let linked: Vec<_> = sources.filter_map(|vm| self.link_to(vm)).collect();
+        if self.ready.is_started() {
+            return;
+        }
+        let sources = self.sources().into_iter();
+        let linked: Vec<_> = sources.filter_map(|(vm, _)| self.link_to(&vm)).collect();
         let agrees = |link: &LinkId| {
             let summary = self.links[link].summary;
             summary.is_some_and(|(_, summary)| summary.number <= number)
--- a/src/standin/target/mod.rs
+++ b/src/standin/target/mod.rs
@@ -14,13 +14,11 @@
 pub use work::Running;
 pub use work::Target;
 
-/// Request header that names the group of a keyed request, as `service/index`.
-pub const GROUP_HEADER: &str = "x-gooseberryloft-group";
 /// Request header that makes the target's process exit before it answers.
 pub const CRASH_HEADER: &str = "x-crash";
 /// Request header that sets this request's working time, in milliseconds.
 pub const WORK_HEADER: &str = "x-work-ms";
-/// Request header whose value the answer echoes.
-pub const REQUEST_HEADER: &str = "x-request-id";
+/// Request header whose value the body of the answer echoes.
+pub const ID_HEADER: &str = "x-request-id";
 /// Request header that names a booking in the ledger.
 pub const BOOKING_HEADER: &str = "idempotency-key";
--- a/src/standin/target/serve.rs
+++ b/src/standin/target/serve.rs
@@ -23,13 +23,14 @@
 use crate::ids::GroupId;
 use crate::ids::Shard;
 use crate::owner::order::FENCE_HEADER;
+use crate::owner::order::GROUP_HEADER;
 use crate::owner::order::OUTCOME_HEADER;
+use crate::owner::order::REQUEST_HEADER;
 use crate::owner::order::SHARD_HEADER;
 use crate::owner::order::ShardFence;
 use crate::standin::target::BOOKING_HEADER;
 use crate::standin::target::CRASH_HEADER;
-use crate::standin::target::GROUP_HEADER;
-use crate::standin::target::REQUEST_HEADER;
+use crate::standin::target::ID_HEADER;
 use crate::standin::target::Target;
 use crate::standin::target::WORK_HEADER;
 use crate::standin::target::work::Keyed;
@@ -79,7 +80,14 @@
         (Method::Get, "/health") => health(&target),
         (Method::Get, "/load") => load(&target),
         (Method::Post, "/behaviour") => behave(request, &target).await,
-        _ => run(request, target, peer).await,
+        _ => {
+            let number = header(&request, REQUEST_HEADER).map(str::to_owned);
+            let mut response = run(request, target, peer).await?;
+            if let Some(number) = number {
+                response.insert_header(REQUEST_HEADER, number);
+            }
+            Ok(response)
+        }
     }
 }
 
@@ -151,7 +159,7 @@
     let method = request.method();
     let answer = Answer {
         target: &target.conf.name,
-        request: header(request, REQUEST_HEADER).unwrap_or_default(),
+        request: header(request, ID_HEADER).unwrap_or_default(),
         method: method.as_ref(),
         path,
         received,
@@ -237,7 +245,7 @@
     if request.method() == Method::Get {
         return None;
     }
-    let id = header(request, BOOKING_HEADER).or_else(|| header(request, REQUEST_HEADER));
+    let id = header(request, BOOKING_HEADER).or_else(|| header(request, ID_HEADER));
     id.map(str::to_owned)
 }
 
