--- a/examples/quickstart/cluster.rs
+++ b/examples/quickstart/cluster.rs
@@ -6,16 +6,22 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::Duration;
 
 use anyhow::Context;
 use anyhow::Result;
+use anyhow::ensure;
+use http_types::Method;
 
+use crate::http;
+use crate::http::Ask;
 use crate::process::Process;
 use crate::process::Programs;
 
 const DATA_CENTRES: [&str; 3] = ["east", "north", "west"];
 const KEYED_TARGETS: usize = 6;
 const DESK_TARGETS: usize = 3;
+const PLATFORM_LIMIT: Duration = Duration::from_secs(2);
 const TOKEN: &str = "quickstart-token";
 
 /// One VM: an entry and a controller.
@@ -58,6 +64,11 @@
     _platform: Process,
 }
 
+struct PlatformStandin {
+    address: SocketAddr,
+    process: Process,
+}
+
 struct VmPlan {
     name: String,
     data_centre: &'static str,
@@ -69,10 +80,12 @@
 
 impl Cluster {
     /// Starts all processes but files no ticket.
-    pub fn start(programs: Programs, dir: &Path) -> Result<Self> {
+    pub async fn start(programs: Programs, dir: &Path) -> Result<Self> {
         std::fs::create_dir_all(dir)?;
         let plans = plan_vms()?;
-        let (platform, address) = start_platform(&programs, dir, &plans)?;
+        let platform = start_platform(&programs, dir)?;
+        let address = platform.address;
+        list_vms(address, &plans).await?;
         let mut targets = Vec::new();
         for i in 0..KEYED_TARGETS {
             targets.push(start_target(&programs, dir, "status", i)?);
@@ -91,7 +104,7 @@
             platform: address,
             vms,
             targets,
-            _platform: platform,
+            _platform: platform.process,
         })
     }
 
@@ -105,9 +118,9 @@
     /// Runs the operator command against one VM; returns its exit code and what it printed.
     pub fn ctl(&self, vm: usize, args: &[&str]) -> Result<CtlOutput> {
         let output = Command::new(self.programs.bin("gooseberryloft-ctl"))
+            .args(args)
             .arg("--settings")
             .arg(&self.vms[vm].settings)
-            .args(args)
             .output()
             .context("cannot run the operator command")?;
         let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
@@ -206,21 +219,30 @@
     Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
 }
 
-fn start_platform(
-    programs: &Programs,
-    dir: &Path,
-    plans: &[VmPlan],
-) -> Result<(Process, SocketAddr)> {
-    let list = dir.join("vms.json");
-    std::fs::write(&list, vm_list(plans))?;
-    let args = ["--listen", "127.0.0.1:0", "--vms", &list.to_string_lossy()].map(String::from);
+fn start_platform(programs: &Programs, dir: &Path) -> Result<PlatformStandin> {
     let program = programs.example("standin_platform");
-    let mut process = Process::start("platform", &program, &args, dir)?;
+    let mut process = Process::start("platform", &program, &[], dir)?;
     let address = process
         .first_line()?
         .parse()
-        .context("platform printed no address")?;
-    Ok((process, address))
+        .context("the platform printed no address")?;
+    Ok(PlatformStandin { address, process })
+}
+
+async fn list_vms(platform: SocketAddr, plans: &[VmPlan]) -> Result<()> {
+    let body = vm_list(plans).into_bytes();
+    let ask = Ask {
+        method: Method::Put,
+        path: "/vms",
+        headers: &[],
+        body,
+    };
+    let answer = http::send(platform, ask, PLATFORM_LIMIT).await?;
+    ensure!(
+        answer.status == 200,
+        "the platform's stand-in refused the list of VMs"
+    );
+    Ok(())
 }
 
 fn vm_list(plans: &[VmPlan]) -> String {
@@ -242,17 +264,9 @@
 ) -> Result<Target> {
     let name = format!("{service}-{}", index + 1);
     let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
-    let args = [
-        "--listen",
-        "127.0.0.1:0",
-        "--work-ms",
-        "2",
-        "--slots",
-        "6",
-        "--checks-term",
-    ];
+    let args = ["--name", &name, "--work-ms", "2", "--slots", "6"].map(String::from);
     let program = programs.example("standin_target");
-    let mut process = Process::start(&name, &program, &args.map(String::from), dir)?;
+    let mut process = Process::start(&name, &program, &args, dir)?;
     let address = process
         .first_line()?
         .parse()
