--- a/examples/measure/sim.rs
+++ b/examples/measure/sim.rs
@@ -328,13 +328,8 @@
             }
             Step::Wait(until) => {
                 let turn = state.turn;
-                let first = router.waiting() == 1;
-                let entry = state.entry;
                 let micros = until.saturating_duration_since(self.base).as_micros() as u64;
                 self.at(micros.max(self.now + 1), Event::Step { call: index, turn });
-                if first {
-                    self.changed(entry);
-                }
             }
             Step::Refuse(_) => self.done(index, false),
         }
@@ -490,7 +485,7 @@
 
     fn tell(&mut self, entry: usize) {
         self.telling[entry] = false;
-        let report = Arc::new(self.routers[entry].loads(self.instant(self.now)));
+        let report = Arc::new(self.routers[entry].loads());
         let mut bytes = Vec::new();
         ciborium::into_writer(&*report, &mut bytes).expect("a report is encodable");
         let from = self.setup.world.centre(entry);
--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -33,8 +33,6 @@
 /// How long a call holds after its owner's first refusal, if no newer owner shows up.
 const OWNER_PAUSE: Duration = Duration::from_millis(5);
 const OWNER_PAUSE_DOUBLINGS: u32 = 5;
-/// How long a call lets older calls of other entries go first.
-const LONGEST_YIELD: Duration = Duration::from_millis(200);
 
 /// What the router needs to know of a request.
 #[derive(Clone, Debug)]
@@ -146,7 +144,6 @@
     avoid: Option<u64>,
     refused: Option<OwnerRefusal>,
     place: Option<Place>,
-    since: Option<Instant>,
 }
 
 /// An owner's refusal to run a request.
@@ -167,13 +164,11 @@
             avoid: None,
             refused: None,
             place: None,
-            since: None,
         }
     }
 
     /// Returns what to do next. When the answer is [`Step::Wait`], `waker` is woken on a change.
     pub fn step(&mut self, router: &Router, now: Instant, waker: &Waker) -> Step {
-        self.since.get_or_insert(now);
         let step = self.decide(router, now, waker);
         if !matches!(step, Step::Wait(_)) {
             self.place = None;
@@ -344,20 +339,10 @@
             avoid: self.avoid.filter(|_| several),
             suspect: router.crashes.is_suspect(self.info.fingerprint, now),
             idempotent: self.info.idempotent,
-            ahead: self.ahead(route, now),
         };
         choice::choose(route, choice)
     }
 
-    /// Returns how many other entries have an older call waiting; none once this one has let them
-    /// go first for long enough.
-    fn ahead(&self, route: &ServiceRoute, now: Instant) -> usize {
-        let since = self.since.unwrap_or(now);
-        let ahead = route.shared.contenders.ahead_of(since);
-        let patient = now < since + LONGEST_YIELD;
-        if patient { ahead } else { 0 }
-    }
-
     fn send(
         &mut self,
         router: &Router,
@@ -437,8 +422,7 @@
             Admission::Enter => {}
             Admission::Refuse => return self.refuse(Refusal::Overloaded),
         }
-        let since = self.since.unwrap_or(until);
-        self.place = Some(Place::join(queue, &router.waiting, since, waker));
+        self.place = Some(Place::join(queue, &router.waiting, waker));
         Step::Wait(until)
     }
 
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -31,8 +31,6 @@
     pub(crate) suspect: bool,
     /// Whether the request may run twice; others do not try out a target that failed.
     pub(crate) idempotent: bool,
-    /// Other entries' calls that wait since earlier; they go first to the slots free by then.
-    pub(crate) ahead: usize,
 }
 
 /// Why no target was chosen.
@@ -45,7 +43,6 @@
 /// Takes a place at the best target that has a free slot and a free connection.
 pub(crate) fn choose(route: &ServiceRoute, choice: Choice) -> Result<&TargetRoute, NoChoice> {
     let mut retry_at = 0;
-    let yields = choice.ahead > 0 && free_slots(route, choice.now) <= choice.ahead;
     let far_cost =
         FAR_COST_PER_PERCENT * 100u32.saturating_sub(route.service.spread_percent.into());
     let parts = [(&route.near, 0), (&route.far, far_cost)];
@@ -59,9 +56,6 @@
                 if shut > 0 && (retry_at == 0 || shut < retry_at) {
                     retry_at = shut;
                 }
-                if yields && !target.stats.freed.load(Ordering::Relaxed) {
-                    continue;
-                }
                 let Some(cost) = cost(route, target, choice) else {
                     continue;
                 };
@@ -79,20 +73,6 @@
     Err(NoChoice { retry_at })
 }
 
-/// Returns the slots that are free as far as known.
-fn free_slots(route: &ServiceRoute, now: u64) -> usize {
-    let open = route.near.iter().chain(&route.far).take(MAX_LOOKS);
-    let free = open.map(|&index| {
-        let target = &route.targets[index as usize];
-        let room = target.stats.ramp(target.target.slots, now);
-        match target.stats.shut_until(now) {
-            0 => room.saturating_sub(target.stats.busy()) as usize,
-            _ => 0,
-        }
-    });
-    free.sum()
-}
-
 fn window<'a>(
     route: &'a ServiceRoute,
     list: &'a [u32],
--- a/src/route/lane.rs
+++ b/src/route/lane.rs
@@ -66,7 +66,6 @@
             self.stats.suspects.fetch_sub(1, Ordering::Relaxed);
         }
         self.stats.in_flight.fetch_sub(1, Ordering::SeqCst);
-        self.stats.freed.store(true, Ordering::Relaxed);
         self.stats.queue.wake_first();
         self.shared.queue.wake_first();
     }
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -1,6 +1,7 @@
 //! What entries tell each other of the work they have at shared targets.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,8 +14,6 @@
 use crate::ids::TargetId;
 use crate::ids::VmId;
 use crate::route::stats::Stats;
-use crate::route::table::ServiceShared;
-use crate::route::table::Table;
 
 /// How long a report of another entry counts.
 pub const LOAD_LIFE: Duration = Duration::from_secs(2);
@@ -28,18 +27,6 @@
     pub number: u64,
     /// The targets with work; all others have none.
     pub busy: Vec<TargetLoad>,
-    /// The services with calls that wait for a slot.
-    #[serde(default)]
-    pub waits: Vec<ServiceWait>,
-}
-
-/// The calls of one entry that wait for a slot of one service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceWait {
-    /// The service.
-    pub service: ServiceId,
-    /// How long the oldest call has waited, in microseconds.
-    pub micros: u64,
 }
 
 /// The requests that one entry has at one target.
@@ -64,41 +51,36 @@
     number: u64,
     at: Instant,
     added: Vec<(Arc<Stats>, u32)>,
-    waits: Vec<Arc<ServiceShared>>,
 }
 
 impl PeerLoads {
     /// Takes a report if it is newer than the one held.
-    pub(crate) fn learn(&mut self, report: &LoadReport, table: &Table, now: Instant) {
+    pub(crate) fn learn(
+        &mut self,
+        report: &LoadReport,
+        known: &HashMap<(ServiceId, TargetId), Arc<Stats>>,
+        now: Instant,
+    ) {
         self.expire(now);
         let held = self.peers.get(&report.vm);
         if held.is_some_and(|peer| peer.number >= report.number) {
             return;
         }
         if let Some(old) = self.peers.remove(&report.vm) {
-            old.withdraw(&report.vm);
+            old.withdraw();
         }
         let mut added = Vec::new();
         for load in &report.busy {
             let name = (load.service.clone(), load.target.clone());
-            if let Some(stats) = table.stats.get(&name) {
+            if let Some(stats) = known.get(&name) {
                 stats.peers.fetch_add(load.in_flight, Ordering::Relaxed);
                 added.push((stats.clone(), load.in_flight));
             }
         }
-        let mut waits = Vec::new();
-        for wait in &report.waits {
-            let since = now.checked_sub(Duration::from_micros(wait.micros));
-            if let Some(route) = table.services.get(&wait.service) {
-                route.shared.contenders.set(&report.vm, since);
-                waits.push(route.shared.clone());
-            }
-        }
         let peer = Peer {
             number: report.number,
             at: now,
             added,
-            waits,
         };
         self.peers.insert(report.vm.clone(), peer);
     }
@@ -106,10 +88,10 @@
     /// Forgets reports that are too old.
     pub(crate) fn expire(&mut self, now: Instant) {
         let old = |peer: &Peer| now.saturating_duration_since(peer.at) >= LOAD_LIFE;
-        self.peers.retain(|vm, peer| {
+        self.peers.retain(|_, peer| {
             let keep = !old(peer);
             if !keep {
-                peer.withdraw(vm);
+                peer.withdraw();
             }
             keep
         });
@@ -117,10 +99,7 @@
 }
 
 impl Peer {
-    fn withdraw(&self, vm: &VmId) {
-        for shared in &self.waits {
-            shared.contenders.set(vm, None);
-        }
+    fn withdraw(&self) {
         for (stats, count) in &self.added {
             stats.peers.fetch_sub(*count, Ordering::Relaxed);
         }
--- a/src/route/queue.rs
+++ b/src/route/queue.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Waker;
-use std::time::Instant;
 
 /// Calls that wait for the same thing; only the first may try.
 #[derive(Debug, Default)]
@@ -25,7 +24,6 @@
 #[derive(Debug)]
 struct Waiter {
     waker: Waker,
-    since: Instant,
     shed: bool,
 }
 
@@ -43,14 +41,6 @@
         self.len.load(Ordering::SeqCst)
     }
 
-    /// Returns since when the first call waits.
-    pub(crate) fn oldest(&self) -> Option<Instant> {
-        if self.len() == 0 {
-            return None;
-        }
-        self.lock().waiters.values().next().map(|w| w.since)
-    }
-
     /// Wakes the first call.
     pub(crate) fn wake_first(&self) {
         if self.len() == 0 {
@@ -93,19 +83,12 @@
 
 impl Place {
     /// Takes the last place; `total` counts the places of all queues.
-    pub(crate) fn join(
-        queue: &Arc<WaitQueue>,
-        total: &Arc<AtomicUsize>,
-        since: Instant,
-        waker: &Waker,
-    ) -> Self {
+    pub(crate) fn join(queue: &Arc<WaitQueue>, total: &Arc<AtomicUsize>, waker: &Waker) -> Self {
         let mut inner = queue.lock();
         let number = inner.next;
         inner.next += 1;
         let waker = waker.clone();
-        let shed = false;
-        let waiter = Waiter { waker, since, shed };
-        inner.waiters.insert(number, waiter);
+        inner.waiters.insert(number, Waiter { waker, shed: false });
         drop(inner);
         queue.len.fetch_add(1, Ordering::SeqCst);
         total.fetch_add(1, Ordering::SeqCst);
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -23,7 +23,6 @@
 use crate::route::lane::Lane;
 use crate::route::load::LoadReport;
 use crate::route::load::PeerLoads;
-use crate::route::load::ServiceWait;
 use crate::route::load::TargetLoad;
 use crate::route::share::EntryRank;
 use crate::route::table::Table;
@@ -123,22 +122,15 @@
     }
 
     /// Returns the requests of this entry at the targets of unkeyed services, to tell the others.
-    pub fn loads(&self, now: Instant) -> LoadReport {
+    pub fn loads(&self) -> LoadReport {
         let table = self.table.load();
         let unkeyed = table
             .services
             .values()
             .filter(|route| route.service.keying.is_none());
         let mut busy = Vec::new();
-        let mut waits = Vec::new();
         for route in unkeyed {
-            if let Some(since) = route.shared.queue.oldest() {
-                let service = route.id.clone();
-                let micros = now.saturating_duration_since(since).as_micros() as u64;
-                waits.push(ServiceWait { service, micros });
-            }
             for target in &route.targets {
-                target.stats.freed.store(false, Ordering::Relaxed);
                 let in_flight = target.stats.in_flight.load(Ordering::SeqCst);
                 if in_flight > 0 {
                     let service = route.id.clone();
@@ -155,14 +147,13 @@
             vm: lock(&self.config).vm.clone(),
             number: self.reports.fetch_add(1, Ordering::Relaxed) + 1,
             busy,
-            waits,
         }
     }
 
     /// Takes the report of another entry.
     pub fn learn_loads(&self, report: &LoadReport, now: Instant) {
         let table = self.table.load();
-        lock(&self.peers).learn(report, &table, now);
+        lock(&self.peers).learn(report, &table.stats, now);
         for route in table.services.values() {
             route.shared.queue.wake_first();
         }
--- a/src/route/stats.rs
+++ b/src/route/stats.rs
@@ -28,8 +28,6 @@
     pub(crate) suspects: AtomicU32,
     /// Calls that wait for a connection to the target.
     pub(crate) queue: Arc<WaitQueue>,
-    /// Whether this entry gave a slot back and has told no other entry yet.
-    pub(crate) freed: AtomicBool,
     latency: AtomicU64,
     failures: AtomicU32,
     ejections: AtomicU32,
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -16,7 +16,6 @@
 use crate::owner::assignment::Assignment;
 use crate::owner::order::ShardFence;
 use crate::route::budget::Budget;
-use crate::route::contend::Contenders;
 use crate::route::prefix::Prefixes;
 use crate::route::queue::WaitQueue;
 use crate::route::share::EntryRank;
@@ -72,8 +71,6 @@
     pub(crate) queue: Arc<WaitQueue>,
     /// Keyed calls that wait for their shard to have a willing owner.
     hold: [Arc<WaitQueue>; HOLD_QUEUES],
-    /// Other entries with calls that wait for a slot.
-    pub(crate) contenders: Contenders,
     pub(crate) budget: Budget,
     /// The moving average of the time to answer, in microseconds.
     pub(crate) latency: AtomicU64,
@@ -88,7 +85,6 @@
         Self {
             queue: Arc::default(),
             hold: std::array::from_fn(|_| Arc::default()),
-            contenders: Contenders::default(),
             budget: Budget::default(),
             latency: AtomicU64::new(0),
             gap: AtomicU64::new(0),
