Test the entry against misbehaving targets, connections and callers

Cause: the promises on whole answers, on "not run" and on silent connections had no test. Ruled out: a test target that cuts an answer and leaves the connection open to a late second answer; the two stitched together fill the announced length, which no reader of HTTP can tell. The test target closes the connection when it cuts. Conclusion: a second answer that arrives after its connection was given to the next request can be told only by the echoed number; targets that do not echo it are not covered there.

--- /dev/null
+++ b/tests/traffic_faults.rs
@@ -0,0 +1,463 @@
+//! What callers see when targets, connections and callers misbehave.
+
+mod traffic_support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+
+use crate::traffic_support::answering;
+use crate::traffic_support::connect;
+use crate::traffic_support::entry;
+use crate::traffic_support::exchange;
+use crate::traffic_support::get;
+use crate::traffic_support::read_answer;
+use crate::traffic_support::read_head;
+use crate::traffic_support::read_request;
+use crate::traffic_support::service;
+use crate::traffic_support::target;
+use crate::traffic_support::text;
+use crate::traffic_support::view;
+use crate::traffic_support::view_of;
+
+const NOT_RUN: &[u8] =
+    b"HTTP/1.1 503 Busy\r\nx-gooseberryloft-outcome: not-run\r\ncontent-length: 5\r\n\r\nbusy\n";
+
+/// Answers the first request with these bytes and closes the connection.
+fn closing_after(bytes: &'static [u8]) -> std::net::SocketAddr {
+    target(move |mut conn, _| {
+        read_request(&mut conn);
+        let _ = conn.get_mut().write_all(bytes);
+    })
+}
+
+fn post(path: &str) -> Vec<u8> {
+    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n");
+    format!("{head}content-length: 2\r\n\r\nab").into_bytes()
+}
+
+#[googletest::test]
+fn a_cut_answer_never_looks_whole() {
+    let bodies: [&'static [u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+    ];
+    for bytes in bodies {
+        let entry = entry(view(&[closing_after(bytes)]));
+        let mut conn = connect(entry.address());
+        conn.get_mut()
+            .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            .unwrap();
+        expect_that!(read_answer(&mut conn), none());
+        let mut rest = Vec::new();
+        let _ = conn.read_to_end(&mut rest);
+        expect_that!(rest, is_empty());
+        expect_that!(entry.shared().stats.cut.load(Ordering::Relaxed), eq(1));
+    }
+}
+
+#[googletest::test]
+fn an_answer_without_a_length_is_not_taken_for_whole() {
+    let entry = entry(view(&[closing_after(b"HTTP/1.1 200 OK\r\n\r\nmaybe all")]));
+    let answer = exchange(entry.address(), &post("/"));
+    expect_that!(answer, starts_with("HTTP/1.1 502 "));
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-outcome: unknown\r\n")
+    );
+}
+
+#[googletest::test]
+fn ambiguous_requests_are_refused_and_reach_no_target() {
+    let seen = Arc::new(AtomicUsize::new(0));
+    let count = seen.clone();
+    let address = answering(move |_| {
+        count.fetch_add(1, Ordering::Relaxed);
+        text("ran")
+    });
+    let entry = entry(view(&[address]));
+    let flood = "x: y\r\n".repeat(101);
+    let long = format!("x: {}\r\n", "y".repeat(17 << 10));
+    let shapes = [
+        "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "content-length: 1\r\ncontent-length: 1\r\n\r\na",
+        "content-length: 1, 1\r\n\r\na",
+        "content-length: +1\r\n\r\na",
+        "content-length: 99999999999999999999\r\n\r\n",
+        "content-length:\r\n\r\n",
+        "transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\nxyz\r\n",
+        "transfer-encoding: chunked\r\n\r\n-1\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n11111111111111111\r\n",
+        "transfer-encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n",
+        "transfer-encoding : chunked\r\n\r\n0\r\n\r\n",
+        "x: a\r\n folded\r\n\r\n",
+        "x: a\nb: c\r\n\r\n",
+        "x: a\rb: c\r\n\r\n",
+        "host: y\r\n\r\n",
+        &format!("{flood}\r\n"),
+        &format!("{long}\r\n"),
+    ];
+    for shape in shapes {
+        let request = format!("POST / HTTP/1.1\r\nhost: x\r\n{shape}GET /second HTTP/1.1\r\n");
+        let answer = exchange(entry.address(), request.as_bytes());
+        expect_that!(answer, starts_with("HTTP/1.1 400 "), "{shape:?}");
+        expect_that!(
+            answer,
+            contains_substring("connection: close\r\n"),
+            "{shape:?}"
+        );
+        expect_that!(answer.matches("HTTP/1.1").count(), eq(1), "{shape:?}");
+    }
+    for line in [
+        "GET /a/../b HTTP/1.1",
+        "GET /%2e%2E/b HTTP/1.1",
+        "GET x HTTP/1.1",
+        "GET / HTTP/2",
+    ] {
+        let answer = exchange(
+            entry.address(),
+            format!("{line}\r\nhost: x\r\n\r\n").as_bytes(),
+        );
+        expect_that!(answer, starts_with("HTTP/1.1 400 "), "{line:?}");
+    }
+    let answer = exchange(entry.address(), b"GET / HTTP/1.0\r\nhost: x\r\n\r\n");
+    expect_that!(answer, starts_with("HTTP/1.1 505 "));
+    expect_that!(seen.load(Ordering::Relaxed), eq(0));
+}
+
+#[googletest::test]
+fn a_half_closed_caller_gets_its_answer() {
+    let address = answering(|_| {
+        thread::sleep(Duration::from_millis(200));
+        text("late but whole")
+    });
+    let entry = entry(view(&[address]));
+    let mut conn = connect(entry.address());
+    conn.get_mut()
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .unwrap();
+    conn.get_ref().shutdown(Shutdown::Write).unwrap();
+    let (_, body) = last_answer(&mut conn).expect("the answer is whole");
+    expect_that!(body, eq(b"late but whole"));
+}
+
+/// Skips interim answers, as HTTP/1.1 asks of every caller.
+fn last_answer(conn: &mut std::io::BufReader<std::net::TcpStream>) -> Option<(String, Vec<u8>)> {
+    loop {
+        let (head, body) = read_answer(conn)?;
+        if !head.starts_with("HTTP/1.1 1") {
+            return Some((head, body));
+        }
+    }
+}
+
+#[googletest::test]
+fn a_caller_that_went_away_frees_its_target() {
+    let (tx, rx) = mpsc::channel();
+    let address = target(move |mut conn, _| {
+        read_request(&mut conn);
+        tx.send("asked").unwrap();
+        let mut byte = [0];
+        let _ = conn.read(&mut byte);
+        tx.send("cancelled").unwrap();
+    });
+    let entry = entry(view(&[address]));
+    let mut conn = connect(entry.address());
+    conn.get_mut()
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .unwrap();
+    let limit = Duration::from_secs(2);
+    expect_that!(rx.recv_timeout(limit), ok(eq("asked")));
+    drop(conn);
+    expect_that!(rx.recv_timeout(limit), ok(eq("cancelled")));
+    let started = Instant::now();
+    while entry.shared().drain.in_flight() > 0 {
+        assert_that!(started.elapsed(), lt(limit));
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[googletest::test]
+fn answers_without_a_body_leave_the_connection_in_step() {
+    let address = answering(|seen| match seen.head.split(' ').nth(1).unwrap() {
+        "/head" => b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n".to_vec(),
+        "/204" => b"HTTP/1.1 204 No Content\r\n\r\n".to_vec(),
+        "/304" => b"HTTP/1.1 304 Not Modified\r\ncontent-length: 7\r\n\r\n".to_vec(),
+        "/103" => [
+            &b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"[..],
+            &text("final"),
+        ]
+        .concat(),
+        _ => text("last"),
+    });
+    let entry = entry(view(&[address]));
+    let mut conn = connect(entry.address());
+    let mut ask = |method: &str, path: &str| {
+        let request = format!("{method} {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+        conn.get_mut().write_all(request.as_bytes()).unwrap();
+        match matches!(path, "/head" | "/204" | "/304") {
+            true => read_head(&mut conn).unwrap(),
+            false => String::from_utf8(read_answer(&mut conn).unwrap().1).unwrap(),
+        }
+    };
+    expect_that!(
+        ask("HEAD", "/head"),
+        contains_substring("content-length: 5\r\n")
+    );
+    expect_that!(
+        ask("GET", "/204"),
+        not(contains_substring("content-length"))
+    );
+    expect_that!(
+        ask("GET", "/304"),
+        contains_substring("content-length: 7\r\n")
+    );
+    expect_that!(ask("GET", "/103"), eq("final"));
+    expect_that!(ask("GET", "/last"), eq("last"));
+}
+
+#[googletest::test]
+fn a_caller_that_expects_leave_gets_it() {
+    let entry = entry(view(&[answering(|seen| {
+        text(&String::from_utf8_lossy(&seen.body))
+    })]));
+    let mut conn = connect(entry.address());
+    let head = b"POST / HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 4\r\n\r\n";
+    conn.get_mut().write_all(head).unwrap();
+    expect_that!(
+        read_head(&mut conn),
+        some(eq("HTTP/1.1 100 Continue\r\n\r\n"))
+    );
+    conn.get_mut().write_all(b"body").unwrap();
+    expect_that!(read_answer(&mut conn).unwrap().1, eq(b"body"));
+}
+
+#[googletest::test]
+fn work_that_may_not_repeat_is_never_sent_again_after_a_break() {
+    let ran = Arc::new(AtomicUsize::new(0));
+    let crash = || {
+        let ran = ran.clone();
+        target(move |mut conn, _| {
+            read_request(&mut conn);
+            ran.fetch_add(1, Ordering::Relaxed);
+        })
+    };
+    let entry = entry(view(&[crash(), crash()]));
+    let answer = exchange(entry.address(), &post("/charge"));
+    expect_that!(answer, starts_with("HTTP/1.1 502 "));
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-outcome: unknown\r\n")
+    );
+    expect_that!(ran.load(Ordering::Relaxed), eq(1));
+}
+
+#[googletest::test]
+fn work_that_was_not_run_is_sent_again() {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = asked.clone();
+    let sheds_first = answering(move |seen| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => NOT_RUN.to_vec(),
+        _ => text(&String::from_utf8_lossy(&seen.body)),
+    });
+    let entry = entry(view(&[sheds_first]));
+    expect_that!(
+        exchange(entry.address(), &post("/charge")),
+        ends_with("\r\n\r\nab")
+    );
+    expect_that!(asked.load(Ordering::Relaxed), eq(2));
+    let alone = crate::traffic_support::entry(view(&[answering(|_| NOT_RUN.to_vec())]));
+    let answer = exchange(alone.address(), &post("/charge"));
+    expect_that!(answer, starts_with("HTTP/1.1 503 "));
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-outcome: not-run\r\n")
+    );
+}
+
+#[googletest::test]
+fn a_silent_connection_is_replaced_by_a_fresh_one() {
+    let address = target(|mut conn, number| {
+        while read_request(&mut conn).is_some() {
+            let _ = conn
+                .get_mut()
+                .write_all(&text(&format!("connection {number}")));
+            // From here on the connection swallows all that comes.
+            if number == 0 {
+                let _ = conn.read_to_end(&mut Vec::new());
+            }
+        }
+    });
+    let mut quick = service("/", &[address]);
+    quick.deadline_ms = 600;
+    let entry = entry(view_of(quick));
+    expect_that!(get(entry.address(), "/"), ends_with("connection 0"));
+    expect_that!(get(entry.address(), "/"), ends_with("connection 1"));
+    expect_that!(entry.shared().stats.silent.load(Ordering::Relaxed), eq(1));
+    expect_that!(get(entry.address(), "/"), ends_with("connection 1"));
+}
+
+#[googletest::test]
+fn work_that_may_not_repeat_goes_on_no_connection_that_was_idle_for_long() {
+    let address = target(|mut conn, number| {
+        if read_request(&mut conn).is_some() {
+            let _ = conn
+                .get_mut()
+                .write_all(&text(&format!("connection {number}")));
+            let _ = conn.read_to_end(&mut Vec::new());
+        }
+    });
+    let entry = entry(view(&[address]));
+    expect_that!(
+        exchange(entry.address(), &post("/")),
+        ends_with("connection 0")
+    );
+    thread::sleep(Duration::from_millis(1100));
+    expect_that!(
+        exchange(entry.address(), &post("/")),
+        ends_with("connection 1")
+    );
+}
+
+#[googletest::test]
+fn doubled_and_unasked_answers_reach_nobody() {
+    let address = answering(|seen| {
+        let own = text(seen.head.lines().next().unwrap());
+        [own, text("doubled"), b"and more".to_vec()].concat()
+    });
+    let entry = entry(view(&[address]));
+    let mut conn = connect(entry.address());
+    for n in 0..20 {
+        let request = format!("GET /{n} HTTP/1.1\r\nhost: x\r\n\r\n");
+        conn.get_mut().write_all(request.as_bytes()).unwrap();
+        let (_, body) = read_answer(&mut conn).expect("the answer is whole");
+        expect_that!(body, eq(format!("GET /{n} HTTP/1.1").as_bytes()));
+    }
+}
+
+#[googletest::test]
+fn a_late_answer_reaches_nobody() {
+    let address = answering(|seen| {
+        if seen.head.starts_with("GET /slow") {
+            thread::sleep(Duration::from_millis(400));
+        }
+        text(seen.head.lines().next().unwrap())
+    });
+    let mut quick = service("/", &[address]);
+    quick.deadline_ms = 200;
+    let entry = entry(view_of(quick));
+    let slow = get(entry.address(), "/slow");
+    expect_that!(
+        slow,
+        contains_substring("x-gooseberryloft-outcome: unknown\r\n")
+    );
+    for n in 0..30 {
+        expect_that!(
+            get(entry.address(), &format!("/{n}")),
+            ends_with(format!("/{n} HTTP/1.1"))
+        );
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[googletest::test]
+fn a_crossed_answer_with_another_number_reaches_nobody() {
+    let address = answering(|seen| {
+        let id = seen.field("x-gooseberryloft-request").unwrap();
+        let id = if seen.head.starts_with("POST") {
+            "0123456789abcdef"
+        } else {
+            id
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nx-gooseberryloft-request: {id}\r\n");
+        format!("{head}content-length: 4\r\n\r\nmine").into_bytes()
+    });
+    let entry = entry(view(&[address]));
+    expect_that!(get(entry.address(), "/"), ends_with("mine"));
+    let crossed = exchange(entry.address(), &post("/"));
+    expect_that!(
+        crossed,
+        contains_substring("x-gooseberryloft-outcome: unknown\r\n")
+    );
+    expect_that!(crossed, not(contains_substring("mine")));
+}
+
+#[googletest::test]
+fn an_answer_before_the_end_of_the_request_is_delivered() {
+    let address = target(|mut conn, _| {
+        read_head(&mut conn);
+        let answer = b"HTTP/1.1 413 Too Large\r\ncontent-length: 3\r\n\r\nbig";
+        conn.get_mut().write_all(answer).unwrap();
+        thread::sleep(Duration::from_millis(300));
+    });
+    let entry = entry(view(&[address]));
+    let mut conn = connect(entry.address());
+    let head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000\r\n\r\n";
+    conn.get_mut().write_all(head).unwrap();
+    let (head, body) = read_answer(&mut conn).expect("the answer is whole");
+    expect_that!(head, starts_with("HTTP/1.1 413 "));
+    expect_that!(head, contains_substring("connection: close\r\n"));
+    expect_that!(body, eq(b"big"));
+}
+
+#[googletest::test]
+fn bodies_of_any_framing_pass_unchanged() {
+    let address = answering(|seen| match seen.field("transfer-encoding") {
+        Some(_) => {
+            let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+            let chunks = seen.body.chunks(70_000).map(|chunk| {
+                [
+                    format!("{:x};x=y\r\n", chunk.len()).as_bytes(),
+                    chunk,
+                    b"\r\n",
+                ]
+                .concat()
+            });
+            let body: Vec<u8> = chunks.flatten().collect();
+            [head, body, b"0\r\nx: y\r\n\r\n".to_vec()].concat()
+        }
+        None => {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n",
+                seen.body.len()
+            );
+            [head.into_bytes(), seen.body.clone()].concat()
+        }
+    });
+    let entry = entry(view(&[address]));
+    let mut conn = connect(entry.address());
+    for size in [0, 1, 65_535, 65_536, 65_537, 1_000_000, 5_000_000] {
+        let body: Vec<u8> = (0..size).map(|n| (n * 31 % 251) as u8).collect();
+        let length = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {size}\r\n\r\n");
+        let chunked = "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+        let chunks = body
+            .chunks(9_999)
+            .map(|chunk| [format!("{:x}\r\n", chunk.len()).as_bytes(), chunk, b"\r\n"].concat());
+        let chunks: Vec<u8> = chunks.flatten().chain(*b"0\r\n\r\n").collect();
+        for request in [
+            [length.as_bytes(), &body].concat(),
+            [chunked.as_bytes(), &chunks].concat(),
+        ] {
+            let mut writer = conn.get_ref().try_clone().unwrap();
+            let sender = thread::spawn(move || writer.write_all(&request).unwrap());
+            let (_, got) = read_answer(&mut conn).expect("the answer is whole");
+            sender.join().unwrap();
+            expect_that!(got == body, eq(true), "{size} bytes");
+        }
+    }
+}
