Test the entry program as a process, and its following of controllers

Cause: the graceful shutdown and the failover of controllers had no test. Ruled out: a test of the shutdown inside one process; signals and exits are the process's own. Change: tests/traffic_process.rs starts the program, ends it by SIGTERM during a download of 3.9 MB in 60 parts, and compares every byte; tests/traffic_follow.rs drives the follower without sockets. Conclusion: a graceful shutdown cuts nothing, and a limit on it cuts as stated.

--- /dev/null
+++ b/tests/traffic_follow.rs
@@ -0,0 +1,169 @@
+//! An entry following its controllers, on a clock of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use gooseberryloft::ids::BootId;
+use gooseberryloft::ids::TicketNumber;
+use gooseberryloft::link::Message;
+use gooseberryloft::ticket::InForce;
+use gooseberryloft::traffic::follow::Action;
+use gooseberryloft::traffic::follow::Follower;
+use gooseberryloft::traffic::follow::Identity;
+use gooseberryloft::traffic::follow::OPEN_LIMIT;
+use gooseberryloft::traffic::follow::SILENCE_LIMIT;
+use gooseberryloft::view::ViewChange;
+
+const STALE_LIMIT: Duration = Duration::from_secs(30);
+const TICK: Duration = Duration::from_millis(50);
+
+fn controllers() -> Vec<SocketAddr> {
+    let ports = 1..=3;
+    ports
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .collect()
+}
+
+fn follower(now: Instant) -> Follower {
+    let identity = Identity {
+        vm: "entry-1".into(),
+        boot: BootId(1),
+        data_centre: "ikeja".into(),
+    };
+    Follower::new(identity, controllers(), STALE_LIMIT, now)
+}
+
+fn state(number: u64) -> Message {
+    let number = TicketNumber(number);
+    let services = Default::default();
+    Message::Changes(vec![ViewChange::State(InForce { number, services })])
+}
+
+fn step(base: u64, number: u64) -> Message {
+    Message::Changes(vec![ViewChange::Services {
+        base: TicketNumber(base),
+        number: TicketNumber(number),
+        services: Default::default(),
+    }])
+}
+
+fn published(actions: &[Action]) -> Option<u64> {
+    actions.iter().find_map(|action| match action {
+        Action::Publish(view) => Some(view.state.number.0),
+        _ => None,
+    })
+}
+
+fn opens(actions: &[Action]) -> Option<SocketAddr> {
+    actions.iter().find_map(|action| match action {
+        Action::Open(peer) => Some(*peer),
+        _ => None,
+    })
+}
+
+#[googletest::test]
+fn the_first_controller_is_asked_with_what_is_held() {
+    let now = Instant::now();
+    let mut follower = follower(now);
+    expect_that!(
+        opens(&follower.tick(now, Vec::new)),
+        some(eq(controllers()[0]))
+    );
+    let actions = follower.opened(now);
+    expect_that!(
+        actions,
+        elements_are![matches_pattern!(Action::Send(pat!(Message::Hello(_))))]
+    );
+    expect_that!(follower.is_fresh(now), eq(false));
+    expect_that!(published(&follower.received(state(3), now)), some(eq(3)));
+    expect_that!(follower.is_fresh(now), eq(true));
+}
+
+#[googletest::test]
+fn a_gap_is_answered_with_the_digest() {
+    let now = Instant::now();
+    let mut follower = follower(now);
+    follower.tick(now, Vec::new);
+    follower.opened(now);
+    follower.received(state(3), now);
+    let actions = follower.received(step(4, 5), now);
+    expect_that!(
+        actions,
+        elements_are![matches_pattern!(Action::Send(pat!(Message::Digest(_))))]
+    );
+    expect_that!(published(&follower.received(step(3, 4), now)), some(eq(4)));
+}
+
+#[googletest::test]
+fn a_silent_controller_is_left_for_the_next() {
+    let mut now = Instant::now();
+    let mut follower = follower(now);
+    follower.tick(now, Vec::new);
+    follower.opened(now);
+    follower.received(state(3), now);
+    let silent = now;
+    let next = loop {
+        now += TICK;
+        if let Some(peer) = opens(&follower.tick(now, Vec::new)) {
+            break peer;
+        }
+    };
+    expect_that!(next, eq(controllers()[1]));
+    expect_that!(now - silent, le(SILENCE_LIMIT + Duration::from_millis(200)));
+    // A controller that takes the connection and says nothing is left as well.
+    let tried = now;
+    let next = loop {
+        now += TICK;
+        if let Some(peer) = opens(&follower.tick(now, Vec::new)) {
+            break peer;
+        }
+    };
+    expect_that!(next, eq(controllers()[2]));
+    expect_that!(now - tried, le(OPEN_LIMIT + Duration::from_millis(200)));
+}
+
+#[googletest::test]
+fn the_view_goes_stale_when_nobody_confirms_it() {
+    let now = Instant::now();
+    let mut follower = follower(now);
+    follower.tick(now, Vec::new);
+    follower.opened(now);
+    follower.received(state(3), now);
+    expect_that!(follower.is_fresh(now + STALE_LIMIT), eq(true));
+    expect_that!(follower.is_fresh(now + STALE_LIMIT + TICK), eq(false));
+    let later = now + STALE_LIMIT + TICK;
+    follower.lost(later);
+    follower.tick(later + TICK * 4, Vec::new);
+    follower.opened(later + TICK * 4);
+    follower.received(Message::Pong(1), later + TICK * 5);
+    expect_that!(follower.is_fresh(later + TICK * 5), eq(true));
+}
+
+proptest! {
+    #[test]
+    fn the_number_in_force_never_falls(
+        events in prop::collection::vec((0..6_u8, 0..9_u64, 0..2000_u64), 1..60),
+    ) {
+        let mut now = Instant::now();
+        let mut follower = follower(now);
+        let mut highest = 0;
+        for (kind, number, wait_ms) in events {
+            now += Duration::from_millis(wait_ms);
+            let actions = match kind {
+                0 => follower.opened(now),
+                1 => follower.lost(now),
+                2 => follower.received(state(number), now),
+                3 => follower.received(step(number, number + 1), now),
+                _ => follower.tick(now, Vec::new),
+            };
+            if let Some(number) = published(&actions) {
+                prop_assert!(number > highest, "{} after {}", number, highest);
+                highest = number;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/traffic_process.rs
@@ -0,0 +1,187 @@
+//! The real entry program as a process: readiness, and a graceful shutdown under load.
+
+mod traffic_support;
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+
+use crate::traffic_support::PATIENCE;
+use crate::traffic_support::connect;
+use crate::traffic_support::controller;
+use crate::traffic_support::get;
+use crate::traffic_support::read_answer;
+use crate::traffic_support::read_head;
+use crate::traffic_support::read_request;
+use crate::traffic_support::settings;
+use crate::traffic_support::target;
+use crate::traffic_support::text;
+use crate::traffic_support::view;
+
+const PART: usize = 64 << 10;
+const PARTS: usize = 60;
+
+/// A running entry; dropping it ends the process.
+struct Process {
+    child: Child,
+    callers: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl Process {
+    fn start(name: &str, controllers: &[SocketAddr], more: &str) -> Self {
+        let file = std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()));
+        std::fs::write(&file, settings(controllers, 2, more)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_gooseberryloft-entry"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        let stdout = child.stdout.take().unwrap();
+        BufReader::new(stdout).read_line(&mut line).unwrap();
+        std::fs::remove_file(&file).unwrap();
+        let mut addresses = line
+            .split([' ', ',', '\n'])
+            .filter_map(|word| word.parse().ok());
+        Self {
+            callers: addresses.next().expect("the callers' address is printed"),
+            admin: addresses.next().expect("the admin address is printed"),
+            child,
+        }
+    }
+
+    fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status().unwrap();
+        assert!(status.success());
+    }
+
+    fn wait_ready(&self, ready: bool) {
+        let status = if ready {
+            "HTTP/1.1 200 "
+        } else {
+            "HTTP/1.1 503 "
+        };
+        let started = Instant::now();
+        while !get(self.admin, "/readyz").starts_with(status) {
+            assert!(started.elapsed() < PATIENCE, "no {status}");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn byte(at: usize) -> u8 {
+    (at * 31 % 251) as u8
+}
+
+/// Sends a long body in parts with pauses.
+fn slow_download() -> SocketAddr {
+    target(|mut conn, _| {
+        while let Some(seen) = read_request(&mut conn) {
+            if seen.head.starts_with("GET /short") {
+                conn.get_mut().write_all(&text("short")).unwrap();
+                continue;
+            }
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n",
+                PART * PARTS
+            );
+            conn.get_mut().write_all(head.as_bytes()).unwrap();
+            for part in 0..PARTS {
+                let bytes: Vec<u8> = (part * PART..(part + 1) * PART).map(byte).collect();
+                conn.get_mut().write_all(&bytes).unwrap();
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+    })
+}
+
+#[googletest::test]
+fn a_graceful_shutdown_cuts_no_download() {
+    let controller = controller(view(&[slow_download()]));
+    let mut entry = Process::start("graceful", &[controller], "");
+    entry.wait_ready(true);
+    let mut download = connect(entry.callers);
+    let mut idle = connect(entry.callers);
+    let ask = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+    download
+        .get_mut()
+        .write_all(ask("/long").as_bytes())
+        .unwrap();
+    idle.get_mut().write_all(ask("/short").as_bytes()).unwrap();
+    expect_that!(read_answer(&mut idle).unwrap().1, eq(b"short"));
+    expect_that!(
+        read_head(&mut download).unwrap(),
+        starts_with("HTTP/1.1 200 ")
+    );
+
+    entry.terminate();
+    entry.wait_ready(false);
+    expect_that!(get(entry.admin, "/healthz"), starts_with("HTTP/1.1 200 "));
+    // Callers that the balancer still sends are served, and asked to connect elsewhere.
+    idle.get_mut().write_all(ask("/short").as_bytes()).unwrap();
+    let (head, body) = read_answer(&mut idle).unwrap();
+    expect_that!(head, contains_substring("connection: close\r\n"));
+    expect_that!(body, eq(b"short"));
+
+    let mut body = vec![0; PART * PARTS];
+    download.read_exact(&mut body).expect("no byte is missing");
+    expect_that!((0..body.len()).all(|at| body[at] == byte(at)), eq(true));
+    expect_that!(entry.child.wait().unwrap().success(), eq(true));
+    expect_that!(std::net::TcpStream::connect(entry.callers), err(anything()));
+}
+
+#[googletest::test]
+fn a_drain_limit_bounds_the_graceful_shutdown() {
+    let controller = controller(view(&[slow_download()]));
+    let mut entry = Process::start("bounded", &[controller], "drain_limit = 500 ms");
+    entry.wait_ready(true);
+    let mut download = connect(entry.callers);
+    download
+        .get_mut()
+        .write_all(b"GET /long HTTP/1.1\r\nhost: x\r\n\r\n")
+        .unwrap();
+    expect_that!(
+        read_head(&mut download).unwrap(),
+        starts_with("HTTP/1.1 200 ")
+    );
+    let started = Instant::now();
+    entry.terminate();
+    expect_that!(entry.child.wait().unwrap().success(), eq(true));
+    expect_that!(started.elapsed(), lt(Duration::from_secs(2)));
+    let mut body = vec![0; PART * PARTS];
+    expect_that!(download.read_exact(&mut body), err(anything()));
+}
+
+#[googletest::test]
+fn an_entry_without_a_view_is_alive_but_not_ready() {
+    let nobody = "127.0.0.1:1".parse().unwrap();
+    let entry = Process::start("viewless", &[nobody], "");
+    expect_that!(get(entry.admin, "/healthz"), starts_with("HTTP/1.1 200 "));
+    expect_that!(get(entry.admin, "/readyz"), starts_with("HTTP/1.1 503 "));
+    let answer = get(entry.callers, "/");
+    expect_that!(answer, starts_with("HTTP/1.1 503 "));
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-outcome: not-run\r\n")
+    );
+}
