--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,14 +5,21 @@
 //! live in the adapters that drive them.
 
 pub mod clock;
+pub mod control;
+pub mod ctl;
 pub mod events;
 pub mod ids;
 pub mod inifile;
 pub mod link;
+pub mod member;
+pub mod metrics;
+pub mod operator;
 pub mod owner;
 pub mod platform;
 pub mod route;
 pub mod settings;
+pub mod spread;
+pub mod standin;
 pub mod ticket;
 pub mod traffic;
 pub mod view;
