--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -120,6 +120,9 @@
 fn refused(reply: &Reply) -> CtlError {
     let text = String::from_utf8_lossy(&reply.body).trim().to_owned();
     match reply.status {
+        404 if text.is_empty() => CtlError::Answer(
+            "not the operators' address; give the [controller] admin address".to_owned(),
+        ),
         400..500 => CtlError::Refused(format!("refused: {text}")),
         503 => CtlError::Unknown(text),
         status => CtlError::Answer(format!("status {status}: {text}")),
--- a/src/inifile/kinds.rs
+++ b/src/inifile/kinds.rs
@@ -65,6 +65,22 @@
     read: size,
 };
 
+/// Returns a duration as settings write it, in its largest whole unit.
+pub fn duration_text(duration: Duration) -> String {
+    let ms = duration.as_millis();
+    let units = [
+        (86_400_000, "d"),
+        (3_600_000, "h"),
+        (60_000, "min"),
+        (1_000, "s"),
+    ];
+    let fits = units
+        .iter()
+        .find(|(unit_ms, _)| ms > 0 && ms % unit_ms == 0);
+    let (unit_ms, unit) = fits.copied().unwrap_or((1, "ms"));
+    format!("{} {unit}", ms / unit_ms)
+}
+
 /// Reads every word of a text that has at least one.
 pub fn words<T>(text: &str, read: fn(&str) -> Option<T>) -> Option<Vec<T>> {
     let words: Vec<T> = text.split_whitespace().map(read).collect::<Option<_>>()?;
--- a/src/report/text.rs
+++ b/src/report/text.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::time::Duration;
 
+use crate::inifile::kinds;
 use crate::report::Line;
 use crate::report::Report;
 use crate::report::WindowBurn;
@@ -21,7 +22,7 @@
     }
     writeln!(
         wtr,
-        "\n{:<20} {:<16} {:>13} {:>12} {:>10} {:>10} {:>10}  verdict",
+        "\n{:<20} {:<16} {:>15} {:>12} {:>10} {:>10} {:>10}  verdict",
         "service", "data centre", "windows", "requests", "short", "long", "threshold"
     )?;
     for line in &report.lines {
@@ -37,7 +38,7 @@
     let verdict = if window.alert { "ALERT" } else { "ok" };
     writeln!(
         wtr,
-        "{:<20} {:<16} {windows:>13} {:>12} {:>10.2} {:>10.2} {:>10.2}  {verdict}",
+        "{:<20} {:<16} {windows:>15} {:>12} {:>10.2} {:>10.2} {:>10.2}  {verdict}",
         line.service.as_str(),
         line.data_centre.as_str(),
         window.counts.total,
@@ -48,5 +49,5 @@
 }
 
 fn span(ms: u64) -> String {
-    format!("{:?}", Duration::from_millis(ms))
+    kinds::duration_text(Duration::from_millis(ms))
 }
--- a/src/ticket/write.rs
+++ b/src/ticket/write.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 use std::fmt::Write;
+use std::time::Duration;
 
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::inifile::kinds;
 use crate::ticket::InForce;
 use crate::ticket::KeySource;
 use crate::ticket::Service;
@@ -63,7 +65,8 @@
     }
     writeln!(text, "priority = {}", service.priority)?;
     writeln!(text, "spread = {} %", service.spread_percent)?;
-    writeln!(text, "deadline = {} ms", service.deadline_ms)
+    let deadline = Duration::from_millis(service.deadline_ms);
+    writeln!(text, "deadline = {}", kinds::duration_text(deadline))
 }
 
 fn write_target(
