--- a/src/inifile/kinds.rs
+++ b/src/inifile/kinds.rs
@@ -76,7 +76,7 @@
     ];
     let fits = units
         .iter()
-        .find(|(unit_ms, _)| ms > 0 && ms % unit_ms == 0);
+        .find(|(unit_ms, _)| ms > 0 && ms.is_multiple_of(*unit_ms));
     let (unit_ms, unit) = fits.copied().unwrap_or((1, "ms"));
     format!("{} {unit}", ms / unit_ms)
 }
