Confirm the entry's view by summaries, share its connections, and count its requests

Cause: an entry took any message of a controller for a confirmation of its view, also of one that had just started and confirmed nothing itself; two traffic threads kept idle connections apart, so that together they could exceed the target's share; the metrics knew nothing of the entry. Ruled out: the age in a summary as the age of the confirmation, since in an outage of the table all ages rise and every entry would stand aside; a connection counter a target beside the router's lanes, since a pool common to the threads stays within the share by itself. Change: only a summary with the same number, from a controller that was confirmed, keeps the view fresh; a digest is answered with what the controller lacks. The pool is shared. Conclusion: connections_to_a_target_stay_within_the_share holds 12 callers and 2 threads to 3.

--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -1,6 +1,5 @@
 //! Health, readiness and metrics, for the platform's balancer and operators.
 
-use std::fmt::Write;
 use std::sync::Arc;
 
 use async_std::net::TcpListener;
@@ -8,6 +7,8 @@
 use tide::Response;
 use tide::StatusCode;
 
+use crate::metrics::instruments;
+use crate::metrics::render;
 use crate::traffic::drain::Stage;
 use crate::traffic::worker::Shared;
 
@@ -33,11 +34,6 @@
 
 async fn metrics(request: Request<Arc<Shared>>) -> tide::Result<String> {
     let shared = request.state();
-    let mut text = String::new();
-    for (name, count) in shared.stats.all() {
-        writeln!(text, "gooseberryloft_entry_{name}_total {count}")?;
-    }
-    let in_flight = shared.drain.in_flight();
-    writeln!(text, "gooseberryloft_entry_in_flight {in_flight}")?;
-    Ok(text)
+    instruments().in_force(shared.router.view().state.number);
+    Ok(render())
 }
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -16,6 +15,8 @@
 use crate::events::Event;
 use crate::events::record;
 use crate::ids::BootId;
+use crate::route::EntryRank;
+use crate::route::RouterConfig;
 use crate::settings::Settings;
 use crate::traffic::admin;
 use crate::traffic::control;
@@ -71,10 +72,12 @@
         };
         let listener = bind(entry.listen, "listen")?;
         let admin = bind(entry.admin, "admin")?;
-        let shared = Arc::new(Shared {
-            stale: AtomicBool::new(true),
-            ..Shared::default()
-        });
+        let shared = Arc::new(Shared::new(RouterConfig {
+            vm: settings.vm.name.clone(),
+            data_centre: settings.vm.data_centre.clone(),
+            rank: EntryRank::default(),
+            seed: rand::random(),
+        }));
         let mut workers = Vec::new();
         for index in 0..entry.threads.max(1) {
             let listener = listener.try_clone()?;
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -31,7 +31,6 @@
 use crate::traffic::relay::Sink;
 use crate::traffic::relay::relay;
 use crate::traffic::request::Routed;
-use crate::traffic::stats::Stats;
 use crate::traffic::worker::Worker;
 
 /// A request with as much of its body as is kept.
@@ -60,6 +59,8 @@
         status: u16,
         /// Whether the caller's connection ends with it.
         close: bool,
+        /// When its head had arrived.
+        answered: Instant,
     },
     /// The answer broke off after its head went to the caller.
     Cut,
@@ -91,7 +92,7 @@
 ) -> End {
     let now = Instant::now();
     let repeatable = request.routed.info.idempotent;
-    let Some(conn) = worker.pool.take(lane.address, repeatable, now) else {
+    let Some(conn) = worker.shared.pool.take(lane.address, repeatable, now) else {
         return exchange_fresh(worker, caller, request, lane).await;
     };
     if !repeatable || !request.rest.is_done() {
@@ -159,6 +160,7 @@
         keep(worker, conn, &head, uploaded);
         return End::Failed(AttemptEnd::NotRun);
     }
+    let answered = Instant::now();
     progress.answering.set(true);
     let draining = worker.shared.drain.stage() > Stage::Serving;
     let close = draining || !request.head.keep_alive || !uploaded;
@@ -166,7 +168,11 @@
         Ok(()) => {
             keep(worker, conn, &head, progress.uploaded.get());
             let status = head.status;
-            End::Whole { status, close }
+            End::Whole {
+                status,
+                close,
+                answered,
+            }
         }
         Err(RelayError::Sink) => End::Gone,
         Err(_) => End::Cut,
@@ -284,14 +290,14 @@
         return;
     }
     if conn.reader.data().is_empty() {
-        worker.pool.put(conn, Instant::now());
+        worker.shared.pool.put(conn, Instant::now());
     }
 }
 
 fn failed(worker: &Worker, conn: &TargetConn, end: End, progress: &Progress) -> End {
     if matches!(end, End::Failed(AttemptEnd::Silent)) {
-        Stats::count(&worker.shared.stats.silent);
-        worker.pool.drop_idle(conn.address);
+        worker.shared.stats.found_silent();
+        worker.shared.pool.drop_idle(conn.address);
     }
     match end {
         End::Failed(_) if !progress.sent.get() => End::Failed(AttemptEnd::NotSent),
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -9,14 +9,17 @@
 
 use crate::ids::BootId;
 use crate::ids::DataCentre;
+use crate::ids::TicketNumber;
 use crate::ids::VmId;
 use crate::link::EntryReport;
 use crate::link::Hello;
 use crate::link::HotKey;
 use crate::link::Message;
 use crate::link::Role;
+use crate::spread::Summary;
 use crate::view::View;
 use crate::view::ViewChange;
+use crate::view::ViewDigest;
 
 /// How long a link may stay silent.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
@@ -155,19 +158,10 @@
         up.heard = now;
         self.pause = FIRST_PAUSE;
         match message {
-            Message::Changes(changes) => self.apply(changes, now),
+            Message::Changes(changes) => self.apply(changes),
             Message::Ping(number) => vec![Action::Send(Message::Pong(number))],
-            Message::Pong(_) => {
-                self.confirm(now);
-                Vec::new()
-            }
-            Message::Digest(theirs) if theirs != self.view.digest() => {
-                vec![Action::Send(Message::Digest(self.view.digest()))]
-            }
-            Message::Digest(_) => {
-                self.confirm(now);
-                Vec::new()
-            }
+            Message::Digest(theirs) => self.compare(&theirs),
+            Message::Summary(theirs) => self.take_summary(&theirs, now),
             _ => Vec::new(),
         }
     }
@@ -203,7 +197,7 @@
         }
     }
 
-    fn apply(&mut self, changes: Vec<ViewChange>, now: Instant) -> Vec<Action> {
+    fn apply(&mut self, changes: Vec<ViewChange>) -> Vec<Action> {
         let before = self.view.digest();
         let mut gap = false;
         for change in changes {
@@ -214,17 +208,38 @@
         if digest != before {
             actions.push(Action::Publish(Arc::new(self.view.clone())));
         }
-        match gap {
-            true => actions.push(Action::Send(Message::Digest(digest))),
-            false => self.confirm(now),
+        if gap {
+            actions.push(Action::Send(Message::Digest(digest)));
+        }
+        actions
+    }
+
+    /// Sends what the controller lacks, and asks for what the entry lacks.
+    fn compare(&self, theirs: &ViewDigest) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let changes = self.view.changes_since(theirs);
+        if !changes.is_empty() {
+            actions.push(Action::Send(Message::Changes(changes)));
+        }
+        let digest = self.view.digest();
+        let mut versions = theirs.groups.iter();
+        let lacks = versions.any(|(group, version)| digest.groups.get(group) < Some(version));
+        if lacks || theirs.number > digest.number {
+            actions.push(Action::Send(Message::Digest(digest)));
         }
         actions
     }
 
-    /// A controller stands behind the view; an empty one is none.
-    fn confirm(&mut self, now: Instant) {
-        if self.view.state.number.0 > 0 {
+    /// A controller that was itself confirmed stands behind the number that it holds.
+    fn take_summary(&mut self, theirs: &Summary, now: Instant) -> Vec<Action> {
+        let held = Summary::of(&self.view, None);
+        let is_known = held.number > TicketNumber(0) && theirs.age_ms.is_some();
+        if is_known && theirs.number == held.number {
             self.confirmed = Some(now);
         }
+        if theirs.matches(&held) {
+            return Vec::new();
+        }
+        vec![Action::Send(Message::Digest(self.view.digest()))]
     }
 }
--- a/src/traffic/pool.rs
+++ b/src/traffic/pool.rs
@@ -1,9 +1,14 @@
-//! Idle connections to targets, kept by one traffic thread.
+//! Idle connections to targets, shared by the traffic threads.
+//!
+//! A connection is opened only when no idle one is left, and the router bounds the lanes to a
+//! target by the entry's share of its connections; so idle and busy ones together stay within it.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,8 +20,6 @@
 const REUSE_LIMIT: Duration = Duration::from_secs(10);
 /// An idle connection is used again for work that must not be repeated.
 const CAUTIOUS_REUSE_LIMIT: Duration = Duration::from_secs(1);
-/// Idle connections kept to one target.
-const IDLE_PER_TARGET: usize = 8;
 
 /// One connection to a target.
 #[derive(Debug)]
@@ -32,7 +35,7 @@
 /// The idle connections.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
 #[derive(Debug)]
@@ -42,22 +45,16 @@
 }
 
 impl Pool {
-    /// Takes the connection that was used last, if one is fit for use.
+    /// Takes the connection that was used last, if one is fit for use; unfit ones are closed.
     pub fn take(&self, address: SocketAddr, repeatable: bool, now: Instant) -> Option<TargetConn> {
         let limit = match repeatable {
             true => REUSE_LIMIT,
             false => CAUTIOUS_REUSE_LIMIT,
         };
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&address)?;
-        while let Some(mut last) = list.pop() {
+        while let Some(mut last) = self.pop(address) {
             let fresh = now.saturating_duration_since(last.since) < limit;
-            if !fresh {
-                list.push(last);
-                return None;
-            }
             // Bytes that nobody asked for: a late or doubled answer, or the end.
-            if last.reader.is_idle() {
+            if fresh && last.reader.is_idle() {
                 return Some(TargetConn {
                     address,
                     reader: last.reader,
@@ -71,28 +68,34 @@
     /// Keeps a connection whose last answer was whole.
     pub fn put(&self, mut conn: TargetConn, now: Instant) {
         conn.reader.shrink();
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.entry(conn.address).or_default();
-        if list.len() < IDLE_PER_TARGET {
-            list.push(Idle {
-                reader: conn.reader,
-                since: now,
-            });
-        }
+        let idle = Idle {
+            reader: conn.reader,
+            since: now,
+        };
+        self.lock().entry(conn.address).or_default().push(idle);
     }
 
     /// Closes every idle connection to a target.
     pub fn drop_idle(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
+        let dropped = self.lock().remove(&address);
+        drop(dropped);
     }
 
     /// Closes the connections that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
-        self.idle.borrow_mut().retain(|_, list| {
+        self.lock().retain(|_, list| {
             list.retain(|idle| now.saturating_duration_since(idle.since) < REUSE_LIMIT);
             !list.is_empty()
         });
     }
+
+    fn pop(&self, address: SocketAddr) -> Option<Idle> {
+        self.lock().get_mut(&address)?.pop()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Opens a connection to a target.
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -10,6 +10,9 @@
 use futures::future::Either;
 use futures::future::select;
 
+use crate::events::Event;
+use crate::events::record;
+use crate::metrics;
 use crate::route::AttemptEnd;
 use crate::route::Call;
 use crate::route::Lane;
@@ -28,8 +31,10 @@
 use crate::traffic::head::RequestHead;
 use crate::traffic::refuse;
 use crate::traffic::relay::RelayError;
+use crate::traffic::request::Routed;
 use crate::traffic::request::classify;
-use crate::traffic::stats::Stats;
+use crate::traffic::stats;
+use crate::traffic::stats::Outcome;
 use crate::traffic::worker::CallerState;
 use crate::traffic::worker::Worker;
 
@@ -44,6 +49,24 @@
     Break,
 }
 
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+struct Served {
+    outcome: Outcome,
+    after: After,
+    answered: Instant,
+}
+
+impl Served {
+    fn new(outcome: Outcome, after: After) -> Self {
+        Self {
+            outcome,
+            after,
+            answered: Instant::now(),
+        }
+    }
+}
+
 /// Serves a caller until its connection ends.
 pub async fn serve(worker: &Worker, state: &CallerState, stream: TcpStream) {
     let mut caller = Caller::new(stream);
@@ -67,30 +90,42 @@
 }
 
 async fn serve_one(worker: &Worker, state: &CallerState, caller: &mut Caller) -> After {
-    let stats = &worker.shared.stats;
+    let shared = &worker.shared;
     let head = match caller.read_head(&worker.timers).await {
         Ok(Some(head)) => head,
         Ok(None) => return After::Break,
         Err(error) => {
-            Stats::count(&stats.malformed);
+            shared.stats.ended(Outcome::Malformed);
             let mut out = Vec::new();
             refuse::bad_head(&mut out, error);
             return send(caller, &out, After::Close).await;
         }
     };
-    Stats::count(&stats.requests);
-    let now = Instant::now();
-    let routed = match worker.shared.is_stale() {
+    let started = Instant::now();
+    let routed = match shared.is_stale() {
         true => Err(Refusal::NoTarget),
-        false => classify(&worker.shared.router, &head, now),
+        false => classify(&shared.router, &head, started),
     };
     let routed = match routed {
         Ok(routed) => routed,
-        Err(refusal) => return refuse(worker, caller, &head, refusal, false).await,
+        Err(refusal) => {
+            let served = refuse(worker, caller, &head, refusal, false).await;
+            shared.stats.ended(served.outcome);
+            return served.after;
+        }
     };
-    state.set_work(Some((routed.info.service.clone(), now)));
+    let service = routed.info.service.clone();
+    state.set_work(Some((service.clone(), started)));
+    let served = run(worker, caller, head, routed).await;
+    shared.stats.ended(served.outcome);
+    let latency = served.answered.saturating_duration_since(started);
+    stats::tell(&service, &shared.data_centre, served.outcome, latency);
+    served.after
+}
+
+async fn run(worker: &Worker, caller: &mut Caller, head: RequestHead, routed: Routed) -> Served {
     if head.expects && head.framing != Framing::Empty && !caller.send_continue().await {
-        return After::Break;
+        return Served::new(Outcome::Gone, After::Break);
     }
     let mut request = Request {
         kept: Vec::new(),
@@ -99,80 +134,59 @@
         head,
         routed,
     };
-    match keep_body(worker, caller, &mut request).await {
-        Ok(()) => route(worker, caller, request).await,
-        Err(after) => after,
-    }
-}
-
-async fn keep_body(
-    worker: &Worker,
-    caller: &mut Caller,
-    request: &mut Request,
-) -> Result<(), After> {
     let large = matches!(request.head.framing, Framing::Length(n) if n > KEPT_BODY_BYTES as u64);
-    if large {
-        return Ok(());
-    }
-    match caller.keep_body(&worker.timers, &mut request.rest).await {
-        Ok(kept) => {
-            request.kept = kept;
-            Ok(())
-        }
-        Err(RelayError::Malformed(error)) => Err(bad_body(worker, caller, &error).await),
-        Err(_) => {
-            Stats::count(&worker.shared.stats.gone);
-            Err(After::Break)
+    if !large {
+        match caller.keep_body(&worker.timers, &mut request.rest).await {
+            Ok(kept) => request.kept = kept,
+            Err(RelayError::Malformed(error)) => return bad_body(caller, &error).await,
+            Err(_) => return Served::new(Outcome::Gone, After::Break),
         }
     }
+    route(worker, caller, request).await
 }
 
-async fn route(worker: &Worker, caller: &mut Caller, mut request: Request) -> After {
+async fn route(worker: &Worker, caller: &mut Caller, mut request: Request) -> Served {
     let router = &worker.shared.router;
-    let stats = &worker.shared.stats;
     let mut call = Call::new(request.routed.info.clone());
-    loop {
+    let refusal = loop {
         let lane = match next_step(worker, caller, &mut call).await {
             Some(Ok(lane)) => lane,
-            Some(Err(refusal)) => {
-                let whole = request.rest.is_done();
-                return refuse(worker, caller, &request.head, refusal, whole).await;
-            }
-            None => {
-                Stats::count(&stats.gone);
-                return After::Break;
-            }
+            Some(Err(refusal)) => break refusal,
+            None => return Served::new(Outcome::Gone, After::Break),
         };
         let end = exchange(worker, caller, &mut request, &lane).await;
         if request.consumed {
             call.consumed();
         }
-        let ended = attempt_end(&end);
-        let next = call.ended(router, Instant::now(), lane, ended);
-        match end {
-            End::Failed(_) if next == Next::Again => {}
-            End::Failed(_) => {
-                let refusal = match next {
-                    Next::Refuse(refusal) => refusal,
-                    _ => Refusal::Unknown,
-                };
-                let whole = request.rest.is_done();
-                return refuse(worker, caller, &request.head, refusal, whole).await;
-            }
-            End::Whole { close, .. } => {
-                Stats::count(&stats.whole);
-                return if close { After::Close } else { After::Keep };
-            }
-            End::Cut => {
-                Stats::count(&stats.cut);
-                return After::Break;
-            }
-            End::Gone => {
-                Stats::count(&stats.gone);
-                return After::Break;
+        match (
+            call.ended(router, Instant::now(), lane, attempt_end(&end)),
+            end,
+        ) {
+            (Next::Again, End::Failed(_)) => {
+                metrics::instruments().retry(&request.routed.info.service);
             }
-            End::BadBody(error) => return bad_body(worker, caller, &error).await,
+            (Next::Refuse(refusal), End::Failed(_)) => break refusal,
+            (Next::Deliver, End::Failed(_)) => break Refusal::Unknown,
+            (_, end) => return delivered(caller, end).await,
         }
+    };
+    let whole = request.rest.is_done();
+    refuse(worker, caller, &request.head, refusal, whole).await
+}
+
+/// Returns what follows from an attempt whose answer, if any, went to the caller.
+async fn delivered(caller: &Caller, end: End) -> Served {
+    match end {
+        End::Whole {
+            close, answered, ..
+        } => Served {
+            outcome: Outcome::Whole,
+            after: if close { After::Close } else { After::Keep },
+            answered,
+        },
+        End::Cut => Served::new(Outcome::Cut, After::Break),
+        End::BadBody(error) => bad_body(caller, &error).await,
+        End::Gone | End::Failed(_) => Served::new(Outcome::Gone, After::Break),
     }
 }
 
@@ -217,30 +231,33 @@
 
 async fn refuse(
     worker: &Worker,
-    caller: &mut Caller,
+    caller: &Caller,
     head: &RequestHead,
     refusal: Refusal,
     body_read: bool,
-) -> After {
-    let stats = &worker.shared.stats;
-    Stats::count(match refusal {
-        Refusal::Unknown => &stats.unknown,
-        _ => &stats.not_run,
-    });
+) -> Served {
+    record(
+        Event::RequestRefused,
+        format_args!("{refusal}: {} {}", head.method, head.path),
+    );
+    let outcome = match refusal {
+        Refusal::Unknown => Outcome::Unknown,
+        _ => Outcome::NotRun,
+    };
     let draining = worker.shared.drain.stage() > Stage::Serving;
     let body_read = body_read || head.framing == Framing::Empty;
     let close = draining || !head.keep_alive || !body_read;
     let mut out = Vec::new();
     refuse::refusal(&mut out, refusal, close);
     let after = if close { After::Close } else { After::Keep };
-    send(caller, &out, after).await
+    Served::new(outcome, send(caller, &out, after).await)
 }
 
-async fn bad_body(worker: &Worker, caller: &Caller, error: &dyn std::error::Error) -> After {
-    Stats::count(&worker.shared.stats.malformed);
+async fn bad_body(caller: &Caller, error: &dyn std::error::Error) -> Served {
     let mut out = Vec::new();
     refuse::bad_request(&mut out, error);
-    send(caller, &out, After::Close).await
+    let after = send(caller, &out, After::Close).await;
+    Served::new(Outcome::Malformed, after)
 }
 
 async fn send(caller: &Caller, out: &[u8], after: After) -> After {
--- a/src/traffic/stats.rs
+++ b/src/traffic/stats.rs
@@ -2,46 +2,62 @@
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use strum::IntoStaticStr;
+
+use crate::ids::DataCentre;
+use crate::ids::ServiceId;
+use crate::metrics::instruments;
+
+/// What became of a request, as the caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// A target's whole answer was delivered.
+    Whole,
+    /// It was refused and did not run.
+    NotRun,
+    /// It may have run; its answer was lost.
+    Unknown,
+    /// Its answer broke off.
+    Cut,
+    /// The caller went away.
+    Gone,
+    /// It was malformed.
+    Malformed,
+}
 
 /// Counts since the start of the process.
 #[derive(Debug, Default)]
 pub struct Stats {
-    /// Requests read.
-    pub requests: AtomicU64,
-    /// Whole answers of targets delivered.
-    pub whole: AtomicU64,
-    /// Requests refused as not run.
-    pub not_run: AtomicU64,
-    /// Requests whose outcome is unknown.
-    pub unknown: AtomicU64,
-    /// Answers that broke off.
-    pub cut: AtomicU64,
-    /// Callers that went away.
-    pub gone: AtomicU64,
-    /// Heads and bodies refused as malformed.
-    pub malformed: AtomicU64,
-    /// Connections found silent.
-    pub silent: AtomicU64,
+    ended: [AtomicU64; 6],
+    silent: AtomicU64,
 }
 
 impl Stats {
-    /// Adds one to a count.
-    pub fn count(counter: &AtomicU64) {
-        counter.fetch_add(1, Ordering::Relaxed);
+    /// Counts a request that ended.
+    pub fn ended(&self, outcome: Outcome) {
+        self.ended[outcome as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how many requests ended so.
+    pub fn count(&self, outcome: Outcome) -> u64 {
+        self.ended[outcome as usize].load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that was found silent.
+    pub fn found_silent(&self) {
+        self.silent.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Returns every count with its name.
-    pub fn all(&self) -> [(&'static str, u64); 8] {
-        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
-        [
-            ("requests", read(&self.requests)),
-            ("whole", read(&self.whole)),
-            ("not_run", read(&self.not_run)),
-            ("unknown", read(&self.unknown)),
-            ("cut", read(&self.cut)),
-            ("gone", read(&self.gone)),
-            ("malformed", read(&self.malformed)),
-            ("silent", read(&self.silent)),
-        ]
+    /// Returns the number of connections found silent.
+    pub fn silent(&self) -> u64 {
+        self.silent.load(Ordering::Relaxed)
     }
 }
+
+/// Tells the metrics of a service's request that ended.
+pub fn tell(service: &ServiceId, centre: &DataCentre, outcome: Outcome, latency: Duration) {
+    instruments().request(service, centre, outcome.into(), latency);
+}
--- a/src/traffic/worker.rs
+++ b/src/traffic/worker.rs
@@ -1,4 +1,4 @@
-//! One traffic thread: its callers' connections, timers and connections to targets.
+//! One traffic thread: its callers' connections and timers.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -18,8 +18,10 @@
 
 use crate::events::Event;
 use crate::events::record;
+use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::route::Router;
+use crate::route::RouterConfig;
 use crate::traffic::drain::Drain;
 use crate::traffic::drain::Stage;
 use crate::traffic::pool::Pool;
@@ -33,10 +35,14 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What all threads of an entry share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Shared {
     /// Chooses targets.
     pub router: Router,
+    /// Where the entry runs.
+    pub data_centre: DataCentre,
+    /// Idle connections to targets.
+    pub pool: Pool,
     /// The stage of the graceful shutdown.
     pub drain: Drain,
     /// Counts for operators.
@@ -46,6 +52,18 @@
 }
 
 impl Shared {
+    /// Starts without a view.
+    pub fn new(config: RouterConfig) -> Self {
+        Self {
+            data_centre: config.data_centre.clone(),
+            router: Router::with_config(Arc::default(), config),
+            pool: Pool::default(),
+            drain: Drain::default(),
+            stats: Stats::default(),
+            stale: AtomicBool::new(true),
+        }
+    }
+
     /// Returns whether requests may be routed by the view at hand.
     pub fn is_stale(&self) -> bool {
         self.stale.load(Ordering::Relaxed)
@@ -59,8 +77,6 @@
     pub shared: Arc<Shared>,
     /// The thread's timers.
     pub timers: Timers,
-    /// The thread's idle connections to targets.
-    pub pool: Pool,
     callers: RefCell<HashMap<u64, Rc<CallerState>>>,
 }
 
@@ -89,7 +105,6 @@
     let worker = Rc::new(Worker {
         shared,
         timers: Timers::default(),
-        pool: Pool::default(),
         callers: RefCell::default(),
     });
     task::block_on(worker.run(TcpListener::from(listener)));
@@ -104,7 +119,7 @@
             let now = Instant::now();
             self.timers.fire(now);
             if now - swept >= SWEEP_PERIOD {
-                self.pool.sweep(now);
+                self.shared.pool.sweep(now);
                 swept = now;
             }
             let stage = self.shared.drain.stage();
--- a/tests/traffic_faults.rs
+++ b/tests/traffic_faults.rs
@@ -28,6 +28,7 @@
 use crate::traffic_support::text;
 use crate::traffic_support::view;
 use crate::traffic_support::view_of;
+use gooseberryloft::traffic::stats::Outcome;
 
 const NOT_RUN: &[u8] =
     b"HTTP/1.1 503 Busy\r\nx-gooseberryloft-outcome: not-run\r\ncontent-length: 5\r\n\r\nbusy\n";
@@ -63,7 +64,7 @@
         let mut rest = Vec::new();
         let _ = conn.read_to_end(&mut rest);
         expect_that!(rest, is_empty());
-        expect_that!(entry.shared().stats.cut.load(Ordering::Relaxed), eq(1));
+        expect_that!(entry.shared().stats.count(Outcome::Cut), eq(1));
     }
 }
 
@@ -308,7 +309,7 @@
     let entry = entry(view_of(quick));
     expect_that!(get(entry.address(), "/"), ends_with("connection 0"));
     expect_that!(get(entry.address(), "/"), ends_with("connection 1"));
-    expect_that!(entry.shared().stats.silent.load(Ordering::Relaxed), eq(1));
+    expect_that!(entry.shared().stats.silent(), eq(1));
     expect_that!(get(entry.address(), "/"), ends_with("connection 1"));
 }
 
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -10,13 +10,16 @@
 use gooseberryloft::ids::BootId;
 use gooseberryloft::ids::TicketNumber;
 use gooseberryloft::link::Message;
+use gooseberryloft::spread::Summary;
 use gooseberryloft::ticket::InForce;
 use gooseberryloft::traffic::follow::Action;
 use gooseberryloft::traffic::follow::Follower;
 use gooseberryloft::traffic::follow::Identity;
 use gooseberryloft::traffic::follow::OPEN_LIMIT;
 use gooseberryloft::traffic::follow::SILENCE_LIMIT;
+use gooseberryloft::view::View;
 use gooseberryloft::view::ViewChange;
+use gooseberryloft::view::ViewDigest;
 
 const STALE_LIMIT: Duration = Duration::from_secs(30);
 const TICK: Duration = Duration::from_millis(50);
@@ -51,6 +54,12 @@
     }])
 }
 
+fn summary(number: u64, age_ms: Option<u64>) -> Message {
+    let mut view = View::default();
+    view.state.number = TicketNumber(number);
+    Message::Summary(Summary::of(&view, age_ms))
+}
+
 fn published(actions: &[Action]) -> Option<u64> {
     actions.iter().find_map(|action| match action {
         Action::Publish(view) => Some(view.state.number.0),
@@ -80,6 +89,11 @@
     );
     expect_that!(follower.is_fresh(now), eq(false));
     expect_that!(published(&follower.received(state(3), now)), some(eq(3)));
+    expect_that!(follower.is_fresh(now), eq(false));
+    // A controller that just started itself may hold an old number.
+    follower.received(summary(3, None), now);
+    expect_that!(follower.is_fresh(now), eq(false));
+    follower.received(summary(3, Some(5)), now);
     expect_that!(follower.is_fresh(now), eq(true));
 }
 
@@ -133,6 +147,7 @@
     follower.tick(now, Vec::new);
     follower.opened(now);
     follower.received(state(3), now);
+    follower.received(summary(3, Some(0)), now);
     expect_that!(follower.is_fresh(now + STALE_LIMIT), eq(true));
     expect_that!(follower.is_fresh(now + STALE_LIMIT + TICK), eq(false));
     let later = now + STALE_LIMIT + TICK;
@@ -140,9 +155,39 @@
     follower.tick(later + TICK * 4, Vec::new);
     follower.opened(later + TICK * 4);
     follower.received(Message::Pong(1), later + TICK * 5);
+    expect_that!(follower.is_fresh(later + TICK * 5), eq(false));
+    follower.received(summary(3, Some(0)), later + TICK * 5);
     expect_that!(follower.is_fresh(later + TICK * 5), eq(true));
 }
 
+#[googletest::test]
+fn a_controller_that_lacks_state_gets_it() {
+    let now = Instant::now();
+    let mut follower = follower(now);
+    follower.tick(now, Vec::new);
+    follower.opened(now);
+    follower.received(state(3), now);
+    let actions = follower.received(Message::Digest(ViewDigest::default()), now);
+    expect_that!(
+        actions,
+        elements_are![matches_pattern!(Action::Send(pat!(Message::Changes(_))))]
+    );
+    let newer = ViewDigest {
+        number: TicketNumber(4),
+        ..ViewDigest::default()
+    };
+    let actions = follower.received(Message::Digest(newer), now);
+    expect_that!(
+        actions,
+        elements_are![matches_pattern!(Action::Send(pat!(Message::Digest(_))))]
+    );
+    let actions = follower.received(summary(4, Some(0)), now);
+    expect_that!(
+        actions,
+        elements_are![matches_pattern!(Action::Send(pat!(Message::Digest(_))))]
+    );
+}
+
 proptest! {
     #[test]
     fn the_number_in_force_never_falls(
--- a/tests/traffic_path.rs
+++ b/tests/traffic_path.rs
@@ -3,18 +3,27 @@
 mod traffic_support;
 
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
 
 use googletest::prelude::*;
 
 use crate::traffic_support::answering;
 use crate::traffic_support::connect;
 use crate::traffic_support::entry;
+use crate::traffic_support::entry_with;
 use crate::traffic_support::exchange;
 use crate::traffic_support::get;
 use crate::traffic_support::keyed_view;
 use crate::traffic_support::read_answer;
+use crate::traffic_support::read_request;
+use crate::traffic_support::service;
+use crate::traffic_support::target;
 use crate::traffic_support::text;
 use crate::traffic_support::view;
+use crate::traffic_support::view_of;
 
 #[googletest::test]
 fn a_request_and_its_answer_pass_through() {
@@ -91,3 +100,33 @@
         contains_substring("x-gooseberryloft-outcome: not-run\r\n")
     );
 }
+
+#[googletest::test]
+fn connections_to_a_target_stay_within_the_share() {
+    let open = Arc::new(Mutex::new((0, 0)));
+    let count = open.clone();
+    let address = target(move |mut conn, _| {
+        {
+            let mut open = count.lock().unwrap();
+            open.0 += 1;
+            open.1 = open.1.max(open.0);
+        }
+        while let Some(seen) = read_request(&mut conn) {
+            thread::sleep(Duration::from_millis(3));
+            let _ = conn.get_mut().write_all(&text(&seen.head));
+        }
+        count.lock().unwrap().0 -= 1;
+    });
+    let mut narrow = service("/", &[address]);
+    for target in narrow.targets.values_mut() {
+        target.connections = 3;
+    }
+    let entry = entry_with(view_of(narrow), 2, "");
+    let callers = (0..12).map(|n| {
+        let entry = entry.address();
+        thread::spawn(move || (0..20).all(|_| get(entry, &format!("/{n}")).contains(" 200 ")))
+    });
+    let callers: Vec<_> = callers.collect();
+    expect_that!(callers.into_iter().all(|c| c.join().unwrap()), eq(true));
+    expect_that!(open.lock().unwrap().1, le(3));
+}
--- a/tests/traffic_support/mod.rs
+++ b/tests/traffic_support/mod.rs
@@ -26,6 +26,7 @@
 use gooseberryloft::owner::assignment::Assignment;
 use gooseberryloft::owner::assignment::Owner;
 use gooseberryloft::settings::Settings;
+use gooseberryloft::spread::Summary;
 use gooseberryloft::ticket::InForce;
 use gooseberryloft::ticket::KeySource;
 use gooseberryloft::ticket::Keying;
@@ -153,14 +154,19 @@
         return;
     };
     while let Ok(message) = link.recv().await {
-        let answer = match message {
-            Message::Hello(hello) => Message::Changes(view.changes_since(&hello.digest)),
-            Message::Digest(digest) => Message::Changes(view.changes_since(&digest)),
-            Message::Ping(number) => Message::Pong(number),
+        let answers = match message {
+            Message::Hello(hello) => vec![Message::Changes(view.changes_since(&hello.digest))],
+            Message::Digest(digest) => vec![Message::Changes(view.changes_since(&digest))],
+            Message::Ping(number) => vec![Message::Pong(number)],
             _ => continue,
         };
-        if link.send(&answer).await.is_err() {
-            return;
+        for answer in answers
+            .into_iter()
+            .chain([Message::Summary(Summary::of(&view, Some(0)))])
+        {
+            if link.send(&answer).await.is_err() {
+                return;
+            }
         }
     }
 }
