Count each request of the entry once, for metrics and for the burn report

Cause: the burn report had nothing to read from the entries, and their metrics had no service, data centre or outcome. Ruled out: counting in the relay (retries would count twice); taking the time to the end of the answer (a long download would always be late). Change: `traffic::ending`, a guard that counts a request when it is dropped: outcome, time to the head of the answer, in flight. What callers break off or send malformed is left out of the burn; a target's own 5xx and refusals are bad. The entry serves `/burn` and opens its log. Names are shared with the labels, so that counting copies no text.

--- a/src/bin/gooseberryloft-entry.rs
+++ b/src/bin/gooseberryloft-entry.rs
@@ -12,6 +12,7 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
+use gooseberryloft::events;
 use gooseberryloft::settings::Settings;
 use gooseberryloft::traffic::entry::Entry;
 
@@ -47,6 +48,7 @@
         println!("{}: settings are sound", path.display());
         return Ok(());
     }
+    events::init("gooseberryloft-entry", &settings.log)?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let entry = Entry::start(&settings)?;
     println!("callers on {}, admin on {}", entry.address(), entry.admin());
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -18,6 +18,11 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Returns the text without copying it.
+            pub fn shared(&self) -> Arc<str> {
+                self.0.clone()
+            }
         }
 
         impl From<&str> for $name {
--- a/src/metrics/instruments.rs
+++ b/src/metrics/instruments.rs
@@ -1,8 +1,10 @@
 //! The instruments that a process counts with.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
+use opentelemetry::StringValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
@@ -67,7 +69,10 @@
         outcome: &'static str,
         latency: Duration,
     ) {
-        let place = [label("service", service), label("data_centre", data_centre)];
+        let place = [
+            label("service", service.shared()),
+            label("data_centre", data_centre.shared()),
+        ];
         self.latency.record(latency.as_secs_f64(), &place);
         let [service, data_centre] = place;
         let outcome = KeyValue::new("outcome", outcome);
@@ -76,17 +81,19 @@
 
     /// Adds to or takes from the requests in flight.
     pub fn in_flight(&self, service: &ServiceId, by: i64) {
-        self.in_flight.add(by, &[label("service", service)]);
+        self.in_flight
+            .add(by, &[label("service", service.shared())]);
     }
 
     /// Counts a request that is sent again.
     pub fn retry(&self, service: &ServiceId) {
-        self.retries.add(1, &[label("service", service)]);
+        self.retries.add(1, &[label("service", service.shared())]);
     }
 
     /// Tells the number of requests that wait.
     pub fn queued(&self, service: &ServiceId, length: u64) {
-        self.queued.record(length, &[label("service", service)]);
+        self.queued
+            .record(length, &[label("service", service.shared())]);
     }
 
     /// Tells the number in force.
@@ -96,7 +103,8 @@
 
     /// Tells the newest term of a group.
     pub fn term(&self, group: &GroupId, term: Term) {
-        self.terms.record(term.0, &[label("group", group)]);
+        self.terms
+            .record(term.0, &[label("group", group.to_string().into())]);
     }
 
     /// Counts an order to a target.
@@ -110,6 +118,7 @@
     }
 }
 
-fn label(key: &'static str, value: impl ToString) -> KeyValue {
-    KeyValue::new(key, value.to_string())
+// Names are shared, so that counting a request copies no text.
+fn label(key: &'static str, value: Arc<str>) -> KeyValue {
+    KeyValue::new(key, StringValue::from(value))
 }
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -2,21 +2,25 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_std::net::TcpListener;
+use tide::Body;
 use tide::Request;
 use tide::Response;
 use tide::StatusCode;
 
+use crate::metrics;
 use crate::traffic::drain::Stage;
 use crate::traffic::worker::Shared;
 
-/// Serves `/healthz`, `/readyz` and `/metrics`.
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/burn`.
 pub async fn run(listener: TcpListener, shared: Arc<Shared>) -> std::io::Result<()> {
     let mut app = tide::with_state(shared);
     app.at("/healthz").get(|_| async { Ok("alive\n") });
     app.at("/readyz").get(ready);
     app.at("/metrics").get(metrics);
+    app.at("/burn").get(burn);
     app.listen(listener).await
 }
 
@@ -33,7 +37,7 @@
 
 async fn metrics(request: Request<Arc<Shared>>) -> tide::Result<String> {
     let shared = request.state();
-    let mut text = String::new();
+    let mut text = metrics::render();
     for (name, count) in shared.stats.all() {
         writeln!(text, "gooseberryloft_entry_{name}_total {count}")?;
     }
@@ -41,3 +45,8 @@
     writeln!(text, "gooseberryloft_entry_in_flight {in_flight}")?;
     Ok(text)
 }
+
+async fn burn(request: Request<Arc<Shared>>) -> tide::Result<Body> {
+    let report = request.state().burn.report(Instant::now());
+    Body::from_json(&report)
+}
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -71,10 +70,7 @@
         };
         let listener = bind(entry.listen, "listen")?;
         let admin = bind(entry.admin, "admin")?;
-        let shared = Arc::new(Shared {
-            stale: AtomicBool::new(true),
-            ..Shared::default()
-        });
+        let shared = Arc::new(Shared::new(settings, Instant::now()));
         let mut workers = Vec::new();
         for index in 0..entry.threads.max(1) {
             let listener = listener.try_clone()?;
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -47,6 +47,8 @@
     pub rest: BodyDecoder,
     /// Whether part of the body was passed on that is not kept.
     pub consumed: bool,
+    /// When the head of the answer was in hand.
+    pub answered: Option<Instant>,
 }
 
 /// What became of an attempt.
@@ -160,6 +162,7 @@
         return End::Failed(AttemptEnd::NotRun);
     }
     progress.answering.set(true);
+    request.answered = Some(Instant::now());
     let draining = worker.shared.drain.stage() > Stage::Serving;
     let close = draining || !request.head.keep_alive || !uploaded;
     match deliver(worker, &mut conn.reader, &head, stream, close, upload).await {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod control;
 pub mod drain;
+mod ending;
 pub mod entry;
 mod exchange;
 pub mod follow;
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -10,6 +10,7 @@
 use futures::future::Either;
 use futures::future::select;
 
+use crate::metrics;
 use crate::route::AttemptEnd;
 use crate::route::Call;
 use crate::route::Lane;
@@ -22,6 +23,8 @@
 use crate::traffic::caller::Caller;
 use crate::traffic::caller::KEPT_BODY_BYTES;
 use crate::traffic::drain::Stage;
+use crate::traffic::ending::Ending;
+use crate::traffic::ending::Outcome;
 use crate::traffic::exchange::End;
 use crate::traffic::exchange::Request;
 use crate::traffic::exchange::exchange;
@@ -86,9 +89,13 @@
     };
     let routed = match routed {
         Ok(routed) => routed,
-        Err(refusal) => return refuse(worker, caller, &head, refusal, false).await,
+        Err(refusal) => {
+            count_refused(worker, &head, refusal, now);
+            return refuse(worker, caller, &head, refusal, false).await;
+        }
     };
     state.set_work(Some((routed.info.service.clone(), now)));
+    let mut ending = Ending::new(&worker.shared, &routed.info.service, now);
     if head.expects && head.framing != Framing::Empty && !caller.send_continue().await {
         return After::Break;
     }
@@ -96,12 +103,28 @@
         kept: Vec::new(),
         rest: BodyDecoder::new(head.framing),
         consumed: false,
+        answered: None,
         head,
         routed,
     };
     match keep_body(worker, caller, &mut request).await {
-        Ok(()) => route(worker, caller, request).await,
-        Err(after) => after,
+        Ok(()) => route(worker, caller, request, &mut ending).await,
+        Err(after) => {
+            if after != After::Break {
+                ending.end(Outcome::Malformed);
+            }
+            after
+        }
+    }
+}
+
+/// Counts a refusal against the service that the path belongs to, unless the caller is at fault.
+fn count_refused(worker: &Worker, head: &RequestHead, refusal: Refusal, now: Instant) {
+    if matches!(refusal, Refusal::NoService | Refusal::NoKey) {
+        return;
+    }
+    if let Some(service) = worker.shared.router.service_of(&head.path) {
+        Ending::new(&worker.shared, &service, now).refused(refusal);
     }
 }
 
@@ -127,14 +150,21 @@
     }
 }
 
-async fn route(worker: &Worker, caller: &mut Caller, mut request: Request) -> After {
+async fn route(
+    worker: &Worker,
+    caller: &mut Caller,
+    mut request: Request,
+    ending: &mut Ending<'_>,
+) -> After {
     let router = &worker.shared.router;
     let stats = &worker.shared.stats;
+    let service = &request.routed.info.service.clone();
     let mut call = Call::new(request.routed.info.clone());
     loop {
         let lane = match next_step(worker, caller, &mut call).await {
             Some(Ok(lane)) => lane,
             Some(Err(refusal)) => {
+                ending.refused(refusal);
                 let whole = request.rest.is_done();
                 return refuse(worker, caller, &request.head, refusal, whole).await;
             }
@@ -150,20 +180,23 @@
         let ended = attempt_end(&end);
         let next = call.ended(router, Instant::now(), lane, ended);
         match end {
-            End::Failed(_) if next == Next::Again => {}
+            End::Failed(_) if next == Next::Again => metrics::instruments().retry(service),
             End::Failed(_) => {
                 let refusal = match next {
                     Next::Refuse(refusal) => refusal,
                     _ => Refusal::Unknown,
                 };
+                ending.refused(refusal);
                 let whole = request.rest.is_done();
                 return refuse(worker, caller, &request.head, refusal, whole).await;
             }
-            End::Whole { close, .. } => {
+            End::Whole { status, close } => {
+                ending.whole(status, request.answered);
                 Stats::count(&stats.whole);
                 return if close { After::Close } else { After::Keep };
             }
             End::Cut => {
+                ending.end(Outcome::Cut);
                 Stats::count(&stats.cut);
                 return After::Break;
             }
@@ -171,7 +204,10 @@
                 Stats::count(&stats.gone);
                 return After::Break;
             }
-            End::BadBody(error) => return bad_body(worker, caller, &error).await,
+            End::BadBody(error) => {
+                ending.end(Outcome::Malformed);
+                return bad_body(worker, caller, &error).await;
+            }
         }
     }
 }
--- a/src/traffic/worker.rs
+++ b/src/traffic/worker.rs
@@ -16,10 +16,13 @@
 use async_std::net::TcpStream;
 use async_std::task;
 
+use crate::burn::Recorder;
 use crate::events::Event;
 use crate::events::record;
+use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::route::Router;
+use crate::settings::Settings;
 use crate::traffic::drain::Drain;
 use crate::traffic::drain::Stage;
 use crate::traffic::pool::Pool;
@@ -33,7 +36,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What all threads of an entry share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Shared {
     /// Chooses targets.
     pub router: Router,
@@ -43,9 +46,25 @@
     pub stats: Stats,
     /// Whether the view has gone unconfirmed for too long to be used.
     pub stale: AtomicBool,
+    /// Counts for the burn report.
+    pub burn: Recorder,
+    /// Where the entry runs.
+    pub data_centre: DataCentre,
 }
 
 impl Shared {
+    /// Starts without a view.
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        Self {
+            router: Router::default(),
+            drain: Drain::default(),
+            stats: Stats::default(),
+            stale: AtomicBool::new(true),
+            burn: Recorder::new(settings, now),
+            data_centre: settings.vm.data_centre.clone(),
+        }
+    }
+
     /// Returns whether requests may be routed by the view at hand.
     pub fn is_stale(&self) -> bool {
         self.stale.load(Ordering::Relaxed)
