--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -45,7 +45,7 @@
     let programs = Programs::build()?;
     let dir = std::env::temp_dir().join(format!("gooseberryloft-{}", std::process::id()));
     say(&format!("logs and settings are in {}", dir.display()));
-    let mut cluster = Cluster::start(programs, &dir)?;
+    let mut cluster = Cluster::start(programs, &dir).await?;
     let mut before = Findings::default();
     script::first_ticket(&cluster, &mut before)?;
     let entries: Vec<_> = cluster.vms.iter().map(|vm| vm.listen).collect();
--- a/examples/quickstart/script.rs
+++ b/examples/quickstart/script.rs
@@ -18,7 +18,7 @@
 use crate::traffic;
 use crate::traffic::Tally;
 use crate::verdict;
-use crate::verdict::Ledger;
+use gooseberryloft::standin::target::Ledger;
 
 const SETTLE: Duration = Duration::from_secs(2);
 const FREEZE: Duration = Duration::from_secs(3);
@@ -235,7 +235,7 @@
 ) -> Result<()> {
     let path = cluster.write_ticket(plan)?;
     let from = Instant::now();
-    let filed = cluster.ctl(0, &["file", "--wait", &path.to_string_lossy()])?;
+    let filed = cluster.ctl(0, &["file", &path.to_string_lossy(), "--wait"])?;
     ensure!(
         filed.code == 0,
         "{name} was not accepted: {} {}",
