--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -12,6 +12,7 @@
 use async_std::task;
 use thiserror::Error;
 
+use crate::burn::Recorder;
 use crate::events::Event;
 use crate::events::record;
 use crate::ids::BootId;
@@ -72,12 +73,14 @@
         };
         let listener = bind(entry.listen, "listen")?;
         let admin = bind(entry.admin, "admin")?;
-        let shared = Arc::new(Shared::new(RouterConfig {
+        let config = RouterConfig {
             vm: settings.vm.name.clone(),
             data_centre: settings.vm.data_centre.clone(),
             rank: EntryRank::default(),
             seed: rand::random(),
-        }));
+        };
+        let burn = Recorder::new(settings, Instant::now());
+        let shared = Arc::new(Shared::new(config, burn));
         let mut workers = Vec::new();
         for index in 0..entry.threads.max(1) {
             let listener = listener.try_clone()?;
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_std::io::WriteExt;
@@ -12,6 +13,7 @@
 
 use crate::events::Event;
 use crate::events::record;
+use crate::ids::ServiceId;
 use crate::metrics;
 use crate::route::AttemptEnd;
 use crate::route::Call;
@@ -36,8 +38,12 @@
 use crate::traffic::stats;
 use crate::traffic::stats::Outcome;
 use crate::traffic::worker::CallerState;
+use crate::traffic::worker::Shared;
 use crate::traffic::worker::Worker;
 
+/// The lowest status with which a target says that it failed.
+const SERVER_ERROR: u16 = 500;
+
 /// What is to happen with a caller's connection after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum After {
@@ -55,6 +61,7 @@
     outcome: Outcome,
     after: After,
     answered: Instant,
+    status: u16,
 }
 
 impl Served {
@@ -63,6 +70,7 @@
             outcome,
             after,
             answered: Instant::now(),
+            status: 0,
         }
     }
 }
@@ -120,9 +128,21 @@
     shared.stats.ended(served.outcome);
     let latency = served.answered.saturating_duration_since(started);
     stats::tell(&service, &shared.data_centre, served.outcome, latency);
+    burn(shared, &service, &served, latency);
     served.after
 }
 
+/// Counts a request for the burn report; one that the caller broke off or sent malformed says
+/// nothing about the service.
+fn burn(shared: &Shared, service: &ServiceId, served: &Served, latency: Duration) {
+    let took = match served.outcome {
+        Outcome::Gone | Outcome::Malformed => return,
+        Outcome::Whole if served.status < SERVER_ERROR => Some(latency),
+        _ => None,
+    };
+    shared.burn.record(service, took, Instant::now());
+}
+
 async fn run(worker: &Worker, caller: &mut Caller, head: RequestHead, routed: Routed) -> Served {
     if head.expects && head.framing != Framing::Empty && !caller.send_continue().await {
         return Served::new(Outcome::Gone, After::Break);
@@ -178,11 +198,14 @@
 async fn delivered(caller: &Caller, end: End) -> Served {
     match end {
         End::Whole {
-            close, answered, ..
+            status,
+            close,
+            answered,
         } => Served {
             outcome: Outcome::Whole,
             after: if close { After::Close } else { After::Keep },
             answered,
+            status,
         },
         End::Cut => Served::new(Outcome::Cut, After::Break),
         End::BadBody(error) => bad_body(caller, &error).await,
