--- a/examples/standin_platform.rs
+++ b/examples/standin_platform.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the platform: transactional table, object store and list of VMs on one address.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use anyhow::Context;
 use async_std::net::TcpListener;
@@ -21,16 +22,27 @@
                 .value_parser(value_parser!(SocketAddr))
                 .default_value("127.0.0.1:0"),
         )
+        .arg(
+            Arg::new("vms")
+                .long("vms")
+                .value_name("FILE")
+                .help("JSON list of VMs to serve; PUT /vms replaces it")
+                .value_parser(value_parser!(PathBuf)),
+        )
         .get_matches();
     let listen = args
         .get_one::<SocketAddr>("listen")
         .context("pass --listen ADDRESS")?;
-    async_std::task::block_on(run(*listen))
+    let table = FakeTable::default();
+    if let Some(path) = args.get_one::<PathBuf>("vms") {
+        table.set_vms(serde_json::from_slice(&std::fs::read(path)?)?);
+    }
+    async_std::task::block_on(run(*listen, table))
 }
 
-async fn run(listen: SocketAddr) -> anyhow::Result<()> {
+async fn run(listen: SocketAddr, table: FakeTable) -> anyhow::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     println!("{}", listener.local_addr()?);
-    platform::serve(listener, FakeTable::default()).await;
+    platform::serve(listener, table).await;
     Ok(())
 }
