Hold keyed requests over the loss of their owner

Ruled out: a shorter deadline for every attempt, which would repeat slow work on healthy targets; repeating anything that is not idempotent. Change: an attempt ends when another target owns its key and the request may be sent again; a request that was not sent waits for the owner or a new one; short answers, up to 16 KB, are awaited whole before any of them is passed on.

--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -26,6 +26,8 @@
 use crate::traffic::Tally;
 use crate::verdict::Broken;
 
+/// The longest time that a key may be without service after a loss.
+const LOSS_LIMIT: Duration = Duration::from_secs(1);
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
 
 fn main() -> ExitCode {
@@ -73,6 +75,9 @@
     println!("requests                      {:>8}", counts.requests);
     println!("whole answers                 {:>8}", counts.whole);
     println!("refused as not run            {:>8}", counts.not_run);
+    for (reason, count) in &counts.reasons {
+        println!("  {reason:<28}{count:>8}");
+    }
     println!("unknown                       {:>8}", counts.unknown);
     println!(
         "wrong answers                 {:>8}  must be 0",
--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -78,6 +78,8 @@
     Broken,
     /// No answer came within the attempt's own time.
     Silent,
+    /// No answer came before the shard went to another target.
+    Superseded,
     /// The caller went away.
     Cancelled,
 }
@@ -192,7 +194,11 @@
             }
             AttemptEnd::NotSent => {
                 router.target_failed(&lane, now);
-                self.after_failure(&lane)
+                match lane.shard {
+                    // Nobody else may serve the key: hold on until it has another owner.
+                    Some(_) => self.after_refusal(router, &lane, now),
+                    None => self.after_failure(&lane),
+                }
             }
             AttemptEnd::NotRun => self.after_refusal(router, &lane, now),
             AttemptEnd::Broken => {
@@ -210,6 +216,13 @@
                 }
                 self.after_failure(&lane)
             }
+            AttemptEnd::Superseded => {
+                self.uncertain = true;
+                match self.info.idempotent && self.may_repeat() {
+                    true => Next::Again,
+                    false => Next::Refuse(Refusal::Unknown),
+                }
+            }
             AttemptEnd::Cancelled => Next::Refuse(Refusal::Unknown),
         }
     }
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -18,6 +18,7 @@
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::ids::VmId;
+use crate::route::call::RequestInfo;
 use crate::route::crash::CrashReport;
 use crate::route::crash::Crashes;
 use crate::route::lane::Lane;
@@ -119,6 +120,15 @@
         self.table.load().prefixes.service(path).cloned()
     }
 
+    /// Returns whether another target than the lane's owns the request's key by now.
+    pub fn is_superseded(&self, info: &RequestInfo, lane: &Lane) -> bool {
+        let table = self.table.load();
+        let route = table.services.get(&info.service);
+        let key = info.key_hash.zip(route);
+        let owner = key.and_then(|(hash, route)| route.key_route(hash)?.owner);
+        owner.is_some_and(|owner| owner.target.address != lane.address)
+    }
+
     /// Takes what a target's load endpoint tells, in percent; it moves the choice only a little.
     pub fn observe_load(&self, service: &ServiceId, target: &TargetId, percent: u32, now: Instant) {
         let name = (service.clone(), target.clone());
--- a/src/traffic/answer.rs
+++ b/src/traffic/answer.rs
@@ -3,12 +3,15 @@
 use crate::owner::order::OUTCOME_HEADER;
 use crate::owner::order::REQUEST_HEADER;
 use crate::traffic::body::BodyDecoder;
+use crate::traffic::body::Framing;
 use crate::traffic::head::AnswerHead;
 use crate::traffic::head::head_length;
 use crate::traffic::head::parse_answer;
 use crate::traffic::reader::Reader;
 
 const MAX_INTERIM_ANSWERS: usize = 16;
+/// The longest body that is awaited whole before any of the answer is passed on, in bytes.
+const SHORT_BODY_BYTES: u64 = 16 << 10;
 
 /// Reads the head of the final answer; `None` when the connection broke or sent something else.
 pub async fn read_answer(reader: &mut Reader, method: &str) -> Option<AnswerHead> {
@@ -30,6 +33,22 @@
     None
 }
 
+/// Reads the head of the final answer, and waits for the whole body where it is short, so that an
+/// attempt whose answer breaks off may still be repeated.
+pub async fn read_short_answer(reader: &mut Reader, method: &str) -> Option<AnswerHead> {
+    let head = read_answer(reader, method).await?;
+    let Framing::Length(length) = head.framing else {
+        return Some(head);
+    };
+    if length > SHORT_BODY_BYTES {
+        return Some(head);
+    }
+    while (reader.data().len() as u64) < length {
+        reader.fill().await.ok().filter(|count| *count > 0)?;
+    }
+    Some(head)
+}
+
 /// Returns whether an answer may belong to the attempt: it echoes its number, or none.
 pub fn is_own_answer(head: &AnswerHead, id: u64) -> bool {
     let mut echoes = head.fields.all(REQUEST_HEADER);
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt: the request to a target, and its answer to the caller.
 
 use std::cell::Cell;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_std::io::WriteExt;
@@ -10,9 +11,10 @@
 
 use crate::route::AttemptEnd;
 use crate::route::Lane;
+use crate::route::RequestInfo;
 use crate::traffic::answer::is_not_run;
 use crate::traffic::answer::is_own_answer;
-use crate::traffic::answer::read_answer;
+use crate::traffic::answer::read_short_answer;
 use crate::traffic::answer::skip_body;
 use crate::traffic::body::BodyDecoder;
 use crate::traffic::body::BodyError;
@@ -33,6 +35,9 @@
 use crate::traffic::request::Routed;
 use crate::traffic::worker::Worker;
 
+/// How often an attempt looks whether its key has another owner by now.
+const OWNER_CHECK: Duration = Duration::from_millis(25);
+
 /// A request with as much of its body as is kept.
 #[derive(Debug)]
 pub struct Request {
@@ -145,7 +150,12 @@
     let upload = upload(reader, stream, &mut request.rest, &sink, &out, &progress);
     let mut upload = std::pin::pin!(upload);
     let method = &request.head.method;
-    let head = await_head(worker, &mut conn.reader, method, until, upload.as_mut()).await;
+    let head = await_head(worker, &mut conn.reader, method, until, upload.as_mut());
+    let superseded = std::pin::pin!(superseded(worker, &request.routed.info, lane));
+    let head = match select(std::pin::pin!(head), superseded).await {
+        Either::Left((head, _)) => head,
+        Either::Right(_) => Err(End::Failed(AttemptEnd::Superseded)),
+    };
     request.consumed |= progress.consumed.get();
     let head = match head {
         Ok(head) => head,
@@ -187,7 +197,7 @@
     until: Instant,
     upload: impl Future<Output = Upload> + Unpin,
 ) -> Result<AnswerHead, End> {
-    let head = std::pin::pin!(read_answer(reader, method));
+    let head = std::pin::pin!(read_short_answer(reader, method));
     let timed = select(head, worker.timers.sleep_until(until));
     match select(upload, timed).await {
         Either::Left((Upload::Gone, _)) => Err(End::Gone),
@@ -198,6 +208,18 @@
     }
 }
 
+/// Ends when another target owns the key of a request that may be sent again.
+async fn superseded(worker: &Worker, info: &RequestInfo, lane: &Lane) {
+    let repeatable = info.key_hash.is_some() && info.idempotent && info.replayable;
+    if !repeatable {
+        std::future::pending().await
+    }
+    while !worker.shared.router.is_superseded(info, lane) {
+        let next = Instant::now() + OWNER_CHECK;
+        worker.timers.sleep_until(next).await;
+    }
+}
+
 /// Passes the answer on while the rest of the request may still go out.
 async fn deliver(
     worker: &Worker,
