Leave the last free slot of a far target to the entries near it

A slot far away that looks free is often taken by the time that the request arrives: the news is one way old, and so is the request. Change: a call takes the last free slot of a target in another data centre only after 20 ms.

--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -144,6 +144,7 @@
     avoid: Option<u64>,
     refused: Option<OwnerRefusal>,
     place: Option<Place>,
+    since: Option<Instant>,
 }
 
 /// An owner's refusal to run a request.
@@ -164,11 +165,13 @@
             avoid: None,
             refused: None,
             place: None,
+            since: None,
         }
     }
 
     /// Returns what to do next. When the answer is [`Step::Wait`], `waker` is woken on a change.
     pub fn step(&mut self, router: &Router, now: Instant, waker: &Waker) -> Step {
+        self.since.get_or_insert(now);
         let step = self.decide(router, now, waker);
         if !matches!(step, Step::Wait(_)) {
             self.place = None;
@@ -339,6 +342,7 @@
             avoid: self.avoid.filter(|_| several),
             suspect: router.crashes.is_suspect(self.info.fingerprint, now),
             idempotent: self.info.idempotent,
+            since: router.micros(self.since.unwrap_or(now)),
         };
         choice::choose(route, choice)
     }
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -13,6 +13,8 @@
 const MAX_LOOKS: usize = 128;
 /// Added to a target's cost, in thousandths of its slots, for each per cent of distance.
 const FAR_COST_PER_PERCENT: u32 = 10;
+/// How long a call leaves the last free slot of a target far away to entries near it.
+const FAR_PATIENCE_MICROS: u64 = 20_000;
 const SLOW_COST: u32 = 2_000;
 const SLOW_RATIO: u64 = 3;
 const HINT_COST_PER_PERCENT: u32 = 2;
@@ -31,6 +33,8 @@
     pub(crate) suspect: bool,
     /// Whether the request may run twice; others do not try out a target that failed.
     pub(crate) idempotent: bool,
+    /// When the call arrived, in microseconds since the router's epoch.
+    pub(crate) since: u64,
 }
 
 /// Why no target was chosen.
@@ -47,6 +51,8 @@
         FAR_COST_PER_PERCENT * 100u32.saturating_sub(route.service.spread_percent.into());
     let parts = [(&route.near, 0), (&route.far, far_cost)];
     let longest = route.near.len().max(route.far.len()).min(MAX_LOOKS);
+    let patient_until = choice.since + FAR_PATIENCE_MICROS;
+    let patient = choice.now < patient_until;
     let mut from = 0;
     while from < longest {
         let mut best: Option<(u32, &TargetRoute)> = None;
@@ -59,6 +65,12 @@
                 let Some(cost) = cost(route, target, choice) else {
                     continue;
                 };
+                if extra > 0 && patient && is_last_slot(target, choice.now) {
+                    if retry_at == 0 || patient_until < retry_at {
+                        retry_at = patient_until;
+                    }
+                    continue;
+                }
                 if best.is_none_or(|(least, _)| cost + extra < least) {
                     best = Some((cost + extra, target));
                 }
@@ -85,6 +97,11 @@
     (0..looks).map(move |i| &route.targets[list[(start + from + i) % len] as usize])
 }
 
+/// Returns whether no more than one slot is free as far as known.
+fn is_last_slot(target: &TargetRoute, now: u64) -> bool {
+    target.stats.busy() + 1 >= target.stats.ramp(target.target.slots, now)
+}
+
 /// Returns the cost of one more request in thousandths of the target's slots; `None` when the
 /// target takes none now.
 fn cost(route: &ServiceRoute, target: &TargetRoute, choice: Choice) -> Option<u32> {
