--- a/src/owner/group/base.rs
+++ b/src/owner/group/base.rs
@@ -1,5 +1,6 @@
 //! What every role of a group's state machine shares.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
@@ -32,6 +33,7 @@
 use crate::ticket::Target;
 use crate::ticket::TargetState;
 
+const SHUN_TIME: Duration = Duration::from_secs(30);
 const ASKS_KEPT: usize = 16;
 
 /// What the write on its way is for.
@@ -67,6 +69,8 @@
     pub asks: Asks,
     pub read_due: Instant,
     pub pending: Option<Pending>,
+    /// Members that were out of reach or leave, and until when not to name them.
+    pub shunned: BTreeMap<Member, Instant>,
     /// Whether this process is about to stop as planned.
     pub leaving: bool,
 }
@@ -102,6 +106,7 @@
             asks: Asks::default(),
             read_due: now,
             pending: None,
+            shunned: BTreeMap::new(),
             leaving: false,
         }
     }
@@ -191,6 +196,12 @@
         }
     }
 
+    /// Names a member no more for some time.
+    pub fn shun(&mut self, now: Instant, member: Member) {
+        self.shunned.retain(|_, until| now < *until);
+        self.shunned.insert(member, now + SHUN_TIME);
+    }
+
     /// Reads the rows if that is due.
     pub fn read_if_due(&mut self, now: Instant, out: &mut Vec<Action>) {
         if now >= self.read_due && !self.store.reading() {
@@ -198,19 +209,13 @@
         }
     }
 
-    /// Writes this process into the row as the holder of a new term; `without` and `kept`
-    /// say whom else to name.
-    pub fn take(
-        &mut self,
-        now: Instant,
-        without: &[Member],
-        kept: &[Member],
-        out: &mut Vec<Action>,
-    ) {
+    /// Writes this process into the row as the holder of a new term; deputies that are `kept` stay
+    /// unless better ones are to be had.
+    pub fn take(&mut self, now: Instant, kept: &[Member], out: &mut Vec<Action>) {
         let Some(rows) = self.store.rows().cloned() else {
             return;
         };
-        let members = elect::members(self, without, kept);
+        let members = elect::members(self, now, kept);
         let need = self.conf.policy.need(members.len());
         let row = match rows.group {
             None => GroupRow {
--- a/src/owner/group/deputy.rs
+++ b/src/owner/group/deputy.rs
@@ -104,13 +104,12 @@
         self.right.confirm(begun);
         if self.taking && self.wants(base, now) && !base.store.writing() {
             let holder = base.place.as_ref().and_then(|p| p.holder()).cloned();
-            let without: Vec<_> = holder.into_iter().collect();
+            if let Some(holder) = holder {
+                base.shun(now, holder);
+            }
             let lately = |m: &Member| self.right.vouched(&m.vm).is_some_and(|at| now < at + KEEP);
-            let others = base.others().into_iter();
-            let kept: Vec<_> = others
-                .filter(|m| lately(m) && !without.contains(m))
-                .collect();
-            base.take(now, &without, &kept, out);
+            let kept: Vec<_> = base.others().into_iter().filter(lately).collect();
+            base.take(now, &kept, out);
         }
         self.taking = false;
     }
--- a/src/owner/group/elect.rs
+++ b/src/owner/group/elect.rs
@@ -1,5 +1,7 @@
 //! Which VMs control a group: ranked by hash, in different data centres where possible.
 
+use std::time::Instant;
+
 use crate::ids::GroupId;
 use crate::ids::VmId;
 use crate::owner::group::base::Base;
@@ -17,13 +19,13 @@
 
 /// Returns the members of a new term with this process as its holder.
 ///
-/// The VMs `without` are not named; those of `kept` are where nothing better is to be had.
-pub(super) fn members(base: &Base, without: &[Member], kept: &[Member]) -> Vec<Member> {
+/// Shunned members are not named; those of `kept` are where nothing better is to be had.
+pub(super) fn members(base: &Base, now: Instant, kept: &[Member]) -> Vec<Member> {
     let mut members = vec![base.me()];
     let mut pool = ranked(base);
     pool.retain(|m| !kept.contains(m));
     pool.splice(0..0, kept.iter().cloned());
-    pool.retain(|m| m.vm != base.conf.me && !without.contains(m));
+    pool.retain(|m| m.vm != base.conf.me && base.shunned.get(m).is_none_or(|until| now >= *until));
     for _ in 0..DEPUTIES {
         let taken = |m: &Member| members.iter().any(|t| t.data_centre == m.data_centre);
         let apart = pool.iter().position(|m| !taken(m));
--- a/src/owner/group/lead.rs
+++ b/src/owner/group/lead.rs
@@ -67,8 +67,6 @@
     pub unowned: usize,
     pub plan_due: Instant,
     pub planned: Option<Planned>,
-    /// Members that are about to stop as planned.
-    gone: BTreeSet<Member>,
     spared: bool,
     ask_due: Instant,
     members_due: Instant,
@@ -102,7 +100,6 @@
             unowned: 0,
             plan_due: now,
             planned: None,
-            gone: BTreeSet::new(),
             spared: false,
             ask_due: now,
             members_due: now + MEMBERS_PERIOD,
@@ -116,7 +113,6 @@
         self.denied = std::mem::take(&mut before.denied);
         self.shown = before.shown.take();
         self.spared = before.spared;
-        self.gone = std::mem::take(&mut before.gone);
         for at in std::mem::take(&mut before.bars).into_keys() {
             self.bars
                 .extend(closing(base, now, &at).map(|closing| (at, closing)));
@@ -191,9 +187,12 @@
         }
     }
 
-    pub fn on_leave(&mut self, base: &Base, from: &VmId) {
+    pub fn on_leave(&mut self, base: &mut Base, now: Instant, from: &VmId) {
         let named = base.others().into_iter().find(|m| m.vm == *from);
-        self.gone.extend(named);
+        if let Some(member) = named {
+            base.shun(now, member);
+            self.members_due = now;
+        }
     }
 
     pub fn on_reply(
@@ -373,8 +372,9 @@
         let mut room = self.room(base, now);
         for at in lost {
             let restarted = base.fleet.process(&at.target).is_some_and(|p| p != at);
-            if restarted || room > 0 {
-                room -= usize::from(!restarted);
+            let counts = !restarted && base.serving().any(|(target, _)| *target == at.target);
+            if !counts || room > 0 {
+                room -= usize::from(counts);
                 self.bar(base, now, at, restarted, out);
             } else if !std::mem::replace(&mut self.spared, true) {
                 let details = format!("group={} target={}", base.conf.group, at.target);
@@ -461,21 +461,16 @@
             return;
         };
         let heard = |m: &Member| self.right.vouched(&m.vm).max(Some(self.since));
-        let lost = |m: &&Member| {
-            self.gone.contains(*m) || heard(m).is_some_and(|at| now >= at + DEPUTY_LOST)
-        };
-        let lost: Vec<_> = place.deputies().iter().filter(lost).cloned().collect();
-        let kept: Vec<_> = place
-            .deputies()
-            .iter()
-            .filter(|m| !lost.contains(m))
-            .cloned()
-            .collect();
-        let without: Vec<_> = lost.into_iter().chain(self.gone.iter().cloned()).collect();
-        let wanted: BTreeSet<_> = elect::members(base, &without, &kept).into_iter().collect();
-        let named: BTreeSet<_> = place.members.into_iter().collect();
+        for member in place.deputies() {
+            if heard(member).is_some_and(|at| now >= at + DEPUTY_LOST) {
+                base.shun(now, member.clone());
+            }
+        }
+        let kept = place.deputies();
+        let wanted: BTreeSet<_> = elect::members(base, now, kept).into_iter().collect();
+        let named: BTreeSet<_> = place.members.iter().cloned().collect();
         if wanted != named && self.table_works(base, now) {
-            base.take(now, &without, &kept, out);
+            base.take(now, kept, out);
         }
     }
 
--- a/src/owner/group/mod.rs
+++ b/src/owner/group/mod.rs
@@ -311,7 +311,9 @@
                 }
             }
             PeerMessage::Leave(term) => match &mut self.role {
-                Role::Holder(lead) if term == self.base.term() => lead.on_leave(&self.base, from),
+                Role::Holder(lead) if term == self.base.term() => {
+                    lead.on_leave(&mut self.base, now, from)
+                }
                 _ => {}
             },
             PeerMessage::Take(term) => match &mut self.role {
--- a/tests/support/owner_world.rs
+++ b/tests/support/owner_world.rs
@@ -45,7 +45,6 @@
 pub const ONE_WAY: Duration = Duration::from_micros(4_500);
 const LIST_LAG: Duration = Duration::from_secs(1);
 const LIST_PERIOD: Duration = Duration::from_millis(500);
-const SAMPLE: Duration = Duration::from_millis(5);
 
 #[derive(Clone, Debug)]
 pub enum Job {
@@ -130,6 +129,8 @@
     pub slots: u16,
     pub checks_term: bool,
     pub policy: VouchPolicy,
+    /// Time between two checks of what is served.
+    pub sample: Duration,
     pub seed: u64,
 }
 
@@ -142,6 +143,7 @@
             slots: 2,
             checks_term: true,
             policy: VouchPolicy::OneOther,
+            sample: Duration::from_millis(5),
             seed: 1,
         }
     }
@@ -212,7 +214,7 @@
             world.vms.push(vm);
             world.start_vm(i);
         }
-        world.push(SAMPLE, Job::Sample);
+        world.push(world.sizes.sample, Job::Sample);
         world.push(LIST_PERIOD, Job::List);
         world
     }
@@ -462,7 +464,7 @@
         match event {
             Job::Sample => {
                 self.sample();
-                self.push(SAMPLE, Job::Sample);
+                self.push(self.sizes.sample, Job::Sample);
             }
             Job::List => {
                 self.spread_vms(LIST_LAG);
@@ -719,7 +721,7 @@
             }
         }
         for shard in away {
-            *self.worst.entry(shard).or_default() += SAMPLE;
+            *self.worst.entry(shard).or_default() += self.sizes.sample;
         }
     }
 }
