--- /dev/null
+++ b/src/link/pump.rs
@@ -0,0 +1,153 @@
+//! Drives one link: sends what is queued, delivers what comes, finds silence by a deadline.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::channel::TrySendError;
+use async_std::channel::bounded;
+use async_std::future::timeout;
+use futures::FutureExt;
+use futures::pin_mut;
+use futures::select;
+
+use crate::link::Link;
+use crate::link::LinkError;
+use crate::link::Message;
+use crate::link::socket::LinkReceiver;
+use crate::link::socket::LinkSender;
+use crate::link::socket::decode;
+use crate::link::socket::encode;
+
+/// Silence after which a ping is sent.
+pub const PING_AFTER: Duration = Duration::from_millis(1000);
+/// Silence after which a link counts as lost.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const QUEUE_FRAMES: usize = 1024;
+
+/// An encoded message; clones share the bytes, so that a fan-out encodes once.
+#[derive(Clone, Debug)]
+pub struct Frame(Arc<[u8]>);
+
+impl Frame {
+    /// Encodes a message.
+    pub fn new(message: &Message) -> Self {
+        Self(encode(message).into())
+    }
+
+    /// Returns the encoded bytes.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+/// Queues frames for one link; dropping the last clone closes the link.
+#[derive(Clone, Debug)]
+pub struct Outbox {
+    frames: Sender<Frame>,
+}
+
+impl Outbox {
+    /// Creates a queue and the end that [`run`] takes.
+    pub fn new() -> (Self, Receiver<Frame>) {
+        let (frames, queue) = bounded(QUEUE_FRAMES);
+        (Self { frames }, queue)
+    }
+
+    /// Queues a frame. A peer that reads too slowly for its queue loses the link; it is opened
+    /// again and catches up by digest.
+    pub fn send(&self, frame: Frame) {
+        if let Err(TrySendError::Full(_)) = self.frames.try_send(frame) {
+            self.frames.close();
+        }
+    }
+}
+
+/// Runs a link until it fails, goes silent or its outbox is dropped; returns why it ended.
+///
+/// What comes is wrapped and put into `inbox`; while that is full, nothing more is read.
+pub async fn run<T: Send>(
+    link: Link,
+    queue: Receiver<Frame>,
+    inbox: Sender<T>,
+    wrap: impl Fn(Message) -> T + Send,
+) -> LinkError {
+    let (sender, receiver) = link.split();
+    let (pongs, answers) = bounded(QUEUE_FRAMES);
+    let send = send_all(sender, queue, answers).fuse();
+    let receive = receive_all(receiver, pongs, inbox, wrap).fuse();
+    pin_mut!(send, receive);
+    select! {
+        error = send => error,
+        error = receive => error,
+    }
+}
+
+async fn send_all(
+    mut sender: LinkSender,
+    queue: Receiver<Frame>,
+    answers: Receiver<Frame>,
+) -> LinkError {
+    loop {
+        let next = select! {
+            frame = queue.recv().fuse() => frame,
+            frame = answers.recv().fuse() => frame,
+        };
+        let Ok(frame) = next else {
+            sender.close().await;
+            return LinkError::Closed;
+        };
+        match timeout(SILENCE_LIMIT, sender.send(frame.bytes())).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return error,
+            Err(_) => return LinkError::Silent,
+        }
+    }
+}
+
+async fn receive_all<T>(
+    mut receiver: LinkReceiver,
+    answers: Sender<Frame>,
+    inbox: Sender<T>,
+    wrap: impl Fn(Message) -> T,
+) -> LinkError {
+    let mut heard = Instant::now();
+    let mut pings = 0;
+    let mut next = Box::pin(receiver.recv().fuse());
+    loop {
+        match timeout(CHECK_INTERVAL, &mut next).await {
+            Ok(Err(error)) => return error,
+            Ok(Ok(bytes)) => {
+                match decode(&bytes) {
+                    Err(error) => return error,
+                    Ok(Message::Ping(number)) => pong(&answers, number),
+                    Ok(Message::Pong(_)) => {}
+                    Ok(message) => {
+                        let taken = inbox.send(wrap(message)).await;
+                        if taken.is_err() {
+                            return LinkError::Closed;
+                        }
+                    }
+                }
+                heard = Instant::now();
+                drop(next);
+                next = Box::pin(receiver.recv().fuse());
+            }
+            Err(_) if heard.elapsed() >= SILENCE_LIMIT => return LinkError::Silent,
+            Err(_) if heard.elapsed() >= PING_AFTER => {
+                pings += 1;
+                let _ = answers.try_send(Frame::new(&Message::Ping(pings)));
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+// A peer that floods pings while it reads no pongs loses the surplus.
+fn pong(answers: &Sender<Frame>, number: u64) {
+    let _ = answers.try_send(Frame::new(&Message::Pong(number)));
+}
