--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -1,11 +1,16 @@
 //! The numbered events of the log; `docs/EVENTS.md` is their catalogue.
 
+mod init;
+
 use std::fmt;
 
 use log::Level;
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
+pub use init::LogError;
+pub use init::init;
+
 /// Everything that the programs log. Numbers: 100 processes and settings, 200 tickets,
 /// 300 ownership, 400 membership and spreading, 500 routing and traffic, 600 the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, IntoStaticStr)]
@@ -18,20 +23,55 @@
     Draining = 101,
     /// A program ended.
     Stopped = 102,
+    /// An operator's request did not carry the token.
+    TokenRefused = 103,
+    /// The metrics could not be written.
+    MetricsFailed = 104,
     /// A VM took a newer ticket into force.
     TicketInForce = 200,
+    /// A ticket was accepted.
+    TicketAccepted = 201,
+    /// A ticket was filed again after it had been accepted.
+    TicketRepeated = 202,
+    /// A ticket was refused.
+    TicketRefused = 203,
+    /// It is not known whether a filed ticket was accepted.
+    TicketUnresolved = 204,
     /// A VM became the holder of a group.
     GroupTaken = 300,
+    /// Another VM became the holder of a group that this VM held.
+    GroupLost = 301,
+    /// A target does not answer; its shards are given to others once its lease lapsed.
+    TargetLost = 302,
+    /// Another process answers in a target's place; it gets the shards back once the lease of the
+    /// earlier one lapsed.
+    TargetRestarted = 303,
+    /// More targets are silent than may be given up at once; the shards of the others wait.
+    LossSpared = 304,
+    /// Shards get new owners, by one write to the table.
+    ShardsPlaced = 305,
+    /// Planned moves began.
+    MovesStarted = 306,
+    /// A target refuses a grant because it released the fence; the fence is raised.
+    GrantDenied = 307,
+    /// A row of the table cannot be read.
+    RowMalformed = 308,
     /// A link to a peer was lost.
     LinkLost = 400,
     /// A request was refused.
     RequestRefused = 500,
+    /// A graceful shutdown came to its limit and cut work in flight.
+    WorkCut = 501,
+    /// An entry's view was not confirmed for longer than the stale limit.
+    ViewStale = 502,
     /// Requests alike crashed several targets and are refused for a while.
-    RequestQuarantined = 501,
+    RequestQuarantined = 510,
     /// A target failed repeatedly and gets no requests for a while.
-    TargetEjected = 502,
+    TargetEjected = 511,
     /// The table service does not answer.
     TableDown = 600,
+    /// The table service answers again.
+    TableUp = 601,
 }
 
 impl Event {
@@ -43,10 +83,15 @@
     /// Returns the level that the event is logged at.
     pub fn level(self) -> Level {
         match self {
-            Self::TableDown | Self::LinkLost | Self::RequestQuarantined | Self::TargetEjected => {
-                Level::Warn
-            }
+            Self::TokenRefused | Self::MetricsFailed => Level::Warn,
+            Self::TicketUnresolved => Level::Warn,
+            Self::TargetLost | Self::LossSpared => Level::Warn,
+            Self::RowMalformed => Level::Error,
+            Self::LinkLost => Level::Warn,
+            Self::WorkCut | Self::ViewStale => Level::Warn,
+            Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused => Level::Debug,
+            Self::TableDown => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/src/owner/order.rs
+++ b/src/owner/order.rs
@@ -18,6 +18,11 @@
 pub const SHARD_HEADER: &str = "x-gooseberryloft-shard";
 /// Request header that names the fence the entry believes in force.
 pub const FENCE_HEADER: &str = "x-gooseberryloft-fence";
+/// Request header that names the group of a keyed request, as `SERVICE/INDEX`.
+pub const GROUP_HEADER: &str = "x-gooseberryloft-group";
+/// Request header with a number of the attempt's own; a target that echoes it in its answer lets
+/// the entry tell a crossed or doubled answer from the right one.
+pub const REQUEST_HEADER: &str = "x-gooseberryloft-request";
 /// Request header with the time left to answer, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-gooseberryloft-deadline-ms";
 /// Response header: `not-run` when the request certainly did not run, `unknown` when it may have.
@@ -55,7 +60,7 @@
     pub stamp: Option<Stamp>,
     /// Shards to serve from now on.
     pub grant: Vec<ShardFence>,
-    /// Shards to serve no longer, under this fence or an older one.
+    /// Shards to serve no longer, under this fence or an older one; needs a fresh stamp.
     pub release: Vec<ShardFence>,
     /// The length of the lease from the stamp, in milliseconds.
     pub lease_ms: u64,
@@ -72,6 +77,15 @@
     pub refused: Option<Refusal>,
     /// Shards confirmed as served no longer: the release is complete, nothing in flight.
     pub released: Vec<ShardFence>,
+    /// Shards of the order's grants that are held now.
+    #[serde(default)]
+    pub granted: Vec<ShardFence>,
+    /// Shards of the order's grants whose fence is too low for the target to hold them.
+    #[serde(default)]
+    pub denied: Vec<ShardFence>,
+    /// The newest term seen for the group, from a target that refuses orders of older ones.
+    #[serde(default)]
+    pub term: Option<Term>,
     /// The number of shards held after the order.
     pub held: u32,
     /// A digest of the shards and fences held after the order; see [`crate::owner::grants::digest`].
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -66,6 +66,12 @@
     }
 }
 
+impl Default for Router {
+    fn default() -> Self {
+        Self::new(Arc::default())
+    }
+}
+
 impl Router {
     /// Starts with a view, as the only entry.
     pub fn new(view: Arc<View>) -> Self {
