Test routing, and judge crashes once all broken connections are in

Cause: routing had no tests. Writing them showed four faults: a call that joined a queue while a newer table came was not woken; a new view woke calls twice; the last far slot was left to near targets even where none was open; and requests that lost two targets together were quarantined, since the first of the broken connections was judged before the others were known. Ruled out: judging on each broken connection by itself. Change: a call decides again when the table changed while it joined; patience for far slots needs an open near target; a case against a request is decided 50 ms after the crash, meanwhile it waits; requests that were at the same crashes are told apart by a third. Conclusion: left over: if every target that a request meets crashes by chance within a minute, with fewer other crashes seen meanwhile and no answer in between, it is refused for five minutes.

--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -19,11 +19,13 @@
 use crate::route::choice;
 use crate::route::choice::Choice;
 use crate::route::choice::NoChoice;
+use crate::route::crash::Verdict;
 use crate::route::lane::LaneInfo;
 use crate::route::queue::Place;
 use crate::route::queue::WaitQueue;
 use crate::route::stats::average;
 use crate::route::table::ServiceRoute;
+use crate::route::table::Table;
 use crate::route::table::TargetRoute;
 
 /// Most times that a request is sent, apart from those the target certainly did not run.
@@ -226,8 +228,10 @@
         if now >= self.info.deadline {
             return self.refuse(Refusal::Expired);
         }
-        if router.crashes.is_quarantined(self.info.fingerprint, now) {
-            return self.refuse(Refusal::Quarantined);
+        match router.crashes.verdict(self.info.fingerprint, now) {
+            Verdict::Free => {}
+            Verdict::Later(at) => return Step::Wait(at.min(self.info.deadline)),
+            Verdict::Quarantined => return self.refuse(Refusal::Quarantined),
         }
         if self
             .place
@@ -236,7 +240,18 @@
         {
             return self.refuse(Refusal::Overloaded);
         }
-        let table = router.table.load();
+        loop {
+            let table = router.table.load();
+            let step = self.decide_by(router, &table, now, waker);
+            // A newer table that came before this call joined its queue woke nobody.
+            let waits = matches!(step, Step::Wait(_));
+            if !waits || Arc::ptr_eq(&table, &router.table.load()) {
+                return step;
+            }
+        }
+    }
+
+    fn decide_by(&mut self, router: &Router, table: &Table, now: Instant, waker: &Waker) -> Step {
         let Some(route) = table.services.get(&self.info.service) else {
             return self.refuse(Refusal::NoService);
         };
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -52,7 +52,7 @@
     let parts = [(&route.near, 0), (&route.far, far_cost)];
     let longest = route.near.len().max(route.far.len()).min(MAX_LOOKS);
     let patient_until = choice.since + FAR_PATIENCE_MICROS;
-    let patient = choice.now < patient_until;
+    let patient = choice.now < patient_until && has_open_near(route, choice.now);
     let mut from = 0;
     while from < longest {
         let mut best: Option<(u32, &TargetRoute)> = None;
@@ -97,6 +97,12 @@
     (0..looks).map(move |i| &route.targets[list[(start + from + i) % len] as usize])
 }
 
+/// Returns whether a target in the entry's own data centre is in use.
+fn has_open_near(route: &ServiceRoute, now: u64) -> bool {
+    let mut near = route.near.iter().take(MAX_LOOKS);
+    near.any(|&index| route.targets[index as usize].stats.shut_until(now) == 0)
+}
+
 /// Returns whether no more than one slot is free as far as known.
 fn is_last_slot(target: &TargetRoute, now: u64) -> bool {
     target.stats.busy() + 1 >= target.stats.ramp(target.target.slots, now)
--- a/src/route/crash.rs
+++ b/src/route/crash.rs
@@ -1,8 +1,9 @@
 //! Recognises requests that crash each target that runs them.
 //!
 //! A crash leaves a *sighting* on every request that was at the target. A request is quarantined
-//! once it has sightings on two targets, unless an answer to a request alike came in between, or
+//! once it has sightings at two crashes, unless an answer to a request alike came in between, or
 //! as many crashes without it happened in the same time, which makes chance the likelier cause.
+//! Requests that were at the same two crashes are told apart by a third.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -27,9 +28,12 @@
 pub const CRASH_MEMORY: Duration = Duration::from_secs(60);
 /// Broken connections of one target within this time count as one crash.
 pub const CRASH_SPAN: Duration = Duration::from_secs(1);
+/// How long after a crash the requests that were at the target are gathered.
+pub const CRASH_SETTLING: Duration = Duration::from_millis(50);
 
 const MAX_FACTS: usize = 512;
 const CRASHES_TO_QUARANTINE: usize = 2;
+const CRASHES_TO_TELL_TWINS: usize = 3;
 
 /// What one VM knows of crashes; ages instead of times, since clocks differ.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,9 +71,29 @@
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     facts: Mutex<VecDeque<Fact>>,
-    quarantined: Mutex<HashMap<u64, Instant>>,
+    cases: Mutex<HashMap<u64, Case>>,
     fact_count: AtomicUsize,
-    quarantine_count: AtomicUsize,
+    case_count: AtomicUsize,
+}
+
+/// What is held against requests with one fingerprint.
+#[derive(Clone, Copy, Debug)]
+enum Case {
+    /// They may be the cause of two crashes; decided then.
+    Open(Instant),
+    /// They are refused until then.
+    Quarantined(Instant),
+}
+
+/// Whether requests with a fingerprint may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// They may.
+    Free,
+    /// Not known before this instant.
+    Later(Instant),
+    /// They are refused.
+    Quarantined,
 }
 
 #[derive(Clone, Debug)]
@@ -80,15 +104,27 @@
 }
 
 impl Crashes {
-    /// Returns whether requests with the fingerprint are refused now.
-    pub(crate) fn is_quarantined(&self, fingerprint: u64, now: Instant) -> bool {
-        if self.quarantine_count.load(Ordering::Relaxed) == 0 {
-            return false;
+    /// Returns whether requests with the fingerprint may be sent now.
+    pub(crate) fn verdict(&self, fingerprint: u64, now: Instant) -> Verdict {
+        if self.case_count.load(Ordering::Relaxed) == 0 {
+            return Verdict::Free;
+        }
+        let case = lock(&self.cases).get(&fingerprint).copied();
+        match case {
+            None => Verdict::Free,
+            Some(Case::Open(until)) if until > now => Verdict::Later(until),
+            Some(Case::Open(_)) if is_poison(&lock(&self.facts), fingerprint, now) => {
+                self.quarantine(fingerprint, now);
+                Verdict::Quarantined
+            }
+            Some(Case::Quarantined(until)) if until > now => Verdict::Quarantined,
+            Some(_) => {
+                let mut cases = lock(&self.cases);
+                cases.remove(&fingerprint);
+                self.case_count.store(cases.len(), Ordering::Relaxed);
+                Verdict::Free
+            }
         }
-        let mut held = lock(&self.quarantined);
-        held.retain(|_, until| *until > now);
-        self.quarantine_count.store(held.len(), Ordering::Relaxed);
-        held.contains_key(&fingerprint)
     }
 
     /// Returns whether a target crashed under such a request and none was answered since.
@@ -159,19 +195,38 @@
         self.fact_count.store(facts.len(), Ordering::Relaxed);
         if is_poison(&facts, fingerprint, now) {
             drop(facts);
-            self.quarantine(fingerprint, now);
+            self.open(fingerprint, at, now);
         }
     }
 
+    /// Opens a case; connections that the same crash broke may still be reported.
+    fn open(&self, fingerprint: u64, at: Instant, now: Instant) {
+        let mut cases = lock(&self.cases);
+        if cases.len() >= MAX_FACTS {
+            cases.retain(|_, case| case.until() > now);
+        }
+        if cases.len() < MAX_FACTS {
+            let case = Case::Open(at + CRASH_SETTLING);
+            cases.entry(fingerprint).or_insert(case);
+        }
+        self.case_count.store(cases.len(), Ordering::Relaxed);
+    }
+
     fn quarantine(&self, fingerprint: u64, now: Instant) {
-        let mut held = lock(&self.quarantined);
-        if held.len() < MAX_FACTS && held.insert(fingerprint, now + QUARANTINE).is_none() {
-            events::record(
-                Event::RequestQuarantined,
-                format_args!("fingerprint {fingerprint:016x}"),
-            );
+        let case = Case::Quarantined(now + QUARANTINE);
+        lock(&self.cases).insert(fingerprint, case);
+        events::record(
+            Event::RequestQuarantined,
+            format_args!("fingerprint {fingerprint:016x}"),
+        );
+    }
+}
+
+impl Case {
+    fn until(self) -> Instant {
+        match self {
+            Self::Open(until) | Self::Quarantined(until) => until,
         }
-        self.quarantine_count.store(held.len(), Ordering::Relaxed);
     }
 }
 
@@ -224,7 +279,23 @@
         .filter(|f| f.is_crash() && f.at >= first.at)
         .filter(|f| !own.iter().any(|crash| crash.is_same_crash(f)))
         .collect();
-    own.len() >= CRASHES_TO_QUARANTINE && own.len() > distinct(&others).len()
+    let needed = if has_twin(facts, fingerprint, &own, now) {
+        CRASHES_TO_TELL_TWINS
+    } else {
+        CRASHES_TO_QUARANTINE
+    };
+    own.len() >= needed && own.len() > distinct(&others).len()
+}
+
+/// Returns whether other requests were at every one of these crashes too.
+fn has_twin(facts: &VecDeque<Fact>, fingerprint: u64, crashes: &[&Fact], now: Instant) -> bool {
+    let was_at_all = |other: u64| {
+        let open = open_crashes(facts, other, now);
+        let was_at = |crash: &&Fact| open.iter().any(|f| f.is_same_crash(crash));
+        crashes.iter().all(was_at)
+    };
+    let mut others = facts.iter().map(|f| f.fingerprint);
+    others.any(|other| other != fingerprint && was_at_all(other))
 }
 
 fn distinct<'a>(crashes: &[&'a Fact]) -> Vec<&'a Fact> {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -21,6 +21,7 @@
 pub use call::RequestInfo;
 pub use call::Step;
 pub use crash::CRASH_MEMORY;
+pub use crash::CRASH_SETTLING;
 pub use crash::CRASH_SPAN;
 pub use crash::CrashFact;
 pub use crash::CrashKind;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -238,10 +238,8 @@
     fn recompile(&self, view: Arc<View>, config: &RouterConfig) {
         let old = self.table.load_full();
         let table = Table::compile(view, &old, config.rank, &config.data_centre);
-        let table = Arc::new(table);
-        self.table.store(table.clone());
-        let queues = old.services.values().chain(table.services.values());
-        for route in queues {
+        self.table.store(Arc::new(table));
+        for route in old.services.values() {
             route.shared.wake_all();
             for target in &route.targets {
                 target.stats.queue.wake_all();
--- /dev/null
+++ b/tests/route_crashes.rs
@@ -0,0 +1,189 @@
+//! Requests that crash their targets are refused; ordinary crashes quarantine nobody innocent.
+
+#[path = "support/route_world.rs"]
+mod world;
+
+use std::task::Waker;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+
+use crate::world::*;
+use gooseberryloft::route::AttemptEnd;
+use gooseberryloft::route::CRASH_SETTLING;
+use gooseberryloft::route::Call;
+use gooseberryloft::route::Lane;
+use gooseberryloft::route::QUARANTINE;
+use gooseberryloft::route::Refusal;
+use gooseberryloft::route::Router;
+use gooseberryloft::route::Step;
+
+const OK: AttemptEnd = AttemptEnd::Answered { status: 200 };
+const POISON: u64 = 666;
+
+fn send(router: &Router, fingerprint: u64, now: Instant) -> Option<(Call, Lane)> {
+    let mut call = Call::new(request(now, fingerprint));
+    match call.step(router, now, Waker::noop()) {
+        Step::Send(lane) => Some((call, lane)),
+        _ => None,
+    }
+}
+
+fn end(router: &Router, sent: (Call, Lane), now: Instant, end: AttemptEnd) {
+    let (mut call, lane) = sent;
+    let _ = call.ended(router, now, lane, end);
+}
+
+fn is_quarantined(router: &Router, fingerprint: u64, now: Instant) -> bool {
+    let now = now + CRASH_SETTLING;
+    let mut call = Call::new(request(now, fingerprint));
+    let step = call.step(router, now, Waker::noop());
+    matches!(step, Step::Refuse(Refusal::Quarantined))
+}
+
+#[test]
+fn a_request_that_crashes_two_targets_is_refused_for_a_while() {
+    let router = router(view(3, 6));
+    let mut now = Instant::now();
+    for _ in 0..2 {
+        assert!(!is_quarantined(&router, POISON, now));
+        let companions: Vec<_> = (0..4).filter_map(|n| send(&router, n, now)).collect();
+        let sent = send(&router, POISON, now).unwrap();
+        let target = sent.1.target.clone();
+        end(&router, sent, now, AttemptEnd::Broken);
+        for other in companions {
+            let same = other.1.target == target;
+            let how = if same { AttemptEnd::Broken } else { OK };
+            end(&router, other, now, how);
+        }
+        for n in 0..4 {
+            let again = send(&router, n, now).unwrap();
+            end(&router, again, now, OK);
+        }
+        now += Duration::from_secs(3);
+    }
+    assert!(is_quarantined(&router, POISON, now));
+    for innocent in 0..4 {
+        assert!(!is_quarantined(&router, innocent, now));
+    }
+    assert!(!is_quarantined(&router, POISON, now + QUARANTINE));
+}
+
+#[test]
+fn two_crashes_seen_by_two_vms_quarantine_on_both() {
+    let (one, other) = (ranked(view(3, 6), 0, 2), ranked(view(3, 6), 1, 2));
+    let now = Instant::now();
+    end(
+        &one,
+        send(&one, POISON, now).unwrap(),
+        now,
+        AttemptEnd::Broken,
+    );
+    let later = now + Duration::from_secs(2);
+    end(
+        &other,
+        send(&other, POISON, later).unwrap(),
+        later,
+        AttemptEnd::Broken,
+    );
+    other.learn_crashes(&one.crashes(later), later);
+    one.learn_crashes(&other.crashes(later), later);
+    assert!(is_quarantined(&one, POISON, later));
+    assert!(is_quarantined(&other, POISON, later));
+}
+
+#[test]
+fn a_doubled_report_counts_once() {
+    let (one, other) = (ranked(view(3, 6), 0, 2), ranked(view(3, 6), 1, 2));
+    let now = Instant::now();
+    end(
+        &one,
+        send(&one, POISON, now).unwrap(),
+        now,
+        AttemptEnd::Broken,
+    );
+    for millis in [0, 10, 500, 900] {
+        let at = now + Duration::from_millis(millis);
+        other.learn_crashes(&one.crashes(at), at);
+        one.learn_crashes(&other.crashes(at), at);
+    }
+    assert!(!is_quarantined(&other, POISON, now));
+    assert!(!is_quarantined(&one, POISON, now));
+}
+
+#[test]
+fn an_answer_in_between_clears_a_request() {
+    let router = router(view(3, 6));
+    let mut now = Instant::now();
+    for _ in 0..5 {
+        end(
+            &router,
+            send(&router, 1, now).unwrap(),
+            now,
+            AttemptEnd::Broken,
+        );
+        now += Duration::from_secs(2);
+        end(&router, send(&router, 1, now).unwrap(), now, OK);
+        now += Duration::from_secs(2);
+    }
+    assert!(!is_quarantined(&router, 1, now));
+}
+
+#[test]
+fn requests_that_lose_two_targets_together_are_not_blamed() {
+    let router = router(view(2, 6));
+    let now = Instant::now();
+    let mut running: Vec<_> = (0..3).filter_map(|n| send(&router, n, now)).collect();
+    for millis in [0, 20] {
+        let at = now + Duration::from_millis(millis);
+        let mut calls = Vec::new();
+        for (mut call, lane) in std::mem::take(&mut running) {
+            let _ = call.ended(&router, at, lane, AttemptEnd::Broken);
+            calls.push(call);
+        }
+        for mut call in calls {
+            if let Step::Send(lane) = call.step(&router, at + CRASH_SETTLING, Waker::noop()) {
+                running.push((call, lane));
+            }
+        }
+    }
+    for innocent in 0..3 {
+        assert!(!is_quarantined(&router, innocent, now), "{innocent}");
+    }
+}
+
+proptest! {
+    /// Targets crash at random under innocent requests, which callers repeat and targets then
+    /// answer; one poisonous request may be among them.
+    #[test]
+    fn ordinary_crashes_quarantine_nobody(
+        rounds in prop::collection::vec((0u64..12, any::<bool>(), 50u64..3_000), 1..60),
+        poison_at in prop::option::of(0usize..60),
+    ) {
+        let router = router(view(4, 6));
+        let mut now = Instant::now();
+        for (round, (first, crash, pause)) in rounds.into_iter().enumerate() {
+            now += Duration::from_millis(pause);
+            let mut sent: Vec<_> = (0..4).filter_map(|n| send(&router, (first + n) % 12, now)).collect();
+            if poison_at == Some(round) {
+                sent.extend(send(&router, POISON, now));
+            }
+            let down = sent.last().map(|(_, lane)| lane.target.clone()).filter(|_| crash);
+            for (call, lane) in sent {
+                let dies = Some(&lane.target) == down.as_ref();
+                let how = if dies { AttemptEnd::Broken } else { OK };
+                end(&router, (call, lane), now, how);
+            }
+            now += Duration::from_secs(1);
+            for n in 0..12 {
+                if let Some(again) = send(&router, n, now) {
+                    end(&router, again, now, OK);
+                }
+            }
+        }
+        for innocent in 0..12 {
+            prop_assert!(!is_quarantined(&router, innocent, now));
+        }
+    }
+}
--- /dev/null
+++ b/tests/route_outcomes.rs
@@ -0,0 +1,173 @@
+//! What callers are told: "not run" only when certain, and nothing non-idempotent runs twice.
+
+#[path = "support/route_world.rs"]
+mod world;
+
+use std::task::Waker;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+
+use crate::world::*;
+use gooseberryloft::ids::ServiceId;
+use gooseberryloft::route::AttemptEnd;
+use gooseberryloft::route::Call;
+use gooseberryloft::route::Next;
+use gooseberryloft::route::Refusal;
+use gooseberryloft::route::RequestInfo;
+use gooseberryloft::route::Router;
+use gooseberryloft::route::Step;
+
+fn attempt_end() -> impl Strategy<Value = AttemptEnd> {
+    prop_oneof![
+        Just(AttemptEnd::Answered { status: 200 }),
+        Just(AttemptEnd::Answered { status: 503 }),
+        Just(AttemptEnd::NotSent),
+        Just(AttemptEnd::NotRun),
+        Just(AttemptEnd::Broken),
+        Just(AttemptEnd::Silent),
+        Just(AttemptEnd::Cancelled),
+    ]
+}
+
+fn may_have_run(end: AttemptEnd) -> bool {
+    !matches!(end, AttemptEnd::NotSent | AttemptEnd::NotRun)
+}
+
+#[derive(Clone, Debug)]
+struct Plan {
+    keyed: bool,
+    idempotent: bool,
+    replayable: bool,
+    consumed: bool,
+    ends: Vec<AttemptEnd>,
+}
+
+fn plan() -> impl Strategy<Value = Plan> {
+    let ends = prop::collection::vec(attempt_end(), 8);
+    (any::<[bool; 4]>(), ends).prop_map(|(flags, ends)| Plan {
+        keyed: flags[0],
+        idempotent: flags[1],
+        replayable: flags[2],
+        consumed: flags[3],
+        ends,
+    })
+}
+
+/// Drives a call to its end; returns the attempts' ends and the refusal, if it was refused.
+fn drive(router: &Router, plan: &Plan, start: Instant) -> (Vec<AttemptEnd>, Option<Refusal>) {
+    let base = if plan.keyed {
+        keyed(start, 3)
+    } else {
+        request(start, 9)
+    };
+    let mut call = Call::new(RequestInfo {
+        idempotent: plan.idempotent,
+        replayable: plan.replayable,
+        ..base
+    });
+    let mut now = start;
+    let mut seen = Vec::new();
+    let mut ends = plan.ends.iter().cycle();
+    loop {
+        match call.step(router, now, Waker::noop()) {
+            Step::Refuse(refusal) => return (seen, Some(refusal)),
+            Step::Wait(until) => now = until.max(now + Duration::from_millis(1)),
+            Step::Send(lane) => {
+                let end = *ends.next().unwrap();
+                if plan.consumed {
+                    call.consumed();
+                }
+                now += Duration::from_millis(3);
+                seen.push(end);
+                match call.ended(router, now, lane, end) {
+                    Next::Deliver => return (seen, None),
+                    Next::Again => {}
+                    Next::Refuse(refusal) => return (seen, Some(refusal)),
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn outcomes_are_true(plans in prop::collection::vec(plan(), 1..20)) {
+        let router = router(view(3, 2));
+        let mut start = Instant::now();
+        for plan in &plans {
+            start += Duration::from_millis(700);
+            let (seen, refusal) = drive(&router, plan, start);
+            let ran = seen.iter().filter(|end| may_have_run(**end)).count();
+            if let Some(refusal) = refusal {
+                let claims_not_run = refusal.outcome() == "not-run";
+                prop_assert!(!(claims_not_run && ran > 0), "{:?} after {:?}", refusal, seen);
+            }
+            if !plan.idempotent {
+                prop_assert!(ran <= 1, "sent again after it may have run: {:?}", seen);
+            }
+            if plan.consumed || !plan.replayable {
+                prop_assert!(seen.len() <= 1, "sent again without its body: {:?}", seen);
+            }
+            for index in 0..3 {
+                let name = if plan.keyed { LISTINGS } else { REPORTS };
+                let held = router.in_flight(&ServiceId::from(name), &target_id(index));
+                prop_assert_eq!(held, 0, "a lane leaked");
+            }
+            prop_assert_eq!(router.waiting(), 0, "a place in a queue leaked");
+        }
+    }
+
+    #[test]
+    fn retries_stay_within_the_budget(ends in prop::collection::vec(attempt_end(), 500)) {
+        let router = router(view(6, 6));
+        let mut now = Instant::now();
+        let (mut first, mut again) = (0u32, 0u32);
+        for end in ends.iter().filter(|end| **end != AttemptEnd::NotRun) {
+            now += Duration::from_millis(50);
+            let mut call = Call::new(request(now, u64::from(first)));
+            first += 1;
+            while let Step::Send(lane) = call.step(&router, now, Waker::noop()) {
+                if call.ended(&router, now, lane, *end) != Next::Again {
+                    break;
+                }
+                again += 1;
+            }
+        }
+        prop_assert!(again <= 10 + first / 10, "{} retries of {} requests", again, first);
+    }
+}
+
+#[test]
+fn a_call_past_its_deadline_was_not_run() {
+    let router = router(view(1, 1));
+    let now = Instant::now();
+    let mut call = booking(now, 1);
+    let late = now + Duration::from_secs(2);
+    let step = call.step(&router, late, Waker::noop());
+    assert!(matches!(step, Step::Refuse(Refusal::Expired)));
+}
+
+#[test]
+fn an_idempotent_request_is_retried_on_another_target() {
+    let router = router(view(2, 2));
+    let now = Instant::now();
+    let mut call = Call::new(request(now, 1));
+    let Step::Send(lane) = call.step(&router, now, Waker::noop()) else {
+        panic!("not sent");
+    };
+    let first = lane.target.clone();
+    assert!(
+        lane.deadline < now + Duration::from_secs(1),
+        "no time left for a retry"
+    );
+    assert_eq!(
+        call.ended(&router, now, lane, AttemptEnd::Broken),
+        Next::Again
+    );
+    let Step::Send(lane) = call.step(&router, now, Waker::noop()) else {
+        panic!("not sent again");
+    };
+    assert_ne!(lane.target, first);
+}
--- /dev/null
+++ b/tests/support/route_world.rs
@@ -0,0 +1,177 @@
+//! Views, routers and calls for the tests of routing; time is plain arithmetic on an instant.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Wake;
+use std::task::Waker;
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberryloft::ids::DataCentre;
+use gooseberryloft::ids::Fence;
+use gooseberryloft::ids::GroupId;
+use gooseberryloft::ids::ServiceId;
+use gooseberryloft::ids::Shard;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::ids::TicketNumber;
+use gooseberryloft::ids::Version;
+use gooseberryloft::owner::assignment::Assignment;
+use gooseberryloft::owner::assignment::Owner;
+use gooseberryloft::route::Call;
+use gooseberryloft::route::EntryRank;
+use gooseberryloft::route::RequestInfo;
+use gooseberryloft::route::Router;
+use gooseberryloft::route::RouterConfig;
+use gooseberryloft::ticket::InForce;
+use gooseberryloft::ticket::KeySource;
+use gooseberryloft::ticket::Keying;
+use gooseberryloft::ticket::Service;
+use gooseberryloft::ticket::Target;
+use gooseberryloft::ticket::TargetState;
+use gooseberryloft::view::View;
+
+/// The unkeyed service of the tests.
+pub const REPORTS: &str = "reports";
+/// The keyed service of the tests.
+pub const LISTINGS: &str = "listings";
+/// The shards of the keyed service.
+pub const SHARDS: u32 = 16;
+
+/// Counts how often it was woken.
+#[derive(Default)]
+pub struct Alarm(Mutex<usize>);
+
+impl Wake for Alarm {
+    fn wake(self: Arc<Self>) {
+        *self.0.lock().unwrap() += 1;
+    }
+}
+
+impl Alarm {
+    pub fn rings(&self) -> usize {
+        *self.0.lock().unwrap()
+    }
+
+    pub fn waker(self: &Arc<Self>) -> Waker {
+        Waker::from(self.clone())
+    }
+}
+
+pub fn target(index: usize, slots: u16, connections: u16) -> Target {
+    Target {
+        address: ([127, 0, 0, 1], 7_000 + index as u16).into(),
+        data_centre: DataCentre::from(if index.is_multiple_of(2) { "a" } else { "b" }),
+        slots,
+        connections,
+        checks_term: true,
+        group: 0,
+        state: TargetState::Serving,
+    }
+}
+
+pub fn target_id(index: usize) -> TargetId {
+    TargetId::from(format!("t{index}"))
+}
+
+pub fn service(prefix: &str, priority: u8, targets: usize, slots: u16) -> Service {
+    let targets = (0..targets).map(|i| (target_id(i), target(i, slots, 45)));
+    Service {
+        prefix: prefix.to_owned(),
+        keying: None,
+        idempotent: vec!["GET".to_owned()],
+        priority,
+        spread_percent: 0,
+        deadline_ms: 1_000,
+        targets: targets.collect(),
+    }
+}
+
+/// A view with one unkeyed and one keyed service; shard `i` belongs to target `i` of the latter.
+pub fn view(targets: usize, slots: u16) -> View {
+    let mut keyed = service("/listings/", 5, targets, slots);
+    keyed.keying = Some(Keying {
+        source: KeySource::Path,
+        shards: SHARDS,
+        groups: 1,
+    });
+    let services = BTreeMap::from([
+        (
+            ServiceId::from(REPORTS),
+            service("/reports/", 1, targets, slots),
+        ),
+        (ServiceId::from(LISTINGS), keyed),
+    ]);
+    let mut view = View {
+        state: InForce {
+            number: TicketNumber(1),
+            services,
+        },
+        groups: BTreeMap::new(),
+    };
+    for shard in 0..SHARDS {
+        own(&mut view, shard, Some(shard as usize % targets), 1);
+    }
+    view
+}
+
+/// Gives a shard of the keyed service to a target.
+pub fn own(view: &mut View, shard: u32, target: Option<usize>, fence: u64) {
+    let group = GroupId {
+        service: ServiceId::from(LISTINGS),
+        index: 0,
+    };
+    let empty = Assignment::empty(group.clone());
+    let assignment = view.groups.entry(group).or_insert(empty);
+    assignment.version = Version(assignment.version.0 + 1);
+    let owner = Owner {
+        target: target.map(target_id),
+        fence: Fence(fence),
+    };
+    assignment.owners.insert(Shard(shard), owner);
+}
+
+pub fn router(view: View) -> Router {
+    ranked(view, 0, 1)
+}
+
+pub fn ranked(view: View, rank: u32, entries: u32) -> Router {
+    let config = RouterConfig {
+        vm: format!("vm-{rank}").into(),
+        data_centre: DataCentre::from("a"),
+        rank: EntryRank { rank, entries },
+        seed: u64::from(rank),
+    };
+    Router::with_config(Arc::new(view), config)
+}
+
+/// A request for the unkeyed service that may run twice, with a second to go.
+pub fn request(now: Instant, fingerprint: u64) -> RequestInfo {
+    RequestInfo {
+        service: ServiceId::from(REPORTS),
+        key_hash: None,
+        idempotent: true,
+        replayable: true,
+        deadline: now + Duration::from_secs(1),
+        fingerprint,
+    }
+}
+
+/// A request for a shard of the keyed service.
+pub fn keyed(now: Instant, shard: u64) -> RequestInfo {
+    RequestInfo {
+        service: ServiceId::from(LISTINGS),
+        key_hash: Some(shard),
+        ..request(now, shard)
+    }
+}
+
+/// A request that must not run twice.
+pub fn booking(now: Instant, fingerprint: u64) -> Call {
+    Call::new(RequestInfo {
+        idempotent: false,
+        ..request(now, fingerprint)
+    })
+}
