--- a/examples/quickstart/traffic.rs
+++ b/examples/quickstart/traffic.rs
@@ -165,7 +165,7 @@
 async fn book(entry: SocketAddr, tally: Arc<Tally>) {
     while !tally.stopped() {
         let id = tally.new_id("booking");
-        let headers = [("x-request-id", id.as_str()), ("x-booking", id.as_str())];
+        let headers = [("x-request-id", id.as_str())];
         let body = b"a booking".to_vec();
         let ask = Ask {
             method: Method::Post,
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -1,22 +1,26 @@
 //! Health, readiness and metrics, for the platform's balancer and operators.
 
-use std::fmt::Write;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_std::net::TcpListener;
+use tide::Body;
 use tide::Request;
 use tide::Response;
 use tide::StatusCode;
 
+use crate::metrics::instruments;
+use crate::metrics::render;
 use crate::traffic::drain::Stage;
 use crate::traffic::worker::Shared;
 
-/// Serves `/healthz`, `/readyz` and `/metrics`.
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/burn`.
 pub async fn run(listener: TcpListener, shared: Arc<Shared>) -> std::io::Result<()> {
     let mut app = tide::with_state(shared);
     app.at("/healthz").get(|_| async { Ok("alive\n") });
     app.at("/readyz").get(ready);
     app.at("/metrics").get(metrics);
+    app.at("/burn").get(burn);
     app.listen(listener).await
 }
 
@@ -33,11 +37,11 @@
 
 async fn metrics(request: Request<Arc<Shared>>) -> tide::Result<String> {
     let shared = request.state();
-    let mut text = String::new();
-    for (name, count) in shared.stats.all() {
-        writeln!(text, "gooseberryloft_entry_{name}_total {count}")?;
-    }
-    let in_flight = shared.drain.in_flight();
-    writeln!(text, "gooseberryloft_entry_in_flight {in_flight}")?;
-    Ok(text)
+    instruments().in_force(shared.router.view().state.number);
+    Ok(render())
+}
+
+async fn burn(request: Request<Arc<Shared>>) -> tide::Result<Body> {
+    let report = request.state().burn.report(Instant::now());
+    Body::from_json(&report)
 }
