Feed the controller's instruments

Cause: a controller served metrics without any values. Ruled out: counting inside the state machines (they stay free of global state); the adapters around them see every order, table call and ticket. Change: number in force, orders by outcome with the group's term, and failed table calls by kind reach the instruments.

--- a/src/control/outside.rs
+++ b/src/control/outside.rs
@@ -15,6 +15,7 @@
 use crate::ids::TargetId;
 use crate::ids::TicketNumber;
 use crate::member::VmTable;
+use crate::metrics;
 use crate::owner::group;
 use crate::owner::order::Order;
 use crate::owner::order::OrderReply;
@@ -90,7 +91,9 @@
         let client = client.or_insert_with(|| Arc::new(HttpClient::new(address, ORDER_LIMIT)));
         let client = client.clone();
         self.spawn(async move |_| {
-            let input = match send_order(&client, &order).await {
+            let reply = send_order(&client, &order).await;
+            count_order(&group, &order, reply.as_ref());
+            let input = match reply {
                 Some(reply) => group::Input::Reply { target, reply },
                 None => group::Input::OrderFailed { target },
             };
@@ -122,6 +125,16 @@
     futures::future::try_join_all(reads).await
 }
 
+fn count_order(group: &GroupId, order: &Order, reply: Option<&OrderReply>) {
+    let outcome = match reply {
+        None => "unanswered",
+        Some(reply) if reply.refused.is_some() => "refused",
+        Some(_) => "taken",
+    };
+    metrics::instruments().order(outcome);
+    metrics::instruments().term(group, order.term);
+}
+
 async fn send_order(client: &HttpClient, order: &Order) -> Option<OrderReply> {
     let body = serde_json::to_vec(order).ok()?;
     let reply = client.call(Method::Post, "/grants", &body).await.ok()?;
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -20,6 +20,7 @@
 use crate::link::Hello;
 use crate::link::Message;
 use crate::link::Outbox;
+use crate::metrics;
 use crate::owner::group;
 use crate::owner::message::Member;
 use crate::platform::Table;
@@ -211,6 +212,7 @@
         self.links.hello.store(Arc::new(hello));
         if let ViewChange::State(_) | ViewChange::Services { .. } = change {
             let number = view.state.number;
+            metrics::instruments().in_force(number);
             record(
                 events::Event::TicketInForce,
                 format_args!("ticket={number}"),
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::metrics;
 use crate::platform::ObjectStore;
 use crate::platform::Row;
 use crate::platform::Table;
@@ -64,7 +65,11 @@
     ) -> Result<T, TableError> {
         let body = to_cbor(body);
         let reply = self.table.call(Method::Post, path, &body).await;
-        from_cbor(&accepted(reply)?.body)
+        let answer = accepted(reply).and_then(|reply| from_cbor(&reply.body));
+        if let Err(error) = &answer {
+            metrics::instruments().table_error(error.kind());
+        }
+        answer
     }
 }
 
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use strum::IntoStaticStr;
 use thiserror::Error;
 
 /// Names one transaction; drawn at random, so that a lost answer can be resolved by reading.
@@ -63,7 +64,8 @@
 }
 
 /// Why an operation on the table or the object store failed.
-#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize, IntoStaticStr)]
+#[strum(serialize_all = "lowercase")]
 pub enum TableError {
     /// Nothing was changed: a row is not at the revision asked for.
     #[error("row {key} is at revision {found}; read it again and retry on what it holds now")]
@@ -81,6 +83,13 @@
     Unknown(String),
 }
 
+impl TableError {
+    /// Returns the kind of failure in a word.
+    pub fn kind(&self) -> &'static str {
+        self.into()
+    }
+}
+
 /// The platform's transactional table.
 pub trait Table: Send + Sync {
     /// Reads a row; a strong read unless the service says otherwise.
