--- a/src/bin/gooseberryloft-entry.rs
+++ b/src/bin/gooseberryloft-entry.rs
@@ -48,7 +48,7 @@
         println!("{}: settings are sound", path.display());
         return Ok(());
     }
-    events::init("gooseberryloft-entry", &settings.log)?;
+    events::init("entry", &settings.log)?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let entry = Entry::start(&settings)?;
     println!("callers on {}, admin on {}", entry.address(), entry.admin());
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -12,9 +12,12 @@
 use async_std::task;
 use thiserror::Error;
 
+use crate::burn::Recorder;
 use crate::events::Event;
 use crate::events::record;
 use crate::ids::BootId;
+use crate::route::EntryRank;
+use crate::route::RouterConfig;
 use crate::settings::Settings;
 use crate::traffic::admin;
 use crate::traffic::control;
@@ -70,7 +73,14 @@
         };
         let listener = bind(entry.listen, "listen")?;
         let admin = bind(entry.admin, "admin")?;
-        let shared = Arc::new(Shared::new(settings, Instant::now()));
+        let config = RouterConfig {
+            vm: settings.vm.name.clone(),
+            data_centre: settings.vm.data_centre.clone(),
+            rank: EntryRank::default(),
+            seed: rand::random(),
+        };
+        let burn = Recorder::new(settings, Instant::now());
+        let shared = Arc::new(Shared::new(config, burn));
         let mut workers = Vec::new();
         for index in 0..entry.threads.max(1) {
             let listener = listener.try_clone()?;
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_std::io::WriteExt;
@@ -10,6 +11,9 @@
 use futures::future::Either;
 use futures::future::select;
 
+use crate::events::Event;
+use crate::events::record;
+use crate::ids::ServiceId;
 use crate::metrics;
 use crate::route::AttemptEnd;
 use crate::route::Call;
@@ -23,19 +27,23 @@
 use crate::traffic::caller::Caller;
 use crate::traffic::caller::KEPT_BODY_BYTES;
 use crate::traffic::drain::Stage;
-use crate::traffic::ending::Ending;
-use crate::traffic::ending::Outcome;
 use crate::traffic::exchange::End;
 use crate::traffic::exchange::Request;
 use crate::traffic::exchange::exchange;
 use crate::traffic::head::RequestHead;
 use crate::traffic::refuse;
 use crate::traffic::relay::RelayError;
+use crate::traffic::request::Routed;
 use crate::traffic::request::classify;
-use crate::traffic::stats::Stats;
+use crate::traffic::stats;
+use crate::traffic::stats::InFlight;
+use crate::traffic::stats::Outcome;
 use crate::traffic::worker::CallerState;
 use crate::traffic::worker::Worker;
 
+/// Statuses from here on are the target's own failures.
+const SERVER_ERROR: u16 = 500;
+
 /// What is to happen with a caller's connection after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum After {
@@ -47,6 +55,27 @@
     Break,
 }
 
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+struct Served {
+    outcome: Outcome,
+    after: After,
+    answered: Instant,
+    /// Whether the answer is the target's own failure.
+    failed: bool,
+}
+
+impl Served {
+    fn new(outcome: Outcome, after: After) -> Self {
+        Self {
+            outcome,
+            after,
+            answered: Instant::now(),
+            failed: false,
+        }
+    }
+}
+
 /// Serves a caller until its connection ends.
 pub async fn serve(worker: &Worker, state: &CallerState, stream: TcpStream) {
     let mut caller = Caller::new(stream);
@@ -70,145 +99,131 @@
 }
 
 async fn serve_one(worker: &Worker, state: &CallerState, caller: &mut Caller) -> After {
-    let stats = &worker.shared.stats;
+    let shared = &worker.shared;
     let head = match caller.read_head(&worker.timers).await {
         Ok(Some(head)) => head,
         Ok(None) => return After::Break,
         Err(error) => {
-            Stats::count(&stats.malformed);
+            shared.stats.ended(Outcome::Malformed);
             let mut out = Vec::new();
             refuse::bad_head(&mut out, error);
             return send(caller, &out, After::Close).await;
         }
     };
-    Stats::count(&stats.requests);
-    let now = Instant::now();
-    let routed = match worker.shared.is_stale() {
+    let started = Instant::now();
+    let routed = match shared.is_stale() {
         true => Err(Refusal::NoTarget),
-        false => classify(&worker.shared.router, &head, now),
+        false => classify(&shared.router, &head, started),
     };
     let routed = match routed {
         Ok(routed) => routed,
         Err(refusal) => {
-            count_refused(worker, &head, refusal, now);
-            return refuse(worker, caller, &head, refusal, false).await;
+            let served = refuse(worker, caller, &head, refusal, false).await;
+            shared.stats.ended(served.outcome);
+            burn_refused(worker, &head, refusal);
+            return served.after;
         }
     };
-    state.set_work(Some((routed.info.service.clone(), now)));
-    let mut ending = Ending::new(&worker.shared, &routed.info.service, now);
-    if head.expects && head.framing != Framing::Empty && !caller.send_continue().await {
-        return After::Break;
-    }
-    let mut request = Request {
-        kept: Vec::new(),
-        rest: BodyDecoder::new(head.framing),
-        consumed: false,
-        answered: None,
-        head,
-        routed,
+    let service = routed.info.service.clone();
+    state.set_work(Some((service.clone(), started)));
+    let in_flight = InFlight::begin(&service);
+    let served = run(worker, caller, head, routed).await;
+    drop(in_flight);
+    shared.stats.ended(served.outcome);
+    let latency = served.answered.saturating_duration_since(started);
+    stats::tell(&service, &shared.data_centre, served.outcome, latency);
+    burn(worker, &service, &served, latency);
+    served.after
+}
+
+/// Counts a request against its service's objective. What callers break off or send malformed says
+/// nothing about the service.
+fn burn(worker: &Worker, service: &ServiceId, served: &Served, latency: Duration) {
+    let took = match served.outcome {
+        Outcome::Gone | Outcome::Malformed => return,
+        Outcome::Whole if !served.failed => Some(latency),
+        _ => None,
     };
-    match keep_body(worker, caller, &mut request).await {
-        Ok(()) => route(worker, caller, request, &mut ending).await,
-        Err(after) => {
-            if after != After::Break {
-                ending.end(Outcome::Malformed);
-            }
-            after
-        }
-    }
+    worker.shared.burn.record(service, took, Instant::now());
 }
 
 /// Counts a refusal against the service that the path belongs to, unless the caller is at fault.
-fn count_refused(worker: &Worker, head: &RequestHead, refusal: Refusal, now: Instant) {
+fn burn_refused(worker: &Worker, head: &RequestHead, refusal: Refusal) {
     if matches!(refusal, Refusal::NoService | Refusal::NoKey) {
         return;
     }
     if let Some(service) = worker.shared.router.service_of(&head.path) {
-        Ending::new(&worker.shared, &service, now).refused(refusal);
+        worker.shared.burn.record(&service, None, Instant::now());
     }
 }
 
-async fn keep_body(
-    worker: &Worker,
-    caller: &mut Caller,
-    request: &mut Request,
-) -> Result<(), After> {
-    let large = matches!(request.head.framing, Framing::Length(n) if n > KEPT_BODY_BYTES as u64);
-    if large {
-        return Ok(());
+async fn run(worker: &Worker, caller: &mut Caller, head: RequestHead, routed: Routed) -> Served {
+    if head.expects && head.framing != Framing::Empty && !caller.send_continue().await {
+        return Served::new(Outcome::Gone, After::Break);
     }
-    match caller.keep_body(&worker.timers, &mut request.rest).await {
-        Ok(kept) => {
-            request.kept = kept;
-            Ok(())
-        }
-        Err(RelayError::Malformed(error)) => Err(bad_body(worker, caller, &error).await),
-        Err(_) => {
-            Stats::count(&worker.shared.stats.gone);
-            Err(After::Break)
+    let mut request = Request {
+        kept: Vec::new(),
+        rest: BodyDecoder::new(head.framing),
+        consumed: false,
+        head,
+        routed,
+    };
+    let large = matches!(request.head.framing, Framing::Length(n) if n > KEPT_BODY_BYTES as u64);
+    if !large {
+        match caller.keep_body(&worker.timers, &mut request.rest).await {
+            Ok(kept) => request.kept = kept,
+            Err(RelayError::Malformed(error)) => return bad_body(caller, &error).await,
+            Err(_) => return Served::new(Outcome::Gone, After::Break),
         }
     }
+    route(worker, caller, request).await
 }
 
-async fn route(
-    worker: &Worker,
-    caller: &mut Caller,
-    mut request: Request,
-    ending: &mut Ending<'_>,
-) -> After {
+async fn route(worker: &Worker, caller: &mut Caller, mut request: Request) -> Served {
     let router = &worker.shared.router;
-    let stats = &worker.shared.stats;
-    let service = &request.routed.info.service.clone();
     let mut call = Call::new(request.routed.info.clone());
-    loop {
+    let refusal = loop {
         let lane = match next_step(worker, caller, &mut call).await {
             Some(Ok(lane)) => lane,
-            Some(Err(refusal)) => {
-                ending.refused(refusal);
-                let whole = request.rest.is_done();
-                return refuse(worker, caller, &request.head, refusal, whole).await;
-            }
-            None => {
-                Stats::count(&stats.gone);
-                return After::Break;
-            }
+            Some(Err(refusal)) => break refusal,
+            None => return Served::new(Outcome::Gone, After::Break),
         };
         let end = exchange(worker, caller, &mut request, &lane).await;
         if request.consumed {
             call.consumed();
         }
-        let ended = attempt_end(&end);
-        let next = call.ended(router, Instant::now(), lane, ended);
-        match end {
-            End::Failed(_) if next == Next::Again => metrics::instruments().retry(service),
-            End::Failed(_) => {
-                let refusal = match next {
-                    Next::Refuse(refusal) => refusal,
-                    _ => Refusal::Unknown,
-                };
-                ending.refused(refusal);
-                let whole = request.rest.is_done();
-                return refuse(worker, caller, &request.head, refusal, whole).await;
-            }
-            End::Whole { status, close } => {
-                ending.whole(status, request.answered);
-                Stats::count(&stats.whole);
-                return if close { After::Close } else { After::Keep };
-            }
-            End::Cut => {
-                ending.end(Outcome::Cut);
-                Stats::count(&stats.cut);
-                return After::Break;
-            }
-            End::Gone => {
-                Stats::count(&stats.gone);
-                return After::Break;
-            }
-            End::BadBody(error) => {
-                ending.end(Outcome::Malformed);
-                return bad_body(worker, caller, &error).await;
+        match (
+            call.ended(router, Instant::now(), lane, attempt_end(&end)),
+            end,
+        ) {
+            (Next::Again, End::Failed(_)) => {
+                metrics::instruments().retry(&request.routed.info.service);
             }
+            (Next::Refuse(refusal), End::Failed(_)) => break refusal,
+            (Next::Deliver, End::Failed(_)) => break Refusal::Unknown,
+            (_, end) => return delivered(caller, end).await,
         }
+    };
+    let whole = request.rest.is_done();
+    refuse(worker, caller, &request.head, refusal, whole).await
+}
+
+/// Returns what follows from an attempt whose answer, if any, went to the caller.
+async fn delivered(caller: &Caller, end: End) -> Served {
+    match end {
+        End::Whole {
+            status,
+            close,
+            answered,
+        } => Served {
+            outcome: Outcome::Whole,
+            after: if close { After::Close } else { After::Keep },
+            answered,
+            failed: status >= SERVER_ERROR,
+        },
+        End::Cut => Served::new(Outcome::Cut, After::Break),
+        End::BadBody(error) => bad_body(caller, &error).await,
+        End::Gone | End::Failed(_) => Served::new(Outcome::Gone, After::Break),
     }
 }
 
@@ -253,30 +268,33 @@
 
 async fn refuse(
     worker: &Worker,
-    caller: &mut Caller,
+    caller: &Caller,
     head: &RequestHead,
     refusal: Refusal,
     body_read: bool,
-) -> After {
-    let stats = &worker.shared.stats;
-    Stats::count(match refusal {
-        Refusal::Unknown => &stats.unknown,
-        _ => &stats.not_run,
-    });
+) -> Served {
+    record(
+        Event::RequestRefused,
+        format_args!("{refusal}: {} {}", head.method, head.path),
+    );
+    let outcome = match refusal {
+        Refusal::Unknown => Outcome::Unknown,
+        _ => Outcome::NotRun,
+    };
     let draining = worker.shared.drain.stage() > Stage::Serving;
     let body_read = body_read || head.framing == Framing::Empty;
     let close = draining || !head.keep_alive || !body_read;
     let mut out = Vec::new();
     refuse::refusal(&mut out, refusal, close);
     let after = if close { After::Close } else { After::Keep };
-    send(caller, &out, after).await
+    Served::new(outcome, send(caller, &out, after).await)
 }
 
-async fn bad_body(worker: &Worker, caller: &Caller, error: &dyn std::error::Error) -> After {
-    Stats::count(&worker.shared.stats.malformed);
+async fn bad_body(caller: &Caller, error: &dyn std::error::Error) -> Served {
     let mut out = Vec::new();
     refuse::bad_request(&mut out, error);
-    send(caller, &out, After::Close).await
+    let after = send(caller, &out, After::Close).await;
+    Served::new(Outcome::Malformed, after)
 }
 
 async fn send(caller: &Caller, out: &[u8], after: After) -> After {
