--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -39,9 +39,10 @@
 use crate::traffic::stats::InFlight;
 use crate::traffic::stats::Outcome;
 use crate::traffic::worker::CallerState;
+use crate::traffic::worker::Shared;
 use crate::traffic::worker::Worker;
 
-/// Statuses from here on are the target's own failures.
+/// The lowest status with which a target says that it failed.
 const SERVER_ERROR: u16 = 500;
 
 /// What is to happen with a caller's connection after a request.
@@ -61,8 +62,7 @@
     outcome: Outcome,
     after: After,
     answered: Instant,
-    /// Whether the answer is the target's own failure.
-    failed: bool,
+    status: u16,
 }
 
 impl Served {
@@ -71,7 +71,7 @@
             outcome,
             after,
             answered: Instant::now(),
-            failed: false,
+            status: 0,
         }
     }
 }
@@ -120,7 +120,7 @@
         Err(refusal) => {
             let served = refuse(worker, caller, &head, refusal, false).await;
             shared.stats.ended(served.outcome);
-            burn_refused(worker, &head, refusal);
+            burn_refused(shared, &head, refusal);
             return served.after;
         }
     };
@@ -132,28 +132,28 @@
     shared.stats.ended(served.outcome);
     let latency = served.answered.saturating_duration_since(started);
     stats::tell(&service, &shared.data_centre, served.outcome, latency);
-    burn(worker, &service, &served, latency);
+    burn(shared, &service, &served, latency);
     served.after
 }
 
-/// Counts a request against its service's objective. What callers break off or send malformed says
+/// Counts a request for the burn report; one that the caller broke off or sent malformed says
 /// nothing about the service.
-fn burn(worker: &Worker, service: &ServiceId, served: &Served, latency: Duration) {
+fn burn(shared: &Shared, service: &ServiceId, served: &Served, latency: Duration) {
     let took = match served.outcome {
         Outcome::Gone | Outcome::Malformed => return,
-        Outcome::Whole if !served.failed => Some(latency),
+        Outcome::Whole if served.status < SERVER_ERROR => Some(latency),
         _ => None,
     };
-    worker.shared.burn.record(service, took, Instant::now());
+    shared.burn.record(service, took, Instant::now());
 }
 
 /// Counts a refusal against the service that the path belongs to, unless the caller is at fault.
-fn burn_refused(worker: &Worker, head: &RequestHead, refusal: Refusal) {
+fn burn_refused(shared: &Shared, head: &RequestHead, refusal: Refusal) {
     if matches!(refusal, Refusal::NoService | Refusal::NoKey) {
         return;
     }
-    if let Some(service) = worker.shared.router.service_of(&head.path) {
-        worker.shared.burn.record(&service, None, Instant::now());
+    if let Some(service) = shared.router.service_of(&head.path) {
+        shared.burn.record(&service, None, Instant::now());
     }
 }
 
@@ -219,7 +219,7 @@
             outcome: Outcome::Whole,
             after: if close { After::Close } else { After::Keep },
             answered,
-            failed: status >= SERVER_ERROR,
+            status,
         },
         End::Cut => Served::new(Outcome::Cut, After::Break),
         End::BadBody(error) => bad_body(caller, &error).await,
--- a/src/traffic/worker.rs
+++ b/src/traffic/worker.rs
@@ -48,10 +48,10 @@
     pub drain: Drain,
     /// Counts for operators.
     pub stats: Stats,
-    /// Counts for the burn report.
-    pub burn: Recorder,
     /// Whether the view has gone unconfirmed for too long to be used.
     pub stale: AtomicBool,
+    /// Counts for the burn report.
+    pub burn: Recorder,
 }
 
 impl Shared {
@@ -63,8 +63,8 @@
             pool: Pool::default(),
             drain: Drain::default(),
             stats: Stats::default(),
-            burn,
             stale: AtomicBool::new(true),
+            burn,
         }
     }
 
--- a/tests/burn_entry.rs
+++ b/tests/burn_entry.rs
@@ -3,6 +3,7 @@
 mod traffic_support;
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -41,6 +42,7 @@
 fn requests_are_counted_for_burn_and_metrics() {
     answers_are_good_and_a_targets_own_failures_are_bad();
     callers_mistakes_do_not_burn();
+    refusals_of_an_unconfirmed_entry_burn();
 }
 
 fn answers_are_good_and_a_targets_own_failures_are_bad() {
@@ -74,3 +76,21 @@
         contains_substring("gooseberryloft_in_flight{service=\"roster\"} 0")
     );
 }
+
+// The entry may confirm its view again at any moment, so the refusal is asked for until it comes.
+fn refusals_of_an_unconfirmed_entry_burn() {
+    let entry = entry(view(&[answering(|_| text("fine"))]));
+    let mut asked = 0;
+    loop {
+        entry.shared().stale.store(true, Ordering::Relaxed);
+        asked += 1;
+        if get(entry.address(), "/a").starts_with("HTTP/1.1 503 ") {
+            break;
+        }
+    }
+    let good = asked - 1;
+    expect_that!(
+        counted(entry.admin(), asked),
+        eq(Counts { good, total: asked })
+    );
+}
