--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -56,6 +56,11 @@
         token: conf.token.clone(),
     };
     let admin = bind(conf.controller.admin, "admin").await?;
+    println!(
+        "peers on {}, admin on {}",
+        peers.local_addr()?,
+        admin.local_addr()?
+    );
     task::spawn(operator::run(admin, operators));
     watch_signals(events.clone())?;
 
