--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -8,13 +8,12 @@
 
 use googletest::prelude::*;
 
-use gooseberryloft::standin::Faults;
-
 use crate::process_support::Program;
 use crate::process_support::Site;
 use crate::process_support::ask;
 use crate::process_support::serve_target;
 use crate::process_support::wait_for;
+use gooseberryloft::standin::Faults;
 
 const KEYS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
