--- a/tests/ticket_filing.rs
+++ b/tests/ticket_filing.rs
@@ -1,187 +1,21 @@
 //! Operators that race, over a table that throttles, loses answers and applies writes late.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+mod ticket_support;
+
 use std::time::Instant;
 
 use googletest::prelude::*;
 use proptest::prelude::*;
 
+use crate::ticket_support::FakeTable;
+use crate::ticket_support::Fault;
+use crate::ticket_support::Operator;
+use crate::ticket_support::STEP;
+use crate::ticket_support::text;
 use gooseberryloft::ids::TicketNumber;
-use gooseberryloft::platform::Mutation;
-use gooseberryloft::platform::Row;
-use gooseberryloft::platform::TableError;
-use gooseberryloft::platform::Transaction;
-use gooseberryloft::platform::WriteId;
-use gooseberryloft::ticket;
 use gooseberryloft::ticket::Action;
-use gooseberryloft::ticket::Filing;
 use gooseberryloft::ticket::InForce;
-use gooseberryloft::ticket::Input;
-use gooseberryloft::ticket::LoadError;
 use gooseberryloft::ticket::Outcome;
-use gooseberryloft::ticket::Snapshot;
-use gooseberryloft::ticket::Ticket;
-
-const STEP: Duration = Duration::from_millis(20);
-const FILING_LIMIT: Duration = Duration::from_millis(800);
-
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    None,
-    Throttled,
-    LostBefore,
-    LostAfter,
-    Late,
-}
-
-#[derive(Default)]
-struct FakeTable {
-    rows: BTreeMap<String, Row>,
-    late: Vec<Transaction>,
-    history: Vec<Ticket>,
-    writers: Vec<WriteId>,
-}
-
-impl FakeTable {
-    fn get(&self, key: &str) -> Option<Row> {
-        self.rows.get(key).cloned()
-    }
-
-    fn services(&self) -> Vec<Row> {
-        let rows = self.rows.values();
-        rows.filter(|row| row.key.starts_with(ticket::SERVICE_PREFIX))
-            .cloned()
-            .collect()
-    }
-
-    fn load(&self) -> std::result::Result<Snapshot, LoadError> {
-        Snapshot::from_rows(self.get(ticket::IN_FORCE_KEY).as_ref(), &self.services())
-    }
-
-    fn commit(&mut self, tx: &Transaction, fault: Fault) -> std::result::Result<(), TableError> {
-        let lost = Err(TableError::Unknown("timeout".to_owned()));
-        match fault {
-            Fault::None => self.apply(tx),
-            Fault::Throttled => Err(TableError::Throttled),
-            Fault::LostBefore => lost,
-            Fault::LostAfter => {
-                let _ = self.apply(tx);
-                lost
-            }
-            Fault::Late => {
-                self.late.push(tx.clone());
-                lost
-            }
-        }
-    }
-
-    fn apply(&mut self, tx: &Transaction) -> std::result::Result<(), TableError> {
-        for condition in &tx.conditions {
-            let found = self.rows.get(&condition.key).map_or(0, |row| row.revision);
-            if found != condition.revision {
-                let key = condition.key.clone();
-                return Err(TableError::Conflict { key, found });
-            }
-        }
-        for mutation in &tx.mutations {
-            match mutation {
-                Mutation::Put { key, value } => self.put(tx.id, key, value),
-                Mutation::Delete { key } => drop(self.rows.remove(key)),
-            }
-        }
-        Ok(())
-    }
-
-    fn put(&mut self, writer: WriteId, key: &str, value: &[u8]) {
-        if key.starts_with("ticket/") {
-            let text = std::str::from_utf8(value).expect("tickets are text");
-            self.history
-                .push(ticket::parse(text).expect("accepted tickets are valid"));
-            self.writers.push(writer);
-        }
-        let revision = self.rows.get(key).map_or(0, |row| row.revision) + 1;
-        let row = Row {
-            key: key.to_owned(),
-            revision,
-            writer,
-            value: value.to_vec(),
-        };
-        self.rows.insert(key.to_owned(), row);
-    }
-}
-
-struct Operator {
-    base: TicketNumber,
-    text: String,
-    id: WriteId,
-    filing: Filing,
-    action: Action,
-    in_force: Option<Option<Row>>,
-    outcomes: Vec<(Ticket, WriteId, Outcome)>,
-}
-
-impl Operator {
-    fn new(text: String, id: u128, now: Instant) -> Self {
-        let ticket = ticket::parse(&text).expect("the generated ticket is valid");
-        let id = WriteId(id);
-        let filing = Filing::new(ticket.clone(), &text, id, now + FILING_LIMIT);
-        let action = filing.start();
-        Self {
-            base: ticket.base,
-            text,
-            id,
-            filing,
-            action,
-            in_force: None,
-            outcomes: Vec::new(),
-        }
-    }
-
-    fn refile(&mut self, text: String, id: u128, now: Instant) {
-        let outcomes = std::mem::take(&mut self.outcomes);
-        *self = Self {
-            outcomes,
-            ..Self::new(text, id, now)
-        };
-    }
-
-    // A load takes two turns, so that a ticket can be accepted between its reads.
-    fn turn(&mut self, table: &mut FakeTable, fault: Fault, now: Instant) {
-        let input = match &self.action {
-            Action::Load => match self.in_force.take() {
-                None => {
-                    self.in_force = Some(table.get(ticket::IN_FORCE_KEY));
-                    return;
-                }
-                Some(row) => Input::Loaded(Snapshot::from_rows(row.as_ref(), &table.services())),
-            },
-            Action::Read(key) => match fault {
-                Fault::Throttled => Input::Read(Err(TableError::Throttled)),
-                _ => Input::Read(Ok(table.get(key))),
-            },
-            Action::Commit(tx) => Input::Committed(table.commit(tx, fault)),
-            Action::Wait(until) if now < *until => return,
-            Action::Wait(_) => Input::Woken,
-            Action::Done(_) => return,
-        };
-        self.action = self.filing.step(input, now);
-        if let Action::Done(outcome) = &self.action {
-            let ticket = ticket::parse(&self.text).expect("valid");
-            self.outcomes.push((ticket, self.id, outcome.clone()));
-        }
-    }
-}
-
-fn text(base: TicketNumber, step: u64, variant: u8) -> String {
-    let number = base.0 + step;
-    format!(
-        "[ticket]\nnumber = {number}\nbase = {base}\n[service s]\npath = /s\nidempotent = GET\n\
-         deadline = {} s\n[target s t]\naddress = 127.0.0.1:9001\ndata_centre = ikeja\nslots = 2\n\
-         connections = 45\nchecks_term = no\n",
-        variant + 1
-    )
-}
 
 fn fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
