Prove a refusal that a stale read could bring about

Cause: a replica of the table may lag. A ticket filed again after it had been accepted was refused when the read was older than its base: the new test and the property failed on that (BaseReplaced for an accepted ticket). Ruled out: asking for strong reads (the table service need not have them); reading several times (each may be stale). Change: where the state read is older than the ticket's base, or the ticket's row is missing though the number in force has passed it, the refusal waits for a transaction without changes that holds only at the revisions read. A conflict there means stale: the filing reads again. Conclusion: a filing never relies on the freshness of a read.

--- a/src/ticket/file.rs
+++ b/src/ticket/file.rs
@@ -2,7 +2,9 @@
 //!
 //! Whatever goes wrong, the filing reads the state in force again and decides from what it finds.
 //! All its attempts carry one [`WriteId`] and one condition, so at most one takes effect, and a
-//! lost answer is resolved by the writer of the ticket's row.
+//! lost answer is resolved by the writer of the ticket's row. Reads may come from a stale replica;
+//! a refusal that a stale read could bring about is proved first, by a transaction that changes
+//! nothing and holds only if the rows are still at the revisions read.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -44,9 +46,9 @@
 /// What is to be done next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Load the state in force, by strong reads.
+    /// Load the state in force.
     Load,
-    /// Read the row of that key, by a strong read.
+    /// Read the row of that key.
     Read(String),
     /// Commit the transaction.
     Commit(Transaction),
@@ -65,6 +67,7 @@
     deadline: Instant,
     pause: Duration,
     in_force: TicketNumber,
+    proving: Option<Outcome>,
 }
 
 impl Filing {
@@ -77,6 +80,7 @@
             deadline,
             pause: FIRST_PAUSE,
             in_force: TicketNumber(0),
+            proving: None,
         }
     }
 
@@ -91,16 +95,22 @@
             Input::Woken => Action::Load,
             Input::Loaded(Ok(snapshot)) => self.decide(&snapshot),
             Input::Loaded(Err(error)) => self.pause(&error.to_string(), now),
-            Input::Read(Ok(row)) => Action::Done(self.judge(row.as_ref())),
-            Input::Committed(Ok(())) => Action::Done(Outcome::Accepted {
-                number: self.ticket.number,
-            }),
-            Input::Committed(Err(TableError::Conflict { .. })) if now < self.deadline => {
+            Input::Read(Ok(row)) => self.judge(row.as_ref()),
+            Input::Committed(result) => self.committed(result, now),
+            Input::Read(Err(error)) => self.pause(&error.to_string(), now),
+        }
+    }
+
+    fn committed(&mut self, result: Result<(), TableError>, now: Instant) -> Action {
+        let proved = self.proving.take();
+        let number = self.ticket.number;
+        match result {
+            Ok(()) => Action::Done(proved.unwrap_or(Outcome::Accepted { number })),
+            // Another ticket came first: what it left is read at once.
+            Err(TableError::Conflict { .. }) if proved.is_none() && now < self.deadline => {
                 Action::Load
             }
-            Input::Read(Err(error)) | Input::Committed(Err(error)) => {
-                self.pause(&error.to_string(), now)
-            }
+            Err(error) => self.pause(&error.to_string(), now),
         }
     }
 
@@ -110,9 +120,13 @@
         if self.ticket.number <= state.number {
             return Action::Read(rows::ticket_key(self.ticket.number));
         }
-        if self.ticket.base != state.number {
+        if self.ticket.base < state.number {
             return Action::Done(self.base_replaced());
         }
+        if self.ticket.base > state.number {
+            let key = rows::IN_FORCE_KEY.to_owned();
+            return self.prove(self.base_replaced(), condition(key, snapshot.revision));
+        }
         let faults = check::change(state, &self.ticket);
         if faults.is_empty() {
             return Action::Commit(self.transaction(snapshot));
@@ -122,15 +136,27 @@
     }
 
     // The state in force has reached the ticket's number; its row tells whose ticket that was.
-    fn judge(&self, row: Option<&Row>) -> Outcome {
+    fn judge(&mut self, row: Option<&Row>) -> Action {
         let number = self.ticket.number;
         let in_force = self.in_force;
-        match row {
-            None => self.base_replaced(),
-            Some(row) if row.writer == self.id => Outcome::Accepted { number },
-            Some(row) if self.is_same(row) => Outcome::AlreadyAccepted { number, in_force },
-            Some(_) => Outcome::NumberTaken { number, in_force },
-        }
+        let Some(row) = row else {
+            let absent = condition(rows::ticket_key(number), 0);
+            return self.prove(self.base_replaced(), absent);
+        };
+        Action::Done(match row {
+            row if row.writer == self.id => Outcome::Accepted { number },
+            row if self.is_same(row) => Outcome::AlreadyAccepted { number, in_force },
+            _ => Outcome::NumberTaken { number, in_force },
+        })
+    }
+
+    fn prove(&mut self, outcome: Outcome, holds: Condition) -> Action {
+        self.proving = Some(outcome);
+        Action::Commit(Transaction {
+            id: WriteId(!self.id.0),
+            conditions: vec![holds],
+            mutations: Vec::new(),
+        })
     }
 
     fn is_same(&self, row: &Row) -> bool {
--- a/tests/ticket_filing.rs
+++ b/tests/ticket_filing.rs
@@ -24,6 +24,7 @@
         1 => Just(Fault::LostBefore),
         2 => Just(Fault::LostAfter),
         2 => Just(Fault::Late),
+        2 => (1..4usize).prop_map(Fault::Stale),
     ]
 }
 
@@ -129,14 +130,28 @@
 }
 
 fn file_alone(table: &mut FakeTable, text: &str, id: u128, faults: &[Fault]) -> Outcome {
+    file_reading(table, text, id, faults, Fault::None)
+}
+
+// Reads meet their fault until the filing first commits something or waits.
+fn file_reading(
+    table: &mut FakeTable,
+    text: &str,
+    id: u128,
+    faults: &[Fault],
+    mut reads: Fault,
+) -> Outcome {
     let mut now = Instant::now();
     let mut operator = Operator::new(text.to_owned(), id, now);
     let mut faults = faults.iter().copied();
     loop {
         let fault = match operator.action {
             Action::Commit(_) => faults.next().unwrap_or(Fault::None),
-            _ => Fault::None,
+            _ => reads,
         };
+        if let Action::Commit(_) | Action::Wait(_) = operator.action {
+            reads = Fault::None;
+        }
         operator.turn(table, fault, now);
         if let Action::Done(outcome) = operator.action {
             return outcome;
@@ -223,3 +238,20 @@
         contains_substring("file the same file again")
     );
 }
+
+#[googletest::test]
+fn a_stale_replica_does_not_turn_an_accepted_ticket_into_a_refused_one() {
+    let mut table = FakeTable::default();
+    let second = text(TicketNumber(1), 1, 1);
+    file_alone(&mut table, &text(TicketNumber(0), 1, 0), 1, &[]);
+    file_alone(&mut table, &second, 2, &[]);
+    let number = TicketNumber(2);
+    for commits in 1..=2 {
+        let again = file_reading(&mut table, &second, 3, &[], Fault::Stale(commits));
+        let accepted = Outcome::AlreadyAccepted {
+            number,
+            in_force: number,
+        };
+        expect_that!(again, eq(&accepted), "{commits} commits behind");
+    }
+}
--- a/tests/ticket_support/mod.rs
+++ b/tests/ticket_support/mod.rs
@@ -32,30 +32,42 @@
     LostBefore,
     LostAfter,
     Late,
+    /// Reads see the rows as they were before this many commits.
+    Stale(usize),
 }
 
 #[derive(Default)]
 pub struct FakeTable {
     pub rows: BTreeMap<String, Row>,
+    past: Vec<BTreeMap<String, Row>>,
     pub late: Vec<Transaction>,
     pub history: Vec<Ticket>,
     pub writers: Vec<WriteId>,
 }
 
 impl FakeTable {
-    pub fn get(&self, key: &str) -> Option<Row> {
-        self.rows.get(key).cloned()
+    pub fn get(&self, key: &str, fault: Fault) -> Option<Row> {
+        self.seen(fault).get(key).cloned()
     }
 
-    fn services(&self) -> Vec<Row> {
-        let rows = self.rows.values();
+    fn seen(&self, fault: Fault) -> &BTreeMap<String, Row> {
+        let Fault::Stale(commits) = fault else {
+            return &self.rows;
+        };
+        let at = self.past.len().saturating_sub(commits);
+        self.past.get(at).unwrap_or(&self.rows)
+    }
+
+    fn services(&self, fault: Fault) -> Vec<Row> {
+        let rows = self.seen(fault).values();
         rows.filter(|row| row.key.starts_with(ticket::SERVICE_PREFIX))
             .cloned()
             .collect()
     }
 
     pub fn load(&self) -> std::result::Result<Snapshot, LoadError> {
-        Snapshot::from_rows(self.get(ticket::IN_FORCE_KEY).as_ref(), &self.services())
+        let row = self.get(ticket::IN_FORCE_KEY, Fault::None);
+        Snapshot::from_rows(row.as_ref(), &self.services(Fault::None))
     }
 
     pub fn commit(
@@ -65,7 +77,7 @@
     ) -> std::result::Result<(), TableError> {
         let lost = Err(TableError::Unknown("timeout".to_owned()));
         match fault {
-            Fault::None => self.apply(tx),
+            Fault::None | Fault::Stale(_) => self.apply(tx),
             Fault::Throttled => Err(TableError::Throttled),
             Fault::LostBefore => lost,
             Fault::LostAfter => {
@@ -87,6 +99,9 @@
                 return Err(TableError::Conflict { key, found });
             }
         }
+        if !tx.mutations.is_empty() {
+            self.past.push(self.rows.clone());
+        }
         for mutation in &tx.mutations {
             match mutation {
                 Mutation::Put { key, value } => self.put(tx.id, key, value),
@@ -154,14 +169,17 @@
         let input = match &self.action {
             Action::Load => match self.in_force.take() {
                 None => {
-                    self.in_force = Some(table.get(ticket::IN_FORCE_KEY));
+                    self.in_force = Some(table.get(ticket::IN_FORCE_KEY, fault));
                     return;
                 }
-                Some(row) => Input::Loaded(Snapshot::from_rows(row.as_ref(), &table.services())),
+                Some(row) => {
+                    let services = table.services(fault);
+                    Input::Loaded(Snapshot::from_rows(row.as_ref(), &services))
+                }
             },
             Action::Read(key) => match fault {
                 Fault::Throttled => Input::Read(Err(TableError::Throttled)),
-                _ => Input::Read(Ok(table.get(key))),
+                _ => Input::Read(Ok(table.get(key, fault))),
             },
             Action::Commit(tx) => Input::Committed(table.commit(tx, fault)),
             Action::Wait(until) if now < *until => return,
