Give hot keys shards of their own and even out by load

Cause: with Zipf keys the hottest of them decide the balance, and a hashed shard cannot be split. Ruled out: the load of each hashed shard in the entries' reports (1,024 numbers every 5 s an entry, more than half of a node's 5 KB/s); targets' own load endpoints, which mislead. Change: owner::sketch counts keys on the entry in bounded memory (space-saving); owner::loads averages what several entries saw; the holder carves keys above 1.5 % of a target's mean load out of their hashed shard, at most 64 a group, and merges them back below 0.5 %. To carve, the owner first releases the hashed shard, which then gets a higher fence together with the new one. Plans weigh shards by load and move only for a gain of 6 % of the peak, then go on until it is even. A plan on load that is not known yet (after a takeover) leaves single-key shards and their neighbours where they are. VMs are ranked as member::candidates ranks them. EntryReport gains `rates`. Fault found by the random schedules and mended: when samples ran out, load counted as even and shards moved for nothing. A key on its way over two carves and a merge was accepted at one place only, also from every earlier view.

--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -1,5 +1,7 @@
 //! The messages between our processes. Unknown fields are ignored; new fields need a default.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
@@ -82,6 +84,9 @@
     /// The hottest keys of each keyed service, hottest first.
     #[serde(default)]
     pub hot_keys: Vec<HotKey>,
+    /// Requests a second of each keyed service.
+    #[serde(default)]
+    pub rates: BTreeMap<ServiceId, f64>,
 }
 
 /// One hot key.
--- a/src/owner/assignment.rs
+++ b/src/owner/assignment.rs
@@ -83,7 +83,7 @@
         let hot_keys = newer
             .hot_keys
             .iter()
-            .filter(|(key, _)| !self.hot_keys.contains_key(key));
+            .filter(|(key, shard)| self.hot_keys.get(key) != Some(shard));
         AssignmentDelta {
             group: self.group.clone(),
             base: self.version,
--- a/src/owner/group/base.rs
+++ b/src/owner/group/base.rs
@@ -16,12 +16,12 @@
 use crate::owner::group::Action;
 use crate::owner::group::FIRST_TERM;
 use crate::owner::group::GroupConf;
-use crate::owner::group::Loads;
 use crate::owner::group::Peer;
 use crate::owner::group::elect;
 use crate::owner::group::fleet::Fleet;
 use crate::owner::group::store::Rows;
 use crate::owner::group::store::Store;
+use crate::owner::loads::Samples;
 use crate::owner::message::Ask;
 use crate::owner::message::Member;
 use crate::owner::message::PeerMessage;
@@ -61,7 +61,8 @@
     pub rng: ChaCha8Rng,
     pub service: Option<Service>,
     pub peers: Vec<Peer>,
-    pub loads: Loads,
+    /// The load as the entries saw it lately.
+    pub samples: Samples,
     pub store: Store,
     pub fleet: Fleet,
     /// Who controls the group under the newest term known.
@@ -100,7 +101,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             service: None,
             peers: Vec::new(),
-            loads: Loads::default(),
+            samples: Samples::default(),
             fleet: Fleet::default(),
             place: None,
             asks: Asks::default(),
@@ -169,6 +170,12 @@
             .collect()
     }
 
+    /// Returns the hashed shard of a key.
+    pub fn shard_of(&self, key_hash: u64) -> Option<Shard> {
+        let keying = self.service.as_ref()?.keying.as_ref()?;
+        Some(keying.shard_of(key_hash))
+    }
+
     /// Returns the owners as the table has them.
     pub fn shards(&self) -> Option<&ShardsRow> {
         self.store.rows()?.shards.as_ref()
--- a/src/owner/group/elect.rs
+++ b/src/owner/group/elect.rs
@@ -1,9 +1,10 @@
 //! Which VMs control a group: ranked by hash, in different data centres where possible.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::ids::GroupId;
-use crate::ids::VmId;
+use crate::ids::DataCentre;
+use crate::member::score;
 use crate::owner::group::base::Base;
 use crate::owner::message::Member;
 
@@ -37,14 +38,18 @@
     members
 }
 
+/// Ranks the VMs as [`candidates`](crate::member::candidates) does, so that those named run the
+/// group: no data centre comes again before every other one came as often.
 fn ranked(base: &Base) -> Vec<Member> {
+    let purpose = base.conf.group.to_string();
     let peers = base.peers.iter().filter(|peer| !peer.leaving);
     let mut members: Vec<Member> = peers.map(|peer| peer.member.clone()).collect();
-    members.sort_by_cached_key(|m| std::cmp::Reverse(weight(&base.conf.group, &m.vm)));
+    members.sort_by_cached_key(|m| (score(&purpose, &m.vm), m.vm.clone()));
+    let mut rounds: BTreeMap<DataCentre, usize> = BTreeMap::new();
+    members.sort_by_cached_key(|m| {
+        let round = rounds.entry(m.data_centre.clone()).or_default();
+        *round += 1;
+        *round
+    });
     members
 }
-
-/// Rendezvous hashing: each group ranks the VMs in an order of its own.
-fn weight(group: &GroupId, vm: &VmId) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(format!("{group} {vm}").as_bytes())
-}
--- a/src/owner/group/io.rs
+++ b/src/owner/group/io.rs
@@ -6,10 +6,10 @@
 use crate::ids::BootId;
 use crate::ids::DataCentre;
 use crate::ids::GroupId;
-use crate::ids::Shard;
 use crate::ids::TargetId;
 use crate::ids::Term;
 use crate::ids::VmId;
+use crate::owner::loads::Loads;
 use crate::owner::message::Member;
 use crate::owner::message::PeerMessage;
 use crate::owner::order::Order;
@@ -46,26 +46,6 @@
     pub leaving: bool,
 }
 
-/// The request rate of one key.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct KeyRate {
-    /// The hash of the key.
-    pub hash: u64,
-    /// Requests a second.
-    pub rate: f64,
-}
-
-/// The load of a group's keys, summed over all entries.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Loads {
-    /// Requests a second over all keys of the group.
-    pub total: f64,
-    /// The hottest keys, hottest first.
-    pub keys: Vec<KeyRate>,
-    /// Requests a second of each hashed shard, where known.
-    pub shards: Vec<(Shard, f64)>,
-}
-
 /// What a group's state machine is told.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -108,7 +88,7 @@
         /// The message.
         message: PeerMessage,
     },
-    /// The load of the group's keys.
+    /// The load of the group's keys that this VM's own entry saw; a sample of the whole.
     Loads(Loads),
 }
 
--- a/src/owner/group/mod.rs
+++ b/src/owner/group/mod.rs
@@ -26,6 +26,7 @@
 use crate::owner::group::lead::Lead;
 use crate::owner::group::store::Outcome;
 use crate::owner::group::watch::Watch;
+use crate::owner::loads::Loads;
 use crate::owner::message::Ask;
 use crate::owner::message::PeerMessage;
 use crate::owner::message::Place;
@@ -39,8 +40,6 @@
 pub use io::GroupConf;
 pub use io::GroupStatus;
 pub use io::Input;
-pub use io::KeyRate;
-pub use io::Loads;
 pub use io::Peer;
 
 const SHORTEST_TICK: Duration = Duration::from_millis(10);
@@ -82,7 +81,7 @@
             Input::Tick | Input::OrderFailed { .. } => {}
             Input::Service(service) => self.base.set_service(now, service),
             Input::Vms(peers) => self.base.peers = peers,
-            Input::Loads(loads) => self.base.loads = loads,
+            Input::Loads(loads) => self.on_loads(now, loads, &mut out),
             Input::Reply { target, reply } => self.on_reply(now, &target, &reply, &mut out),
             Input::Peer { from, message } => self.on_peer(now, &from, message, &mut out),
             Input::RowsRead { id, result } => {
@@ -310,6 +309,7 @@
                     self.base.read_due = self.base.read_due.min(now);
                 }
             }
+            PeerMessage::Loads(loads) => self.base.samples.take(now, from, loads),
             PeerMessage::Leave(term) => match &mut self.role {
                 Role::Holder(lead) if term == self.base.term() => {
                     lead.on_leave(&mut self.base, now, from)
@@ -359,6 +359,19 @@
         }
     }
 
+    /// The holder sums the samples; the others send theirs to it.
+    fn on_loads(&mut self, now: Instant, loads: Loads, out: &mut Vec<Action>) {
+        let holder = self.base.place.as_ref().and_then(Place::holder);
+        let Some(holder) = holder.map(|m| m.vm.clone()) else {
+            return;
+        };
+        if holder == self.base.conf.me {
+            self.base.samples.take(now, &holder, loads);
+        } else {
+            self.base.send(&holder, PeerMessage::Loads(loads), out);
+        }
+    }
+
     fn on_stop(&mut self, now: Instant, from: &VmId, stop: Stop, out: &mut Vec<Action>) {
         if stop.place.term > self.base.term() {
             self.adopt(now, stop.place, out);
--- a/src/owner/message.rs
+++ b/src/owner/message.rs
@@ -8,6 +8,7 @@
 use crate::ids::TargetId;
 use crate::ids::Term;
 use crate::ids::VmId;
+use crate::owner::loads::Loads;
 
 /// One process that may control a group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -50,7 +51,7 @@
 }
 
 /// One message about a group between two VMs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Asks a member whether it still vouches for a term.
     Ask(Ask),
@@ -64,6 +65,8 @@
     Newer(Term),
     /// A deputy of the term is about to stop as planned.
     Leave(Term),
+    /// What an entry saw of the load of the group's keys; sent to the holder.
+    Loads(Loads),
     /// The holder of the term is about to stop as planned and asks a deputy to take over.
     Take(Term),
 }
--- a/src/owner/plan.rs
+++ b/src/owner/plan.rs
@@ -5,10 +5,25 @@
 use crate::ids::Shard;
 use crate::ids::TargetId;
 
-const PEAK_LIMIT: f64 = 1.08;
-const LOW_LIMIT: f64 = 0.85;
+/// Moves are worth it when they lower the peak by this part of a target's share ...
+const PEAK_GAIN: f64 = 0.06;
+/// ... or fill up the emptiest target by this part.
+const LOW_GAIN: f64 = 0.15;
+/// Once moves go on, they go on until the gain is below this part of those.
+const MOVING_PART: f64 = 0.1;
 const ROUNDING: f64 = 1e-9;
 
+/// Whether shards move already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    /// Only what no seat owns is placed.
+    Held,
+    /// Nothing moves; small gains are left alone.
+    Steady,
+    /// Moves are going on; they end when the load is even.
+    Moving,
+}
+
 /// A target that may own shards.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seat {
@@ -38,19 +53,27 @@
     pub to: TargetId,
 }
 
-/// Places the pieces that no seat owns, then evens out, with the fewest moves.
+/// Places the pieces that no seat owns, then evens out, with the fewest moves, where that gains
+/// enough.
 ///
 /// Without seats nothing can be placed and the plan is empty.
-pub fn plan(seats: &[Seat], pieces: &[Piece]) -> Vec<Step> {
+pub fn plan(seats: &[Seat], pieces: &[Piece], pace: Pace) -> Vec<Step> {
     if seats.is_empty() {
         return Vec::new();
     }
-    let mut table = Table::new(seats, pieces);
-    table.place();
-    if table.uneven() {
-        table.even_out();
-    }
-    table.steps()
+    let mut placed = Table::new(seats, pieces);
+    placed.place();
+    let part = match pace {
+        Pace::Held => return placed.steps(),
+        Pace::Steady => 1.0,
+        Pace::Moving => MOVING_PART,
+    };
+    let mut even = placed.clone();
+    even.even_out();
+    let lower = placed.peak() - even.peak() >= PEAK_GAIN * part;
+    let fuller = even.low() - placed.low() >= LOW_GAIN * part;
+    let best = if lower || fuller { even } else { placed };
+    best.steps()
 }
 
 /// Returns the peak over the mean of the load per slot.
@@ -58,6 +81,7 @@
     Table::new(seats, pieces).peak()
 }
 
+#[derive(Clone)]
 struct Table<'a> {
     seats: &'a [Seat],
     pieces: &'a [Piece],
@@ -112,11 +136,6 @@
         }
     }
 
-    fn uneven(&self) -> bool {
-        let ratio = |i: usize| self.loads[i] / self.shares[i].max(f64::MIN_POSITIVE);
-        (0..self.seats.len()).any(|i| ratio(i) > PEAK_LIMIT || ratio(i) < LOW_LIMIT)
-    }
-
     fn even_out(&mut self) {
         for _ in 0..self.pieces.len() {
             let Some((piece, seat)) = self.best_move() else {
@@ -172,8 +191,17 @@
     }
 
     fn peak(&self) -> f64 {
-        let ratio = |i: usize| self.loads[i] / self.shares[i].max(f64::MIN_POSITIVE);
-        (0..self.seats.len()).map(ratio).fold(0.0, f64::max)
+        self.ratios().fold(0.0, f64::max)
+    }
+
+    fn low(&self) -> f64 {
+        self.ratios().fold(f64::INFINITY, f64::min)
+    }
+
+    /// Returns the load of each seat as a part of its share.
+    fn ratios(&self) -> impl Iterator<Item = f64> {
+        let parts = self.loads.iter().zip(&self.shares);
+        parts.map(|(load, share)| load / share.max(f64::MIN_POSITIVE))
     }
 
     fn steps(&self) -> Vec<Step> {
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -189,6 +189,7 @@
                     let report = EntryReport {
                         number: self.view.state.number,
                         hot_keys: hot_keys(),
+                        ..EntryReport::default()
                     };
                     actions.push(Action::Send(Message::Report(report)));
                 }
--- a/tests/owner_faults.rs
+++ b/tests/owner_faults.rs
@@ -12,6 +12,8 @@
 use crate::table::Mode;
 use crate::world::Sizes;
 use crate::world::World;
+use gooseberryloft::owner::loads::KeyRate;
+use gooseberryloft::owner::loads::Loads;
 use gooseberryloft::owner::right::VouchPolicy;
 use gooseberryloft::ticket::TargetState;
 
@@ -39,6 +41,8 @@
     Slow(u64),
     Loss,
     Lossless,
+    /// One key takes this part of the load.
+    Heat(u64, f64),
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -67,6 +71,7 @@
         (20..900u64).prop_map(Fault::Slow),
         Just(Fault::Loss),
         Just(Fault::Lossless),
+        (0..3u64, 0.0..0.5).prop_map(|(key, part)| Fault::Heat(key, part)),
     ]
 }
 
@@ -101,6 +106,20 @@
         Fault::Table(mode) => world.table.mode = mode,
         Fault::Slow(ms) => world.table.latency = Duration::from_millis(ms),
         Fault::Loss => (world.loss, world.twice) = (0.05, 0.05),
+        Fault::Heat(key, part) => {
+            let rate = 1000.0 * part;
+            let keys = vec![KeyRate { hash: key, rate }];
+            for vm in 0..VMS {
+                let keys = keys.clone();
+                world.sample_loads(
+                    vm,
+                    Loads {
+                        total: 1000.0,
+                        keys,
+                    },
+                );
+            }
+        }
         Fault::Lossless => (world.loss, world.twice) = (0.0, 0.0),
     }
 }
--- /dev/null
+++ b/tests/owner_hot_keys.rs
@@ -0,0 +1,179 @@
+//! Hot keys get shards of their own, and load evens out with few moves.
+
+#[path = "support/owner_table.rs"]
+mod table;
+#[path = "support/owner_world.rs"]
+mod world;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::world::Sizes;
+use crate::world::World;
+use gooseberryloft::ids::Shard;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::ids::key_hash;
+use gooseberryloft::owner::loads::Loads;
+use gooseberryloft::owner::order::ShardFence;
+use gooseberryloft::owner::sketch::Sketch;
+
+const KEYS: usize = 100_000;
+const SKETCH_KEYS: usize = 1024;
+const REPORTED: usize = 128;
+const REQUESTS: usize = 20_000;
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// Keys drawn by Zipf's law with exponent 1.
+struct Zipf {
+    hashes: Vec<u64>,
+    sums: Vec<f64>,
+}
+
+impl Zipf {
+    fn new() -> Self {
+        let hashes = (0..KEYS).map(|i| key_hash(format!("job-{i}").as_bytes()));
+        let mut sum = 0.0;
+        let sums = (0..KEYS).map(|i| {
+            sum += 1.0 / (i + 1) as f64;
+            sum
+        });
+        Self {
+            hashes: hashes.collect(),
+            sums: sums.collect(),
+        }
+    }
+
+    fn draw(&self, rng: &mut impl Rng) -> u64 {
+        let at = rng.random_range(0.0..self.sums[KEYS - 1]);
+        self.hashes[self.sums.partition_point(|sum| *sum <= at)]
+    }
+
+    /// Returns the highest peak over mean that is asked for: the hottest key alone may force more.
+    fn limit(&self, targets: usize) -> f64 {
+        let forced = targets as f64 / self.sums[KEYS - 1];
+        f64::max(1.15, 1.05 * forced)
+    }
+
+    /// Returns the peak over the mean of the targets' true load.
+    fn peak(&self, world: &World) -> f64 {
+        let row = world.shards_row().expect("a row of shards");
+        let mut loads: BTreeMap<&TargetId, f64> = BTreeMap::new();
+        for (i, hash) in self.hashes.iter().enumerate() {
+            let hashed = Shard((hash % u64::from(world.sizes.shards)) as u32);
+            let shard = row.hot_keys.get(hash).copied().unwrap_or(hashed);
+            *loads.entry(&row.owners[&shard].target).or_default() += 1.0 / (i + 1) as f64;
+        }
+        let peak = loads.values().copied().fold(0.0, f64::max);
+        peak * world.sizes.targets as f64 / self.sums[KEYS - 1]
+    }
+}
+
+/// Lets a period of load pass, seen by the entries through their sketches.
+fn pass(world: &mut World, zipf: &Zipf) {
+    let mut rng = world.rng.clone();
+    world.rng.random::<u64>();
+    for vm in 0..world.vms.len() {
+        let mut sketch = Sketch::new(SKETCH_KEYS);
+        for _ in 0..REQUESTS / world.vms.len() {
+            sketch.record(zipf.draw(&mut rng));
+        }
+        let counted = sketch.take(PERIOD, REPORTED);
+        let loads = Loads {
+            total: counted.total,
+            keys: counted.keys,
+        };
+        world.sample_loads(vm, loads);
+    }
+    world.run(PERIOD);
+}
+
+#[test]
+fn zipf_load_evens_out_and_stays_put() {
+    let mut world = World::new(Sizes {
+        targets: 15,
+        shards: 1024,
+        sample: Duration::from_millis(200),
+        ..Sizes::default()
+    });
+    world.run(Duration::from_secs(3));
+    let zipf = Zipf::new();
+    println!("before: {:.3}", zipf.peak(&world));
+    world.mark();
+    for _ in 0..8 {
+        pass(&mut world, &zipf);
+    }
+    let peak = zipf.peak(&world);
+    let row = world.shards_row().expect("a row of shards");
+    println!(
+        "after: {peak:.3} hot={} top={}",
+        row.hot_keys.len(),
+        row.top
+    );
+    let limit = zipf.limit(world.sizes.targets);
+    assert!(peak <= limit, "{peak} over {limit}");
+    let before = row.owners;
+    let minutes = 1;
+    for _ in 0..12 * minutes {
+        pass(&mut world, &zipf);
+    }
+    let after = world.shards_row().expect("a row of shards").owners;
+    let moved = after
+        .iter()
+        .filter(|(shard, owner)| before.get(shard) != Some(owner));
+    let moved = moved.count();
+    println!("moved: {moved} peak: {:.3}", zipf.peak(&world));
+    assert!(
+        moved * 1000 <= minutes * after.len(),
+        "{moved} shards moved"
+    );
+}
+
+#[test]
+fn a_key_on_its_way_is_served_at_one_place() {
+    let mut world = World::new(Sizes {
+        targets: 4,
+        shards: 8,
+        ..Sizes::default()
+    });
+    let hot = key_hash(b"depot-7");
+    let hashed = Shard((hot % 8) as u32);
+    let group = World::group_id();
+    let mut places = BTreeSet::new();
+    let mut shards = BTreeSet::new();
+    for round in 0..400 {
+        let rate = if (round / 100) % 2 == 0 { 400.0 } else { 0.0 };
+        let keys = vec![gooseberryloft::owner::loads::KeyRate { hash: hot, rate }];
+        let total = 1000.0;
+        world.sample_loads(0, Loads { total, keys });
+        for _ in 0..20 {
+            world.run(Duration::from_millis(5));
+            if let Some(held) = world.view.groups.get(&group) {
+                let shard = held.hot_keys.get(&hot).copied().unwrap_or(hashed);
+                shards.insert(shard);
+                let owner = &held.owners[&shard];
+                let fence = owner.fence;
+                let target = owner.target.clone();
+                places.extend(target.map(|target| (target, shard, fence)));
+            }
+            // Entries with any earlier view may still send the key where that view says.
+            let now = world.now;
+            let takers = places.iter().filter(|(target, shard, fence)| {
+                let at = ShardFence {
+                    shard: *shard,
+                    fence: *fence,
+                };
+                let process = world.targets.get_mut(target).and_then(|p| p.last_mut());
+                process.is_some_and(|p| p.grants.check(now, &group, at).is_ok())
+            });
+            let takers: BTreeSet<_> = takers.map(|(target, ..)| target).collect();
+            assert!(takers.len() <= 1, "key served by {takers:?}");
+        }
+    }
+    assert!(
+        shards.len() >= 3,
+        "carved twice, merged between: {shards:?}"
+    );
+}
--- a/tests/owner_scenarios.rs
+++ b/tests/owner_scenarios.rs
@@ -122,7 +122,8 @@
     }
 }
 
-/// A process of the world by its name, or a VM by its part: `holder`, `deputy1`, `deputy2`.
+/// A process of the world by its name, or a VM by its part: `holder`, `deputy1`, `deputy2`,
+/// `paused`.
 enum Node {
     Vm(usize),
     Target(TargetId),
@@ -162,6 +163,11 @@
         "holder" => newest.holder,
         "deputy1" => newest.deputies.first().cloned(),
         "deputy2" => newest.deputies.get(1).cloned(),
+        "paused" => world
+            .vms
+            .iter()
+            .find(|vm| vm.paused.is_some())
+            .map(|vm| vm.name.clone()),
         _ => Some(VmId::from(name)),
     };
     vm.map_or(name.into(), |vm| vm.to_string())
--- a/tests/support/owner_world.rs
+++ b/tests/support/owner_world.rs
@@ -27,6 +27,7 @@
 use gooseberryloft::owner::group::GroupConf;
 use gooseberryloft::owner::group::Input;
 use gooseberryloft::owner::group::Peer;
+use gooseberryloft::owner::loads::Loads;
 use gooseberryloft::owner::message::Member;
 use gooseberryloft::owner::order::Order;
 use gooseberryloft::owner::right::VouchPolicy;
@@ -348,6 +349,11 @@
         self.schedule_tick(vm);
     }
 
+    /// Tells one VM what its entry saw of the load.
+    pub fn sample_loads(&mut self, vm: usize, loads: Loads) {
+        self.input(vm, Duration::ZERO, Input::Loads(loads));
+    }
+
     pub fn set_service(&mut self) {
         for vm in 0..self.vms.len() {
             let service = Some(self.service.clone());
@@ -653,8 +659,11 @@
             return;
         }
         let reply = process.grants.order(now, order);
+        let grants = !order.grant.is_empty();
         let (vm, boot, target) = (*vm, *boot, target.clone());
-        self.check();
+        if grants {
+            self.check();
+        }
         if !self.is_cut(vm, target.as_str()) {
             let input = Box::new(Input::Reply { target, reply });
             self.deliver(Job::Input { vm, boot, input });
