--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -36,6 +36,7 @@
 use crate::traffic::request::Routed;
 use crate::traffic::request::classify;
 use crate::traffic::stats;
+use crate::traffic::stats::InFlight;
 use crate::traffic::stats::Outcome;
 use crate::traffic::worker::CallerState;
 use crate::traffic::worker::Shared;
@@ -119,12 +120,15 @@
         Err(refusal) => {
             let served = refuse(worker, caller, &head, refusal, false).await;
             shared.stats.ended(served.outcome);
+            burn_refused(shared, &head, refusal);
             return served.after;
         }
     };
     let service = routed.info.service.clone();
     state.set_work(Some((service.clone(), started)));
+    let in_flight = InFlight::begin(&service);
     let served = run(worker, caller, head, routed).await;
+    drop(in_flight);
     shared.stats.ended(served.outcome);
     let latency = served.answered.saturating_duration_since(started);
     stats::tell(&service, &shared.data_centre, served.outcome, latency);
@@ -143,6 +147,16 @@
     shared.burn.record(service, took, Instant::now());
 }
 
+/// Counts a refusal against the service that the path belongs to, unless the caller is at fault.
+fn burn_refused(shared: &Shared, head: &RequestHead, refusal: Refusal) {
+    if matches!(refusal, Refusal::NoService | Refusal::NoKey) {
+        return;
+    }
+    if let Some(service) = shared.router.service_of(&head.path) {
+        shared.burn.record(&service, None, Instant::now());
+    }
+}
+
 async fn run(worker: &Worker, caller: &mut Caller, head: RequestHead, routed: Routed) -> Served {
     if head.expects && head.framing != Framing::Empty && !caller.send_continue().await {
         return Served::new(Outcome::Gone, After::Break);
