Find the sections of a file without comparing each with all

Cause: the list of section names was searched for each name, a square of their number. Ruled out: sorting (the order of the file is kept for the faults). Change: a set of the names seen. Conclusion: the rest grows nearly with the text; it is read once a ticket.

--- a/src/inifile/document.rs
+++ b/src/inifile/document.rs
@@ -1,5 +1,7 @@
 //! A parsed file and the faults found in it so far.
 
+use std::collections::HashSet;
+
 use ini::Ini;
 use ini::ParseOption;
 
@@ -37,12 +39,12 @@
 
     /// Returns the names of the sections, in the order of the file; empty before the first.
     pub fn names(&self) -> Vec<String> {
-        let mut names: Vec<String> = Vec::new();
+        let mut seen = HashSet::new();
+        let mut names = Vec::new();
         for name in self.ini.sections() {
             let name = name.unwrap_or_default();
             let unused = name.is_empty() && self.ini.general_section().is_empty();
-            let known = names.iter().any(|known| known == name);
-            if !unused && !known {
+            if !unused && seen.insert(name) {
                 names.push(name.to_owned());
             }
         }
