--- /dev/null
+++ b/tests/docs_operations.rs
@@ -0,0 +1,92 @@
+//! The operators' page and the code name the same settings, ticket keys and alerts.
+
+use std::collections::BTreeSet;
+
+use googletest::prelude::*;
+use strum::IntoEnumIterator;
+
+use gooseberryloft::events::Event;
+use gooseberryloft::settings::Settings;
+use gooseberryloft::ticket;
+
+const PAGE: &str = include_str!("../docs/OPERATIONS.md");
+
+// The rows of the tables of one chapter.
+fn rows(chapter: &str) -> Vec<Vec<&'static str>> {
+    let start = PAGE
+        .find(&format!("\n## {chapter}\n"))
+        .expect("the chapter exists");
+    let text = &PAGE[start + 4..];
+    let end = text.find("\n## ").unwrap_or(text.len());
+    let lines = text[..end].lines().filter(|line| line.starts_with("| "));
+    lines
+        .map(|line| line.trim_matches('|').split('|').map(str::trim).collect())
+        .collect()
+}
+
+// The keys that a section takes, as the refusal of an unknown one lists them.
+fn keys(faults: &str, section: &str) -> BTreeSet<String> {
+    let place = format!("[{section}] nonsense: ");
+    let line = faults
+        .lines()
+        .find(|line| line.contains(&place))
+        .expect("refused");
+    let list = line.split("use one of: ").nth(1).expect("keys are listed");
+    list.split(", ").map(str::to_owned).collect()
+}
+
+fn documented(chapter: &str, section: &str) -> BTreeSet<String> {
+    let rows = rows(chapter);
+    let own = rows.iter().filter(|row| row[0] == section);
+    own.map(|row| row[1].to_owned()).collect()
+}
+
+#[googletest::test]
+fn each_setting_is_on_the_page() {
+    let sections = [
+        "vm",
+        "entry",
+        "controller",
+        "platform",
+        "security",
+        "report",
+        "log",
+    ];
+    let text: String = sections.map(|s| format!("[{s}]\nnonsense = 1\n")).concat();
+    let faults = Settings::parse("vm.ini", &text)
+        .expect_err("nothing is valid")
+        .to_string();
+    for section in sections {
+        expect_that!(documented("Settings", section), eq(&keys(&faults, section)));
+    }
+}
+
+#[googletest::test]
+fn each_key_of_a_ticket_is_on_the_page() {
+    let text = "[ticket]\nnonsense = 1\n[service a]\nkey = path\nnonsense = 1\n\
+                [target a b]\nnonsense = 1\n";
+    let faults = ticket::parse(text)
+        .expect_err("nothing is valid")
+        .to_string();
+    let sections = [
+        ("ticket", "ticket"),
+        ("service a", "service NAME"),
+        ("target a b", "target SERVICE NAME"),
+    ];
+    for (section, named) in sections {
+        expect_that!(documented("Tickets", named), eq(&keys(&faults, section)));
+    }
+}
+
+#[googletest::test]
+fn each_warning_and_error_is_an_alert() {
+    // Past the heading and the line below it.
+    let alerts: BTreeSet<String> = rows("Alerts")
+        .iter()
+        .skip(2)
+        .map(|r| r[1].to_owned())
+        .collect();
+    let warned = Event::iter().filter(|event| event.level() <= log::Level::Warn);
+    let warned: BTreeSet<String> = warned.map(|event| <&str>::from(event).to_owned()).collect();
+    expect_that!(alerts, eq(&warned));
+}
