Let readers of the commands' output stop early

Ruled out: restoring the default SIGPIPE (needs unsafe code). Change: all output goes through fallible writes; a broken pipe is no failure. Conclusion: the commands can be piped.

--- a/src/bin/gooseberryloft-ctl.rs
+++ b/src/bin/gooseberryloft-ctl.rs
@@ -20,8 +20,11 @@
     match run(&arguments().get_matches()) {
         Ok(()) => ExitCode::from(Exit::Done as u8),
         Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(error.exit() as u8)
+            let exit = error.exit();
+            if exit != Exit::Done {
+                eprintln!("{error}");
+            }
+            ExitCode::from(exit as u8)
         }
     }
 }
--- a/src/bin/gooseberryloft-report.rs
+++ b/src/bin/gooseberryloft-report.rs
@@ -1,6 +1,7 @@
 //! The burn report: gathers from the entries and tells which services miss their objective.
 
 use std::io;
+use std::io::ErrorKind;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -93,7 +94,11 @@
     if let Some(svg) = args.get_one::<PathBuf>("svg") {
         report::write_chart(svg, &report)?;
     }
-    write_report(args, &report)?;
+    match write_report(args, &report) {
+        // A reader that has seen enough, such as `head`, is no failure.
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => {}
+        written => written.context("cannot write the output; check where standard output goes")?,
+    }
     Ok(exit_code(&report))
 }
 
@@ -108,7 +113,7 @@
     }
 }
 
-fn write_report(args: &ArgMatches, report: &Report) -> anyhow::Result<()> {
+fn write_report(args: &ArgMatches, report: &Report) -> io::Result<()> {
     let mut wtr = io::stdout().lock();
     if args.get_flag("json") {
         serde_json::to_writer_pretty(&mut wtr, report)?;
--- a/src/ctl/cmd/check.rs
+++ b/src/ctl/cmd/check.rs
@@ -1,5 +1,7 @@
 //! `check`: checks a ticket without a controller.
 
+use std::io;
+use std::io::Write;
 use std::path::PathBuf;
 
 use clap::Arg;
@@ -34,13 +36,14 @@
     let text = read_file(path)?;
     let ticket = parse(&path.display().to_string(), &text)?;
     let targets: usize = ticket.services.values().map(|s| s.targets.len()).sum();
-    println!(
+    writeln!(
+        io::stdout().lock(),
         "ticket {} on {}: {} services with {targets} targets, {} removed; sound by itself",
         ticket.number,
         ticket.base,
         ticket.services.len(),
         ticket.removed.len()
-    );
+    )?;
     Ok(())
 }
 
--- a/src/ctl/cmd/file.rs
+++ b/src/ctl/cmd/file.rs
@@ -1,5 +1,7 @@
 //! `file`: files a ticket, and waits until it is in force everywhere if asked to.
 
+use std::io;
+use std::io::Write;
 use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
@@ -64,7 +66,7 @@
 fn report(outcome: Outcome, file: &str) -> Result<(), CtlError> {
     match outcome {
         Outcome::Accepted { .. } | Outcome::AlreadyAccepted { .. } => {
-            println!("{outcome}");
+            writeln!(io::stdout().lock(), "{outcome}")?;
             Ok(())
         }
         Outcome::Invalid { errors } => {
@@ -85,8 +87,8 @@
         let progress = match client.status().await {
             Ok(status) if lagging(&status, number).is_empty() => {
                 let after = start.elapsed().as_secs_f64();
-                println!("ticket {number} is in force on every VM after {after:.1} s");
-                return Ok(());
+                let text = format!("ticket {number} is in force on every VM after {after:.1} s");
+                return Ok(writeln!(io::stdout().lock(), "{text}")?);
             }
             Ok(status) => lagging(&status, number).join("; "),
             Err(error) => error.to_string(),
--- a/src/ctl/cmd/mod.rs
+++ b/src/ctl/cmd/mod.rs
@@ -6,11 +6,13 @@
 pub mod show;
 pub mod status;
 
+use std::io::Write;
 use std::path::Path;
 
 use clap::Arg;
 use clap::ArgAction;
 use clap::ArgMatches;
+use serde::Serialize;
 
 use crate::ctl::CtlError;
 
@@ -32,3 +34,8 @@
         source,
     })
 }
+
+fn write_json(wtr: &mut impl Write, value: &impl Serialize) -> Result<(), CtlError> {
+    let text = serde_json::to_string_pretty(value)?;
+    Ok(writeln!(wtr, "{text}")?)
+}
--- a/src/ctl/cmd/owner.rs
+++ b/src/ctl/cmd/owner.rs
@@ -1,5 +1,8 @@
 //! `owner`: writes which target owns a key.
 
+use std::io;
+use std::io::Write;
+
 use async_std::task;
 use clap::Arg;
 use clap::ArgMatches;
@@ -9,6 +12,7 @@
 use crate::ctl::CtlError;
 use crate::ctl::cmd::json_argument;
 use crate::ctl::cmd::text_argument;
+use crate::ctl::cmd::write_json;
 use crate::ids::ServiceId;
 use crate::inifile::kinds;
 
@@ -37,18 +41,19 @@
     let service = ServiceId::from(text_argument(args, "service"));
     let key = text_argument(args, "key");
     let owner = task::block_on(client.owner(&service, key))?;
+    let mut wtr = io::stdout().lock();
     if args.get_flag("json") {
-        println!("{}", serde_json::to_string_pretty(&owner)?);
-        return Ok(());
+        return write_json(&mut wtr, &owner);
     }
     let target = owner.target.as_ref();
-    println!(
+    writeln!(
+        wtr,
         "target {}",
         target.map_or("none at present", |t| t.as_str())
-    );
-    println!("group  {}", owner.group);
-    println!("shard  {}", owner.shard);
-    println!("fence  {}", owner.fence);
+    )?;
+    writeln!(wtr, "group  {}", owner.group)?;
+    writeln!(wtr, "shard  {}", owner.shard)?;
+    writeln!(wtr, "fence  {}", owner.fence)?;
     Ok(())
 }
 
--- a/src/ctl/cmd/show.rs
+++ b/src/ctl/cmd/show.rs
@@ -1,5 +1,8 @@
 //! `show`: writes the state in force, or an accepted ticket.
 
+use std::io;
+use std::io::Write;
+
 use async_std::task;
 use clap::Arg;
 use clap::ArgMatches;
@@ -9,6 +12,7 @@
 use crate::ctl::Config;
 use crate::ctl::CtlError;
 use crate::ctl::cmd::json_argument;
+use crate::ctl::cmd::write_json;
 use crate::ids::TicketNumber;
 use crate::ticket;
 
@@ -31,21 +35,22 @@
 pub fn run(args: &ArgMatches) -> Result<(), CtlError> {
     let client = Config::load(args)?.client();
     let json = args.get_flag("json");
+    let mut wtr = io::stdout().lock();
     match args.get_one("number") {
         Some(&number) => {
             let text = task::block_on(client.ticket(TicketNumber(number)))?;
             match json {
-                true => println!("{}", serde_json::to_string_pretty(&ticket::parse(&text)?)?),
-                false => print!("{text}"),
+                true => write_json(&mut wtr, &ticket::parse(&text)?)?,
+                false => write!(wtr, "{text}")?,
             }
         }
         None => {
             let state = task::block_on(client.state())?;
             match json {
-                true => println!("{}", serde_json::to_string_pretty(&state)?),
+                true => write_json(&mut wtr, &state)?,
                 false => {
-                    println!("; number in force: {}", state.number);
-                    print!("{}", ticket::write(&state.next_ticket()));
+                    writeln!(wtr, "; number in force: {}", state.number)?;
+                    write!(wtr, "{}", ticket::write(&state.next_ticket()))?;
                 }
             }
         }
--- a/src/ctl/cmd/status.rs
+++ b/src/ctl/cmd/status.rs
@@ -13,6 +13,7 @@
 use crate::ctl::Config;
 use crate::ctl::CtlError;
 use crate::ctl::cmd::json_argument;
+use crate::ctl::cmd::write_json;
 
 /// Describes the command.
 pub fn command() -> Command {
@@ -31,7 +32,7 @@
     let status = task::block_on(client.status())?;
     let mut wtr = io::stdout().lock();
     match args.get_flag("json") {
-        true => writeln!(wtr, "{}", serde_json::to_string_pretty(&status)?)?,
+        true => write_json(&mut wtr, &status)?,
         false => write_status(&mut wtr, &status)?,
     }
     Ok(())
--- a/src/ctl/error.rs
+++ b/src/ctl/error.rs
@@ -1,5 +1,7 @@
 //! Why a command failed, and the exit code that follows.
 
+use std::io::ErrorKind;
+
 use thiserror::Error;
 
 use crate::platform::client::CallError;
@@ -60,6 +62,8 @@
             Self::Refused(_) => Exit::Refused,
             Self::Ticket(_) | Self::Settings(_) | Self::Read { .. } => Exit::Usage,
             Self::Unreachable(_) | Self::Answer(_) | Self::Unknown(_) => Exit::Unknown,
+            // A reader that has seen enough, such as `head`, is no failure.
+            Self::Write(error) if error.kind() == ErrorKind::BrokenPipe => Exit::Done,
             Self::Write(_) => Exit::Usage,
         }
     }
--- a/tests/ctl_commands.rs
+++ b/tests/ctl_commands.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Command;
+use std::process::Stdio;
 use std::sync::Arc;
 
 use async_std::channel::Receiver;
@@ -275,6 +276,30 @@
     expect_that!(filed.code, eq(0));
 }
 
+#[googletest::test]
+fn a_reader_that_has_seen_enough_is_no_failure() {
+    let bench = Bench::start("pipe");
+    for args in [
+        &["show"][..],
+        &["show", "--json"],
+        &["status"],
+        &["status", "--json"],
+    ] {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_gooseberryloft-ctl"))
+            .args(args)
+            .args(["--settings", "vm.ini"])
+            .current_dir(&bench.folder)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        drop(child.stdout.take());
+        let output = child.wait_with_output().expect("the program ends");
+        expect_that!(output.status.code(), some(eq(0)), "{args:?}");
+        expect_that!(String::from_utf8_lossy(&output.stderr), eq(""));
+    }
+}
+
 #[googletest::test]
 fn cut_and_lengthless_tickets_change_nothing() {
     let bench = Bench::start("cut");
