Watch callers only once an answer takes longer than 20 ms

Cause: a profile at full load shows 63 % of a traffic thread's time in send, which two sends a request need, and 15 % in recv, of which 8 were made a request; five of those found nothing. Ruled out: leaving out the check of a pooled connection before its use, which keeps late and doubled answers from the next request; another runtime for the 13 system calls a request that its reactor makes at 5,500/s. Change: a caller is looked at only when its request has run for 20 ms. A caller that went away is noticed 20 ms later.

--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -2,6 +2,7 @@
 
 use std::net::Shutdown;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
@@ -24,6 +25,7 @@
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 const LINGER_LIMIT: Duration = Duration::from_secs(1);
 const LINGER_BYTES: usize = 1 << 20;
+const WATCH_AFTER: Duration = Duration::from_millis(20);
 const FIRST_PROBE: Duration = Duration::from_millis(20);
 const LAST_PROBE: Duration = Duration::from_secs(1);
 
@@ -116,7 +118,7 @@
     }
 }
 
-/// Waits until the caller is gone.
+/// Waits until the caller is gone; looks only after [`WATCH_AFTER`], when most are answered.
 ///
 /// A caller that ends its side may still wait for the answer. An interim answer tells: the
 /// system of a caller that closed its connection rejects it, and then the next write fails.
@@ -126,6 +128,7 @@
     timers: &Timers,
     may_probe: impl Fn() -> bool,
 ) -> Gone {
+    timers.sleep_until(Instant::now() + WATCH_AFTER).await;
     loop {
         if reader.is_full() {
             return std::future::pending().await;
@@ -139,7 +142,7 @@
     let mut pause = FIRST_PROBE;
     let mut stream = stream;
     loop {
-        let _ = timers.within(pause, std::future::pending::<()>()).await;
+        timers.sleep_until(Instant::now() + pause).await;
         if !may_probe() {
             return std::future::pending().await;
         }
