--- a/examples/measure/sim.rs
+++ b/examples/measure/sim.rs
@@ -14,6 +14,12 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::policy::Plain;
+use crate::policy::Policy;
+use crate::world::World;
+use crate::world::centre_id;
+use crate::world::service_id;
+use crate::world::target_id;
 use gooseberryloft::ids::VmId;
 use gooseberryloft::route::AttemptEnd;
 use gooseberryloft::route::Call;
@@ -26,13 +32,6 @@
 use gooseberryloft::route::RouterConfig;
 use gooseberryloft::route::Step;
 
-use crate::policy::Plain;
-use crate::policy::Policy;
-use crate::world::World;
-use crate::world::centre_id;
-use crate::world::service_id;
-use crate::world::target_id;
-
 /// How long an entry gathers changes before it tells the others.
 const TELL_MICROS: u64 = 250;
 
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -70,6 +70,8 @@
     TargetEjected = 511,
     /// The table service does not answer.
     TableDown = 600,
+    /// The table service answers again.
+    TableUp = 601,
 }
 
 impl Event {
--- a/src/traffic/worker.rs
+++ b/src/traffic/worker.rs
@@ -16,6 +16,7 @@
 use async_std::net::TcpStream;
 use async_std::task;
 
+use crate::burn::Recorder;
 use crate::events::Event;
 use crate::events::record;
 use crate::ids::DataCentre;
@@ -49,11 +50,13 @@
     pub stats: Stats,
     /// Whether the view has gone unconfirmed for too long to be used.
     pub stale: AtomicBool,
+    /// Counts for the burn report.
+    pub burn: Recorder,
 }
 
 impl Shared {
     /// Starts without a view.
-    pub fn new(config: RouterConfig) -> Self {
+    pub fn new(config: RouterConfig, burn: Recorder) -> Self {
         Self {
             data_centre: config.data_centre.clone(),
             router: Router::with_config(Arc::default(), config),
@@ -61,6 +64,7 @@
             drain: Drain::default(),
             stats: Stats::default(),
             stale: AtomicBool::new(true),
+            burn,
         }
     }
 
