Pay for the second try on a fresh connection out of the retry budget

Cause: a target that takes more than half of its time looks like a silent connection; each of its repeatable requests on a reused connection was sent twice. Ruled out: a budget of its own beside the service's retry budget, since both together would exceed the bound on retries. Change: a lane pays from its service's budget before the second try (one method in route/lane.rs). Conclusion: second tries count towards the bound on retries. A silent connection met with an empty budget ends as unknown, and its siblings are dropped all the same.

--- a/examples/throughput/process.rs
+++ b/examples/throughput/process.rs
@@ -11,11 +11,10 @@
 use std::thread;
 use std::time::Duration;
 
-use gooseberryloft::view::View;
-
 use crate::traffic_support::controller;
 use crate::traffic_support::get;
 use crate::traffic_support::settings;
+use gooseberryloft::view::View;
 
 const TICKS_PER_SECOND: f64 = 100.0;
 const POLL: Duration = Duration::from_millis(10);
--- a/src/route/lane.rs
+++ b/src/route/lane.rs
@@ -58,6 +58,11 @@
             suspect: info.suspect,
         }
     }
+
+    /// Pays for a second try within the attempt; returns whether the retry budget allowed it.
+    pub(crate) fn may_retry(&self) -> bool {
+        self.shared.budget.withdraw()
+    }
 }
 
 impl Drop for Lane {
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -101,7 +101,9 @@
     // A connection that something on the way has lost track of swallows what is sent on it.
     let half = now + lane.deadline.saturating_duration_since(now) / 2;
     let first = attempt(worker, caller, request, lane, conn, half).await;
-    if !matches!(first, End::Failed(AttemptEnd::Silent)) {
+    let silent = matches!(first, End::Failed(AttemptEnd::Silent));
+    // A slow target looks the same, so the second try is paid for as a retry.
+    if !silent || !lane.may_retry() {
         return first;
     }
     match exchange_fresh(worker, caller, request, lane).await {
--- a/tests/traffic_faults.rs
+++ b/tests/traffic_faults.rs
@@ -282,7 +282,9 @@
         ends_with("\r\n\r\nab")
     );
     expect_that!(asked.load(Ordering::Relaxed), eq(2));
-    let alone = crate::traffic_support::entry(view(&[answering(|_| NOT_RUN.to_vec())]));
+    let mut quick = service("/", &[answering(|_| NOT_RUN.to_vec())]);
+    quick.deadline_ms = 300;
+    let alone = crate::traffic_support::entry(view_of(quick));
     let answer = exchange(alone.address(), &post("/charge"));
     expect_that!(answer, starts_with("HTTP/1.1 503 "));
     expect_that!(
@@ -313,6 +315,30 @@
     expect_that!(get(entry.address(), "/"), ends_with("connection 1"));
 }
 
+#[googletest::test]
+fn a_slow_target_is_not_given_its_work_twice_beyond_the_budget() {
+    const REQUESTS: usize = 60;
+    let ran = Arc::new(AtomicUsize::new(0));
+    let count = ran.clone();
+    let address = answering(move |seen| {
+        if seen.head.starts_with("GET /slow") {
+            count.fetch_add(1, Ordering::Relaxed);
+            thread::sleep(Duration::from_millis(70));
+        }
+        text("whole")
+    });
+    let mut quick = service("/", &[address]);
+    quick.deadline_ms = 100;
+    let entry = entry(view_of(quick));
+    for _ in 0..REQUESTS {
+        get(entry.address(), "/fast");
+        get(entry.address(), "/slow");
+    }
+    // The budget holds 10 retries and earns 8 of every 100 requests.
+    let retries = 10 + 2 * REQUESTS * 8 / 100;
+    expect_that!(ran.load(Ordering::Relaxed), le(REQUESTS + retries));
+}
+
 #[googletest::test]
 fn work_that_may_not_repeat_goes_on_no_connection_that_was_idle_for_long() {
     let address = target(|mut conn, number| {
