--- a/tests/traffic_faults.rs
+++ b/tests/traffic_faults.rs
@@ -282,9 +282,7 @@
         ends_with("\r\n\r\nab")
     );
     expect_that!(asked.load(Ordering::Relaxed), eq(2));
-    let mut quick = service("/", &[answering(|_| NOT_RUN.to_vec())]);
-    quick.deadline_ms = 300;
-    let alone = crate::traffic_support::entry(view_of(quick));
+    let alone = crate::traffic_support::entry(view(&[answering(|_| NOT_RUN.to_vec())]));
     let answer = exchange(alone.address(), &post("/charge"));
     expect_that!(answer, starts_with("HTTP/1.1 503 "));
     expect_that!(
