Measure slopes and work out the cost at full size

Ruled out: estimating from the code; counting resident pages, which the allocator keeps. The heap is counted by the allocator instead.

--- /dev/null
+++ b/examples/capacity/memory.rs
@@ -0,0 +1,188 @@
+//! Bytes of memory per shard, target and VM.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use gooseberryloft::ids::Fence;
+use gooseberryloft::ids::GroupId;
+use gooseberryloft::ids::Shard;
+use gooseberryloft::ids::TicketNumber;
+use gooseberryloft::ids::Version;
+use gooseberryloft::member::VmTable;
+use gooseberryloft::owner::assignment::Assignment;
+use gooseberryloft::owner::assignment::Owner;
+use gooseberryloft::platform::VmEntry;
+use gooseberryloft::platform::VmState;
+use gooseberryloft::route::Router;
+use gooseberryloft::ticket::InForce;
+use gooseberryloft::ticket::KeySource;
+use gooseberryloft::ticket::Keying;
+use gooseberryloft::ticket::Service;
+use gooseberryloft::ticket::Target;
+use gooseberryloft::ticket::TargetState;
+use gooseberryloft::view::View;
+
+use crate::HEAP;
+use crate::report::Row;
+
+const SHARDS: u32 = 65_536;
+const TARGETS: usize = 4_000;
+const GROUPS: u16 = 250;
+const VMS: usize = 4_000;
+
+/// Measured bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct Memory {
+    /// Of the view, per shard.
+    pub view_shard: f64,
+    /// Of the view, per target.
+    pub view_target: f64,
+    /// Of the routing table, per shard.
+    pub route_shard: f64,
+    /// Of the routing table, per target.
+    pub route_target: f64,
+    /// Of the list of VMs, per VM.
+    pub vm: f64,
+    /// Time to compile the routing table of the whole view, in milliseconds.
+    pub compile_ms: f64,
+}
+
+/// Measures the memory of views of growing size.
+pub fn measure() -> Memory {
+    let (empty, few) = (view(0, 1_000), view(0, TARGETS));
+    let (all, full) = (view(SHARDS, TARGETS), view(2 * SHARDS, TARGETS));
+    let targets = (TARGETS - 1_000) as f64;
+    let held = |view: &Held| view.bytes as f64;
+    let routes = [&empty, &few, &all, &full].map(|view| router(&view.view));
+    let routed = |i: usize| routes[i].bytes as f64;
+    Memory {
+        view_shard: (held(&full) - held(&all)) / f64::from(SHARDS),
+        view_target: (held(&few) - held(&empty)) / targets,
+        route_shard: (routed(3) - routed(2)) / f64::from(SHARDS),
+        route_target: (routed(1) - routed(0)) / targets,
+        vm: vm_bytes(),
+        compile_ms: routes[2].compile_ms,
+    }
+}
+
+/// Returns the report's lines.
+pub fn rows(memory: &Memory) -> Vec<Row> {
+    vec![
+        Row::new("view, per shard", memory.view_shard, "B"),
+        Row::new("view, per target", memory.view_target, "B"),
+        Row::new("routing table, per shard", memory.route_shard, "B"),
+        Row::new("routing table, per target", memory.route_target, "B"),
+        Row::new("list of VMs, per VM", memory.vm, "B"),
+        Row::new(
+            "compiling 65,536 shards and 4,000 targets",
+            memory.compile_ms,
+            "ms",
+        ),
+    ]
+}
+
+struct Held {
+    view: Arc<View>,
+    bytes: usize,
+}
+
+struct Routed {
+    _router: Router,
+    bytes: usize,
+    compile_ms: f64,
+}
+
+fn view(shards: u32, targets: usize) -> Held {
+    let before = HEAP.current_usage();
+    let view = Arc::new(build(shards, targets));
+    Held {
+        view,
+        bytes: HEAP.current_usage() - before,
+    }
+}
+
+fn router(view: &Arc<View>) -> Routed {
+    let before = HEAP.current_usage();
+    let from = Instant::now();
+    let router = Router::new(view.clone());
+    let compile_ms = from.elapsed().as_secs_f64() * 1e3;
+    Routed {
+        _router: router,
+        bytes: HEAP.current_usage() - before,
+        compile_ms,
+    }
+}
+
+/// Returns a view with one keyed service in 250 groups.
+pub fn build(shards: u32, targets: usize) -> View {
+    let names: Vec<_> = (0..targets)
+        .map(|i| format!("target-{i:05}").into())
+        .collect();
+    let entry = |i: usize| Target {
+        address: ([10, 1, (i / 250) as u8, (i % 250) as u8], 8080).into(),
+        data_centre: format!("data-centre-{}", i % 23).into(),
+        slots: 6,
+        connections: 130,
+        checks_term: true,
+        group: (i % usize::from(GROUPS)) as u16,
+        state: TargetState::Serving,
+    };
+    let keying = Keying {
+        source: KeySource::Path,
+        shards: SHARDS.max(shards),
+        groups: GROUPS,
+    };
+    let service = Service {
+        prefix: "/status".into(),
+        keying: Some(keying.clone()),
+        idempotent: vec!["GET".into(), "HEAD".into()],
+        priority: 5,
+        spread_percent: 0,
+        deadline_ms: 2_000,
+        targets: names.iter().cloned().zip((0..targets).map(entry)).collect(),
+    };
+    let mut groups: BTreeMap<GroupId, Assignment> = BTreeMap::new();
+    for shard in (0..shards).map(Shard) {
+        let index = keying.group_of(shard);
+        let id = GroupId {
+            service: "status".into(),
+            index,
+        };
+        let group = groups
+            .entry(id.clone())
+            .or_insert_with(|| Assignment::empty(id));
+        group.version = Version(1);
+        let target = usize::from(index) + usize::from(GROUPS) * (shard.0 as usize % 16);
+        let target = names.get(target).cloned();
+        group.owners.insert(
+            shard,
+            Owner {
+                target,
+                fence: Fence(1),
+            },
+        );
+    }
+    let services = BTreeMap::from([("status".into(), service)]);
+    View {
+        state: InForce {
+            number: TicketNumber(1),
+            services,
+        },
+        groups,
+    }
+}
+
+fn vm_bytes() -> f64 {
+    let before = HEAP.current_usage();
+    let entry = |i: usize| VmEntry {
+        vm: format!("vm-{i:05}").into(),
+        data_centre: format!("data-centre-{}", i % 23).into(),
+        address: ([10, 2, (i / 250) as u8, (i % 250) as u8], 7000).into(),
+        state: VmState::Live,
+    };
+    let list = VmTable::new((0..VMS).map(entry).collect());
+    let bytes = HEAP.current_usage() - before;
+    drop(list);
+    bytes as f64 / VMS as f64
+}
