Pay for the retry after a change of owner from the retry budget

Cause: retries_stay_within_the_budget failed with the new end of an attempt: 75 retries of 470 requests, for a call whose shard went to another target was sent again without the budget. Ruled out: leaving that end out of the property; a flood of moves would amplify. Change: Superseded goes the way of Broken and Silent. Figures: the property passes; route_scenarios, traffic_faults and traffic_follow pass.

--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -225,10 +225,7 @@
             }
             AttemptEnd::Superseded => {
                 self.uncertain = true;
-                match self.info.idempotent && self.may_repeat() {
-                    true => Next::Again,
-                    false => Next::Refuse(Refusal::Unknown),
-                }
+                self.after_failure(&lane)
             }
             AttemptEnd::Cancelled => Next::Refuse(Refusal::Unknown),
         }
