--- a/tests/route_outcomes.rs
+++ b/tests/route_outcomes.rs
@@ -27,6 +27,7 @@
         Just(AttemptEnd::NotRun),
         Just(AttemptEnd::Broken),
         Just(AttemptEnd::Silent),
+        Just(AttemptEnd::Superseded),
         Just(AttemptEnd::Cancelled),
     ]
 }
