Count a silent member's right from the last vouch it was given

Cause: an owner lost together with the holder or a deputy waited 1.1 to 1.2 s, since the right of a member that does not answer was counted from the moment the others stopped vouching for it. Ruled out: shorter vouches (more messages, and a slow link would cost the right); asking the targets who extended them (those that do not check terms cannot tell). Change: members tell when they last vouched to whom, and the holder tells with each question which revision of the rows it knows, so that the deputy that takes over knows how late a write of the holder can have been. A member that asked nobody has no right to end. A holder that renames its members keeps what it already knows of earlier terms. The scripts that allowed two seconds now allow one.

--- a/src/owner/group/base.rs
+++ b/src/owner/group/base.rs
@@ -27,6 +27,7 @@
 use crate::owner::message::PeerMessage;
 use crate::owner::message::Place;
 use crate::owner::message::TargetBoot;
+use crate::owner::message::Vouched;
 use crate::owner::rows::GroupRow;
 use crate::owner::rows::ShardsRow;
 use crate::ticket::Service;
@@ -34,6 +35,10 @@
 use crate::ticket::TargetState;
 
 const SHUN_TIME: Duration = Duration::from_secs(30);
+/// A vouch as old as this has no effect on any clock.
+const VOUCHED_KEPT: Duration = Duration::from_secs(10);
+/// Clocks gain or lose at most one part in this many.
+const CLOCK_DRIFT: u32 = 50;
 const ASKS_KEPT: usize = 16;
 
 /// What the write on its way is for.
@@ -72,6 +77,10 @@
     pub asks: Asks,
     pub read_due: Instant,
     pub pending: Option<Pending>,
+    /// When this process last vouched to each member, under any term.
+    pub vouched: BTreeMap<VmId, Instant>,
+    /// No write of an earlier holder that began later has effect.
+    pub written: Option<Instant>,
     /// Members that were out of reach or leave, and until when not to name them.
     pub shunned: BTreeMap<Member, Instant>,
     /// Whether this process is about to stop as planned.
@@ -110,6 +119,8 @@
             asks: Asks::default(),
             read_due: now,
             pending: None,
+            vouched: BTreeMap::new(),
+            written: None,
             shunned: BTreeMap::new(),
             leaving: false,
         }
@@ -187,11 +198,24 @@
                 seq,
                 place: place.clone(),
                 barred: barred.to_vec(),
+                revision: self.store.revision(),
             };
             self.send(&member.vm, PeerMessage::Ask(ask), out);
         }
     }
 
+    /// Returns the members vouched to lately, as a message carries them.
+    pub fn vouched(&self, now: Instant) -> Vec<Vouched> {
+        let lately = self.vouched.iter();
+        let lately = lately.map(|(vm, at)| (vm, now.saturating_duration_since(*at)));
+        let lately = lately.filter(|(_, age)| *age < VOUCHED_KEPT);
+        let vouched = lately.map(|(vm, age)| Vouched {
+            vm: vm.clone(),
+            age_us: (age - age / CLOCK_DRIFT).as_micros() as u64,
+        });
+        vouched.collect()
+    }
+
     /// Names a member no more for some time.
     pub fn shun(&mut self, now: Instant, member: Member) {
         self.shunned.retain(|_, until| now < *until);
@@ -217,8 +241,19 @@
     }
 
     /// Writes this process into the row as the holder of a new term; deputies that are `kept` stay
-    /// unless better ones are to be had.
-    pub fn take(&mut self, now: Instant, kept: &[Member], out: &mut Vec<Action>) {
+    /// unless better ones are to be had. No write of the holder before that began after `written`
+    /// has effect, if that is known.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        kept: &[Member],
+        written: Option<Instant>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.store.writing() {
+            return;
+        }
+        self.written = written;
         let Some(rows) = self.store.rows().cloned() else {
             return;
         };
--- a/src/owner/group/deputy.rs
+++ b/src/owner/group/deputy.rs
@@ -40,6 +40,8 @@
     seen: u64,
     /// When the holder was heard last.
     heard: Instant,
+    /// The revision that the holder knew of then.
+    revision: u64,
     /// When another member heard the holder last.
     seen_alive: Option<Instant>,
     ask_due: Instant,
@@ -56,6 +58,7 @@
             barred: Vec::new(),
             seen: 0,
             heard: now,
+            revision: 0,
             seen_alive: None,
             ask_due: now,
             told: false,
@@ -109,7 +112,10 @@
             }
             let lately = |m: &Member| self.right.vouched(&m.vm).is_some_and(|at| now < at + KEEP);
             let kept: Vec<_> = base.others().into_iter().filter(lately).collect();
-            base.take(now, &kept, out);
+            // A write of the holder after it spoke last would have raised the revision.
+            let unchanged = base.store.revision() == self.revision;
+            let written = if unchanged { self.heard } else { now };
+            base.take(now, &kept, Some(written), out);
         }
         self.taking = false;
     }
@@ -119,7 +125,13 @@
         base.read_due = base.read_due.min(now);
     }
 
-    pub fn on_ask(&mut self, base: &Base, now: Instant, from: &VmId, ask: Ask) -> Option<Vouch> {
+    pub fn on_ask(
+        &mut self,
+        base: &mut Base,
+        now: Instant,
+        from: &VmId,
+        ask: Ask,
+    ) -> Option<Vouch> {
         let holder = base.place.as_ref().and_then(|p| p.holder());
         if holder.is_some_and(|holder| holder.vm == *from) {
             if ask.seq < self.seen {
@@ -127,13 +139,16 @@
             }
             self.seen = ask.seq;
             self.heard = now;
+            self.revision = ask.revision;
             self.barred = ask.barred;
         }
+        base.vouched.insert(from.clone(), now);
         Some(Vouch {
             seq: ask.seq,
             term: ask.place.term,
             barred: self.barred.clone(),
             bounds: base.fleet.bounds.left(now, Some(&self.barred)),
+            vouched: base.vouched(now),
             table_ms: age_ms(now, self.right.confirmed()),
             holder_ms: age_ms(now, Some(self.heard)),
         })
--- a/src/owner/group/lead.rs
+++ b/src/owner/group/lead.rs
@@ -31,11 +31,13 @@
 use crate::owner::message::Stopped;
 use crate::owner::message::TargetBoot;
 use crate::owner::message::Vouch;
+use crate::owner::message::Vouched;
 use crate::owner::moves::Moves;
 use crate::owner::order::OrderReply;
 use crate::owner::order::ShardFence;
 use crate::owner::right::Right;
 use crate::owner::takeover::Closing;
+use crate::owner::takeover::Told;
 
 /// Time between two reads of the rows.
 pub(super) const READ_PERIOD: Duration = Duration::from_secs(30);
@@ -113,6 +115,13 @@
         self.denied = std::mem::take(&mut before.denied);
         self.shown = before.shown.take();
         self.spared = before.spared;
+        let begun = std::mem::take(&mut before.prior);
+        for known in begun {
+            let same = |prior: &&mut Prior| prior.place.term == known.place.term;
+            if let Some(prior) = self.prior.iter_mut().find(same) {
+                *prior = known;
+            }
+        }
         for at in std::mem::take(&mut before.bars).into_keys() {
             self.bars
                 .extend(closing(base, now, &at).map(|closing| (at, closing)));
@@ -145,6 +154,7 @@
             seq,
             term,
             bounds: base.fleet.bounds.left(now, Some(&barred)),
+            vouched: base.vouched(now),
             barred,
             table_ms: age_ms(now, self.right.confirmed()),
             holder_ms: 0,
@@ -170,7 +180,7 @@
         for (at, closing) in &mut self.bars {
             if asked >= closing.since() && vouch.barred.contains(at) {
                 let bounds = vouch.bounds.iter().filter(|bound| bound.at == *at);
-                closing.told(member, now, latest(now, bounds));
+                closing.told(member, told(now, bounds, &vouch.vouched));
             }
         }
     }
@@ -180,9 +190,8 @@
             let named = prior.place.members.iter();
             let mut named = named.filter(|m| m.vm == *from && m.boot == stopped.boot);
             if let Some(member) = named.next().filter(|_| prior.place.term == stopped.prior) {
-                prior
-                    .closing
-                    .told(member, now, latest(now, stopped.bounds.iter()));
+                let told = told(now, stopped.bounds.iter(), &stopped.vouched);
+                prior.closing.told(member, told);
             }
         }
     }
@@ -470,7 +479,7 @@
         let wanted: BTreeSet<_> = elect::members(base, now, kept).into_iter().collect();
         let named: BTreeSet<_> = place.members.iter().cloned().collect();
         if wanted != named && self.table_works(base, now) {
-            base.take(now, kept, out);
+            base.take(now, kept, None, out);
         }
     }
 
@@ -530,9 +539,9 @@
 
 impl Prior {
     fn new(base: &Base, now: Instant, place: &Place) -> Self {
-        let mut closing = Closing::of_term(now, place);
+        let mut closing = Closing::of_term(now, place, base.written.unwrap_or(now));
         let bounds = base.fleet.bounds.left(now, None);
-        closing.told(&base.me(), now, latest(now, bounds.iter()));
+        closing.told(&base.me(), told(now, bounds.iter(), &base.vouched(now)));
         Self {
             place: place.clone(),
             closing,
@@ -543,14 +552,21 @@
 /// Starts to close the orders to a target; this process itself stops at once.
 fn closing(base: &Base, now: Instant, at: &TargetBoot) -> Option<Closing> {
     let mut closing = Closing::of_target(now, base.place.as_ref()?);
-    let end = base.fleet.bounds.end(at).unwrap_or(now);
-    closing.told(&base.me(), now, end);
+    let bounds = base.fleet.bounds.left(now, Some(std::slice::from_ref(at)));
+    closing.told(&base.me(), told(now, bounds.iter(), &base.vouched(now)));
     Some(closing)
 }
 
-/// Returns the latest moment that some bounds received at `now` allow.
-fn latest<'a>(now: Instant, bounds: impl Iterator<Item = &'a Bound>) -> Instant {
+/// Returns what a message received at `now` tells, at the latest moments that it allows.
+fn told<'a>(now: Instant, bounds: impl Iterator<Item = &'a Bound>, vouched: &[Vouched]) -> Told {
     let left = |bound: &Bound| Duration::from_micros(bound.left_us).min(longest_lease());
     let left = bounds.map(left).max();
-    now + left.unwrap_or_default()
+    let at = |vouched: &Vouched| {
+        let age = Duration::from_micros(vouched.age_us);
+        (vouched.vm.clone(), now.checked_sub(age).unwrap_or(now))
+    };
+    Told {
+        end: now + left.unwrap_or_default(),
+        vouched: vouched.iter().map(at).collect(),
+    }
 }
--- a/src/owner/group/mod.rs
+++ b/src/owner/group/mod.rs
@@ -337,8 +337,11 @@
         }
         let vouch = match &mut self.role {
             Role::Watcher(_) => None,
-            Role::Deputy(deputy) => deputy.on_ask(&self.base, now, from, ask),
-            Role::Holder(lead) => Some(lead.vouch(&self.base, now, seq, term)),
+            Role::Deputy(deputy) => deputy.on_ask(&mut self.base, now, from, ask),
+            Role::Holder(lead) => {
+                self.base.vouched.insert(from.clone(), now);
+                Some(lead.vouch(&self.base, now, seq, term))
+            }
         };
         if let Some(vouch) = vouch {
             self.base.send(from, PeerMessage::Vouch(vouch), out);
@@ -383,6 +386,7 @@
             boot: self.base.conf.boot,
             prior: stop.prior,
             bounds: self.base.fleet.bounds.left(now, None),
+            vouched: self.base.vouched(now),
         };
         self.base.send(from, PeerMessage::Stopped(stopped), out);
     }
--- a/src/owner/group/store.rs
+++ b/src/owner/group/store.rs
@@ -116,6 +116,12 @@
         self.rows.as_ref()
     }
 
+    /// Returns the sum of the revisions, which rises with every write.
+    pub fn revision(&self) -> u64 {
+        let rows = self.rows.as_ref();
+        rows.map_or(0, |rows| rows.group_revision + rows.shards_revision)
+    }
+
     /// Returns whether a write waits for its outcome.
     pub fn writing(&self) -> bool {
         self.write.is_some()
--- a/src/owner/group/watch.rs
+++ b/src/owner/group/watch.rs
@@ -46,7 +46,7 @@
         if rows.group.is_none() {
             let since = *self.absent.get_or_insert(now);
             if now >= since + CREATE_AFTER + pause {
-                base.take(now, &[], out);
+                base.take(now, &[], None, out);
             }
             return;
         }
@@ -70,7 +70,7 @@
         }
         base.read_due = base.read_due.min(now + ORPHAN_READ);
         if now >= orphan.since + ORPHAN_AFTER + pause {
-            base.take(now, &[], out);
+            base.take(now, &[], None, out);
         }
     }
 
--- a/src/owner/message.rs
+++ b/src/owner/message.rs
@@ -50,6 +50,15 @@
     pub left_us: u64,
 }
 
+/// When the sender last vouched to a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouched {
+    /// The member that asked.
+    pub vm: VmId,
+    /// Time since its question came, when the message was made, in microseconds.
+    pub age_us: u64,
+}
+
 /// One message about a group between two VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -80,6 +89,8 @@
     pub place: Place,
     /// Targets that must not be extended.
     pub barred: Vec<TargetBoot>,
+    /// The sum of the rows' revisions that the sender knows of.
+    pub revision: u64,
 }
 
 /// The answer to [`Ask`].
@@ -93,6 +104,8 @@
     pub barred: Vec<TargetBoot>,
     /// The sender's bounds for the barred targets; a target without one has none left.
     pub bounds: Vec<Bound>,
+    /// The other members that the sender vouched to lately.
+    pub vouched: Vec<Vouched>,
     /// Time since the table confirmed the term to the sender, in milliseconds.
     pub table_ms: u64,
     /// Time since the sender heard from the holder, in milliseconds.
@@ -117,6 +130,8 @@
     pub prior: Term,
     /// The sender's bounds; a target without one has none left.
     pub bounds: Vec<Bound>,
+    /// The other members that the sender vouched to lately.
+    pub vouched: Vec<Vouched>,
 }
 
 impl Place {
--- a/src/owner/takeover.rs
+++ b/src/owner/takeover.rs
@@ -25,23 +25,30 @@
     told: BTreeMap<VmId, Told>,
     /// Whether the table can still confirm the term to the members.
     current: bool,
+    /// No write of the holder that began later has effect.
+    written: Instant,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    at: Instant,
-    end: Instant,
+/// What a member tells once it stopped.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// When its own orders have certainly lost their effect.
+    pub end: Instant,
+    /// When it answered the last question of each other member that it vouched to.
+    pub vouched: BTreeMap<VmId, Instant>,
 }
 
 impl Closing {
-    /// Closes an earlier term, which the table confirms to nobody since `since`.
-    pub fn of_term(since: Instant, place: &Place) -> Self {
+    /// Closes an earlier term, which the table confirms to nobody since `since`. No write of its
+    /// holder that began after `written` has effect.
+    pub fn of_term(since: Instant, place: &Place, written: Instant) -> Self {
         Self {
             since,
             members: place.members.clone(),
             need: place.need,
             told: BTreeMap::new(),
             current: false,
+            written,
         }
     }
 
@@ -49,7 +56,7 @@
     pub fn of_target(since: Instant, place: &Place) -> Self {
         Self {
             current: true,
-            ..Self::of_term(since, place)
+            ..Self::of_term(since, place, since)
         }
     }
 
@@ -58,14 +65,10 @@
         self.since
     }
 
-    /// Takes that a member stopped, and when its orders have certainly lost their effect.
-    pub fn told(&mut self, member: &Member, at: Instant, end: Instant) {
+    /// Takes what a member told.
+    pub fn told(&mut self, member: &Member, told: Told) {
         if self.members.contains(member) {
-            let told = self
-                .told
-                .entry(member.vm.clone())
-                .or_insert(Told { at, end });
-            told.end = told.end.max(end);
+            self.told.entry(member.vm.clone()).or_insert(told);
         }
     }
 
@@ -81,18 +84,24 @@
         let told = self.told.values().map(|told| told.end).max();
         let told = told.unwrap_or(self.since).max(self.since);
         let silent = self.silent().count();
-        if silent == 0 {
-            return Some(told);
-        }
-        if silent - 1 < self.need {
-            let last = self.told.values().map(|told| told.at).max();
-            let last = last.unwrap_or(self.since).max(self.since);
-            return Some(told.max(last + longest_effect()));
+        if silent <= self.need {
+            let rights = self.silent().filter_map(|member| self.last_right(member));
+            let last = rights.max().map(|last| last + longest_effect());
+            return Some(told.max(last.unwrap_or(told)));
         }
         let limit = self.since + OUTAGE_LIMIT + longest_effect();
         (!self.current).then_some(limit)
     }
 
+    /// Returns when a silent member's last right to order began. The other silent ones are too few
+    /// to vouch for it, so it had a vouch of a member that told, or wrote to the table.
+    fn last_right(&self, member: &Member) -> Option<Instant> {
+        let vouched = self.told.values();
+        let vouched = vouched.filter_map(|told| told.vouched.get(&member.vm).copied());
+        let holds = self.members.first() == Some(member);
+        vouched.max().max(holds.then_some(self.written))
+    }
+
     /// Returns whether nothing ordered by a member can have effect at `now`.
     pub fn is_over(&self, now: Instant) -> bool {
         self.end().is_some_and(|end| now >= end)
--- a/tests/owner_ways.rs
+++ b/tests/owner_ways.rs
@@ -85,11 +85,11 @@
             table_down(w);
             cut_from_deputies(w);
         }),
-        case("owner lost, holder lost", 2000, |w| {
+        case("owner lost, holder lost", 1000, |w| {
             w.kill_target(&"t1".into());
             w.kill_vm(holder(w));
         }),
-        case("owner lost, deputy lost", 2000, |w| {
+        case("owner lost, deputy lost", 1000, |w| {
             w.kill_target(&"t1".into());
             w.kill_vm(deputy(w, 0));
         }),
@@ -98,7 +98,7 @@
             let both = [deputy(w, 0), deputy(w, 1)];
             both.into_iter().for_each(|vm| w.kill_vm(vm));
         }),
-        case("owner lost 5 s after both deputies", 2000, |w| {
+        case("owner lost 5 s after both deputies", 1000, |w| {
             let both = [deputy(w, 0), deputy(w, 1)];
             both.into_iter().for_each(|vm| w.kill_vm(vm));
             w.run(Duration::from_secs(5));
