Test the target's side of ownership, and the time that a planned move takes

Cause: the target's state machine was tested only through the fake world, and no test named the limit of a planned move. Ruled out: nothing.

--- a/tests/owner_group.rs
+++ b/tests/owner_group.rs
@@ -9,6 +9,7 @@
 
 use crate::world::Sizes;
 use crate::world::World;
+use gooseberryloft::ticket::TargetState;
 
 #[test]
 fn one_vm_alone_keeps_every_shard_served() {
@@ -38,3 +39,27 @@
         assert!(gap < Duration::from_secs(1), "{vms} VMs: {gap:?}");
     }
 }
+
+#[test]
+fn planned_moves_leave_each_shard_unserved_for_less_than_100_ms() {
+    let mut world = World::new(Sizes {
+        shards: 256,
+        targets: 4,
+        ..Sizes::default()
+    });
+    world.run(Duration::from_secs(4));
+    world.mark();
+    let leaving = world.service.targets.get_mut(&"t1".into());
+    leaving.expect("a target").state = TargetState::Leaving;
+    world.set_service();
+    world.run(Duration::from_secs(8));
+    let row = world.shards_row().expect("a row of shards");
+    let left = row.owners.values().filter(|o| o.target == "t1".into());
+    println!(
+        "worst {:?}, {} writes",
+        world.worst_gap(),
+        world.table.writes
+    );
+    assert_eq!(left.count(), 0);
+    assert!(world.worst_gap() < Duration::from_millis(100));
+}
