--- a/src/traffic/stats.rs
+++ b/src/traffic/stats.rs
@@ -61,3 +61,23 @@
 pub fn tell(service: &ServiceId, centre: &DataCentre, outcome: Outcome, latency: Duration) {
     instruments().request(service, centre, outcome.into(), latency);
 }
+
+/// A request in flight, as the metrics count it until it is dropped.
+#[derive(Debug)]
+pub struct InFlight<'a> {
+    service: &'a ServiceId,
+}
+
+impl<'a> InFlight<'a> {
+    /// Counts a request of a service.
+    pub fn begin(service: &'a ServiceId) -> Self {
+        instruments().in_flight(service, 1);
+        Self { service }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        instruments().in_flight(self.service, -1);
+    }
+}
--- a/tests/traffic_faults.rs
+++ b/tests/traffic_faults.rs
@@ -49,7 +49,7 @@
 #[googletest::test]
 fn a_cut_answer_never_looks_whole() {
     let bodies: [&'static [u8]; 4] = [
-        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\nhalf",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
@@ -68,6 +68,33 @@
     }
 }
 
+#[googletest::test]
+fn a_short_answer_that_breaks_off_is_asked_for_again_where_that_is_safe() {
+    let cut = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
+    let tries = Arc::new(AtomicUsize::new(0));
+    let counted = tries.clone();
+    let flaky = target(move |mut conn, _| {
+        read_request(&mut conn);
+        let first = counted.fetch_add(1, Ordering::SeqCst) == 0;
+        let answer = if first {
+            cut.to_vec()
+        } else {
+            text("all of it")
+        };
+        let _ = conn.get_mut().write_all(&answer);
+    });
+    let entry = entry(view(&[flaky]));
+    expect_that!(get(entry.address(), "/"), ends_with("\r\n\r\nall of it"));
+    tries.store(0, Ordering::SeqCst);
+    let answer = exchange(entry.address(), &post("/"));
+    expect_that!(answer, starts_with("HTTP/1.1 502 "));
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-outcome: unknown\r\n")
+    );
+    expect_that!(tries.load(Ordering::SeqCst), eq(1));
+}
+
 #[googletest::test]
 fn an_answer_without_a_length_is_not_taken_for_whole() {
     let entry = entry(view(&[closing_after(b"HTTP/1.1 200 OK\r\n\r\nmaybe all")]));
@@ -313,6 +340,30 @@
     expect_that!(get(entry.address(), "/"), ends_with("connection 1"));
 }
 
+#[googletest::test]
+fn a_slow_target_is_not_given_its_work_twice_beyond_the_budget() {
+    const REQUESTS: usize = 60;
+    let ran = Arc::new(AtomicUsize::new(0));
+    let count = ran.clone();
+    let address = answering(move |seen| {
+        if seen.head.starts_with("GET /slow") {
+            count.fetch_add(1, Ordering::Relaxed);
+            thread::sleep(Duration::from_millis(70));
+        }
+        text("whole")
+    });
+    let mut quick = service("/", &[address]);
+    quick.deadline_ms = 100;
+    let entry = entry(view_of(quick));
+    for _ in 0..REQUESTS {
+        get(entry.address(), "/fast");
+        get(entry.address(), "/slow");
+    }
+    // The budget holds 10 retries and earns 8 of every 100 requests.
+    let retries = 10 + 2 * REQUESTS * 8 / 100;
+    expect_that!(ran.load(Ordering::Relaxed), le(REQUESTS + retries));
+}
+
 #[googletest::test]
 fn work_that_may_not_repeat_goes_on_no_connection_that_was_idle_for_long() {
     let address = target(|mut conn, number| {
