Tell each entry its position, so that the shares of connections add up

Cause: the router divides a target's connections by the entry's position among all entries, and nobody told it; each entry took itself for the only one. Ruled out: positions from the settings, which change with every VM replaced. Conclusion: with lists that agree the shares add up to the limit. While VMs hold different versions of the list two entries can hold the same rank, and until a first list was read an entry counts itself as the only one; both may exceed the limit for that time.

--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,6 +11,7 @@
 use crate::ids::TicketNumber;
 use crate::ids::VmId;
 use crate::owner::message::PeerMessage;
+use crate::route::EntryRank;
 use crate::spread::Census;
 use crate::spread::Feed;
 use crate::spread::Summary;
@@ -36,6 +37,8 @@
     Census(Census),
     /// The numbers in force in every data centre; from a parent.
     Centres(Vec<Census>),
+    /// The receiving entry's position among all entries.
+    Rank(EntryRank),
     /// Asks for a [`Message::Pong`] with the same number.
     Ping(u64),
     /// Answers a ping.
--- a/src/route/share.rs
+++ b/src/route/share.rs
@@ -1,7 +1,10 @@
 //! Which share of a target's connections belongs to which entry.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Where an entry stands among all entries; every entry has a rank of its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryRank {
     /// The entry's position, from 0.
     pub rank: u32,
--- a/src/spread/links.rs
+++ b/src/spread/links.rs
@@ -29,17 +29,21 @@
         dialled: bool,
         out: &mut Vec<Action>,
     ) {
+        let is_entry = hello.role == Role::Entry;
         let peer = Peer::new(now, hello, dialled);
         if dialled {
             self.dialling.remove(&peer.vm);
         }
-        if peer.role == Role::Entry {
+        if is_entry {
             self.catch_up(link, &peer, out);
         } else {
             self.replan_at = Some(now);
             self.members.heard(&peer.vm);
         }
         self.links.insert(link, peer);
+        if is_entry {
+            self.tell_ranks(out);
+        }
     }
 
     pub(super) fn unlinked(&mut self, now: Instant, link: LinkId) {
--- a/src/spread/machine.rs
+++ b/src/spread/machine.rs
@@ -117,7 +117,7 @@
         let mut out = Vec::new();
         match input {
             Input::Tick => self.tick(now, &mut out),
-            Input::Vms(list) => self.take_list(now, list),
+            Input::Vms(list) => self.take_list(now, list, &mut out),
             Input::Want(vms) => self.wanted = vms,
             Input::Linked {
                 link,
@@ -166,9 +166,10 @@
         }
     }
 
-    fn take_list(&mut self, now: Instant, list: Arc<VmTable>) {
+    fn take_list(&mut self, now: Instant, list: Arc<VmTable>, out: &mut Vec<Action>) {
         if self.members.take_list(list) {
             self.replan_at = Some(now);
+            self.tell_ranks(out);
         }
     }
 
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod peer;
 mod plan;
+mod rank;
 mod ready;
 
 pub use io::Action;
--- a/src/traffic/control.rs
+++ b/src/traffic/control.rs
@@ -68,6 +68,7 @@
                 }
             }
             Action::Send(message) => return self.send(follower, &message).await,
+            Action::Rank(rank) => self.shared.router.set_rank(rank),
             Action::Publish(view) => {
                 let number = view.state.number;
                 if number > self.number() {
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -16,6 +16,7 @@
 use crate::link::HotKey;
 use crate::link::Message;
 use crate::link::Role;
+use crate::route::EntryRank;
 use crate::spread::Summary;
 use crate::view::View;
 use crate::view::ViewChange;
@@ -44,6 +45,8 @@
     Send(Message),
     /// Route by this view.
     Publish(Arc<View>),
+    /// Hold to the shares of this position.
+    Rank(EntryRank),
 }
 
 /// Who follows.
@@ -161,6 +164,7 @@
             Message::Changes(changes) => self.apply(changes),
             Message::Ping(number) => vec![Action::Send(Message::Pong(number))],
             Message::Digest(theirs) => self.compare(&theirs),
+            Message::Rank(rank) => vec![Action::Rank(rank)],
             Message::Summary(theirs) => self.take_summary(&theirs, now),
             _ => Vec::new(),
         }
--- /dev/null
+++ b/tests/traffic_rank.rs
@@ -0,0 +1,123 @@
+//! Which entry stands where: the shares of connections follow.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+
+use gooseberryloft::ids::BootId;
+use gooseberryloft::ids::VmId;
+use gooseberryloft::link::Hello;
+use gooseberryloft::link::Message;
+use gooseberryloft::link::Role;
+use gooseberryloft::member::VmTable;
+use gooseberryloft::platform::VmEntry;
+use gooseberryloft::platform::VmState;
+use gooseberryloft::route::EntryRank;
+use gooseberryloft::spread::Action;
+use gooseberryloft::spread::Input;
+use gooseberryloft::spread::LinkId;
+use gooseberryloft::spread::Spread;
+use gooseberryloft::spread::SpreadConf;
+use gooseberryloft::view::ViewDigest;
+
+fn name(n: usize) -> VmId {
+    VmId::from(format!("entry-{n:02}"))
+}
+
+fn list(vms: impl Iterator<Item = usize>) -> Input {
+    let entry = |n| VmEntry {
+        vm: name(n),
+        data_centre: "ikeja".into(),
+        address: ([127, 0, 0, 1], n as u16 + 1).into(),
+        state: VmState::Live,
+    };
+    Input::Vms(Arc::new(VmTable::new(vms.map(entry).collect())))
+}
+
+fn controller(now: Instant) -> Spread {
+    let conf = SpreadConf {
+        vm: name(0),
+        boot: BootId(1),
+        data_centre: "ikeja".into(),
+        stale_limit: Duration::from_secs(30),
+        seeds: Vec::new(),
+    };
+    Spread::new(conf, now)
+}
+
+fn entry_links(vm: usize) -> Input {
+    let hello = Hello {
+        vm: name(vm),
+        boot: BootId(2),
+        data_centre: "ikeja".into(),
+        role: Role::Entry,
+        digest: ViewDigest::default(),
+    };
+    Input::Linked {
+        link: LinkId(vm as u64),
+        hello,
+        dialled: false,
+    }
+}
+
+fn ranks(actions: &[Action]) -> Vec<EntryRank> {
+    let told = |action: &Action| match action {
+        Action::Send {
+            message: Message::Rank(rank),
+            ..
+        } => Some(*rank),
+        _ => None,
+    };
+    actions.iter().filter_map(told).collect()
+}
+
+#[googletest::test]
+fn every_listed_entry_has_a_rank_of_its_own() {
+    let now = Instant::now();
+    let mut told = BTreeSet::new();
+    for vm in 0..12 {
+        let mut controller = controller(now);
+        controller.handle(now, list(0..12));
+        let ranks = ranks(&controller.handle(now, entry_links(vm)));
+        assert_that!(ranks, len(eq(1)));
+        expect_that!(ranks[0].entries, eq(12));
+        told.insert(ranks[0].rank);
+    }
+    expect_that!(told, len(eq(12)));
+}
+
+#[googletest::test]
+fn the_rank_follows_the_list() {
+    let now = Instant::now();
+    let mut controller = controller(now);
+    expect_that!(ranks(&controller.handle(now, entry_links(5))), is_empty());
+    let told = ranks(&controller.handle(now, list(0..12)));
+    expect_that!(
+        told,
+        elements_are![eq(&EntryRank {
+            rank: 5,
+            entries: 12
+        })]
+    );
+    let told = ranks(&controller.handle(now, list(4..12)));
+    expect_that!(
+        told,
+        elements_are![eq(&EntryRank {
+            rank: 1,
+            entries: 8
+        })]
+    );
+    expect_that!(ranks(&controller.handle(now, list(4..12))), is_empty());
+    // A VM that the list lacks counts as one more.
+    let told = ranks(&controller.handle(now, list(6..12)));
+    expect_that!(
+        told,
+        elements_are![eq(&EntryRank {
+            rank: 0,
+            entries: 7
+        })]
+    );
+}
