--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -19,11 +19,13 @@
 use crate::route::choice;
 use crate::route::choice::Choice;
 use crate::route::choice::NoChoice;
+use crate::route::crash::Verdict;
 use crate::route::lane::LaneInfo;
 use crate::route::queue::Place;
 use crate::route::queue::WaitQueue;
 use crate::route::stats::average;
 use crate::route::table::ServiceRoute;
+use crate::route::table::Table;
 use crate::route::table::TargetRoute;
 
 /// Most times that a request is sent, apart from those the target certainly did not run.
@@ -78,6 +80,8 @@
     Broken,
     /// No answer came within the attempt's own time.
     Silent,
+    /// No answer came before the shard went to another target.
+    Superseded,
     /// The caller went away.
     Cancelled,
 }
@@ -144,6 +148,8 @@
     avoid: Option<u64>,
     refused: Option<OwnerRefusal>,
     place: Option<Place>,
+    since: Option<Instant>,
+    counted: bool,
 }
 
 /// An owner's refusal to run a request.
@@ -164,11 +170,14 @@
             avoid: None,
             refused: None,
             place: None,
+            since: None,
+            counted: false,
         }
     }
 
     /// Returns what to do next. When the answer is [`Step::Wait`], `waker` is woken on a change.
     pub fn step(&mut self, router: &Router, now: Instant, waker: &Waker) -> Step {
+        self.since.get_or_insert(now);
         let step = self.decide(router, now, waker);
         if !matches!(step, Step::Wait(_)) {
             self.place = None;
@@ -192,7 +201,11 @@
             }
             AttemptEnd::NotSent => {
                 router.target_failed(&lane, now);
-                self.after_failure(&lane)
+                match lane.shard {
+                    // Nobody else may serve the key: hold on until it has another owner.
+                    Some(_) => self.after_refusal(router, &lane, now),
+                    None => self.after_failure(&lane),
+                }
             }
             AttemptEnd::NotRun => self.after_refusal(router, &lane, now),
             AttemptEnd::Broken => {
@@ -210,6 +223,13 @@
                 }
                 self.after_failure(&lane)
             }
+            AttemptEnd::Superseded => {
+                self.uncertain = true;
+                match self.info.idempotent && self.may_repeat() {
+                    true => Next::Again,
+                    false => Next::Refuse(Refusal::Unknown),
+                }
+            }
             AttemptEnd::Cancelled => Next::Refuse(Refusal::Unknown),
         }
     }
@@ -223,8 +243,10 @@
         if now >= self.info.deadline {
             return self.refuse(Refusal::Expired);
         }
-        if router.crashes.is_quarantined(self.info.fingerprint, now) {
-            return self.refuse(Refusal::Quarantined);
+        match router.crashes.verdict(self.info.fingerprint, now) {
+            Verdict::Free => {}
+            Verdict::Later(at) => return Step::Wait(at.min(self.info.deadline)),
+            Verdict::Quarantined => return self.refuse(Refusal::Quarantined),
         }
         if self
             .place
@@ -233,7 +255,18 @@
         {
             return self.refuse(Refusal::Overloaded);
         }
-        let table = router.table.load();
+        loop {
+            let table = router.table.load();
+            let step = self.decide_by(router, &table, now, waker);
+            // A newer table that came before this call joined its queue woke nobody.
+            let waits = matches!(step, Step::Wait(_));
+            if !waits || Arc::ptr_eq(&table, &router.table.load()) {
+                return step;
+            }
+        }
+    }
+
+    fn decide_by(&mut self, router: &Router, table: &Table, now: Instant, waker: &Waker) -> Step {
         let Some(route) = table.services.get(&self.info.service) else {
             return self.refuse(Refusal::NoService);
         };
@@ -254,6 +287,9 @@
         now: Instant,
         waker: &Waker,
     ) -> Step {
+        if !std::mem::replace(&mut self.counted, true) {
+            route.count(hash);
+        }
         let Some(key) = route.key_route(hash) else {
             return self.refuse(Refusal::NoKey);
         };
@@ -339,6 +375,7 @@
             avoid: self.avoid.filter(|_| several),
             suspect: router.crashes.is_suspect(self.info.fingerprint, now),
             idempotent: self.info.idempotent,
+            since: router.micros(self.since.unwrap_or(now)),
         };
         choice::choose(route, choice)
     }
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod rank;
 mod ready;
+mod recent;
 
 pub use io::Action;
 pub use io::Input;
