Tell controllers the hottest keys that an entry counted

Cause: the router counts keys and the owners plan by them, but the entry's reports left them out. Ruled out: keys in every report: 32 keys of each service a second would take a large part of a node's 5 KB/s for control. Change: every fifth report carries the rates of the keyed services and 32 keys of each. Conclusion: the entry's side is complete; the way from a linked controller to a group's holder is not part of this change.

--- a/src/traffic/control.rs
+++ b/src/traffic/control.rs
@@ -31,7 +31,8 @@
         shared,
     };
     while control.shared.drain.stage() < Stage::Cutting {
-        let actions = follower.tick(Instant::now(), Vec::new);
+        let counts = |passed| control.shared.router.take_key_loads(passed);
+        let actions = follower.tick(Instant::now(), counts);
         control.perform(&mut follower, actions).await;
         control.receive(&mut follower).await;
         control.publish_freshness(&follower);
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -17,6 +17,7 @@
 use crate::link::Message;
 use crate::link::Role;
 use crate::route::EntryRank;
+use crate::route::KeyLoads;
 use crate::spread::Summary;
 use crate::view::View;
 use crate::view::ViewChange;
@@ -28,9 +29,12 @@
 pub const PING_PERIOD: Duration = Duration::from_millis(500);
 /// The time between reports.
 pub const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// The time between reports that tell the hottest keys.
+pub const KEYS_PERIOD: Duration = Duration::from_secs(5);
 /// How long opening a link may take.
 pub const OPEN_LIMIT: Duration = Duration::from_secs(1);
 
+const KEYS_TOLD: usize = 32;
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LAST_PAUSE: Duration = Duration::from_secs(1);
 
@@ -71,6 +75,7 @@
     current: usize,
     pause: Duration,
     confirmed: Option<Instant>,
+    counted: Instant,
     pings: u64,
 }
 
@@ -105,6 +110,7 @@
             current: 0,
             pause: FIRST_PAUSE,
             confirmed: None,
+            counted: now,
             pings: 0,
         }
     }
@@ -170,8 +176,12 @@
         }
     }
 
-    /// Time passed. `hot_keys` are asked for when a report is due.
-    pub fn tick(&mut self, now: Instant, hot_keys: impl FnOnce() -> Vec<HotKey>) -> Vec<Action> {
+    /// Time passed. `counts` is asked for the requests of the time given when they are due.
+    pub fn tick(
+        &mut self,
+        now: Instant,
+        counts: impl FnOnce(Duration) -> Vec<KeyLoads>,
+    ) -> Vec<Action> {
         match &mut self.link {
             LinkState::Down { retry } if now >= *retry => {
                 self.link = LinkState::Opening { since: now };
@@ -190,11 +200,15 @@
                 }
                 if now >= up.reported + REPORT_PERIOD {
                     up.reported = now;
-                    let report = EntryReport {
+                    let passed = now.saturating_duration_since(self.counted);
+                    let mut report = EntryReport {
                         number: self.view.state.number,
-                        hot_keys: hot_keys(),
                         ..EntryReport::default()
                     };
+                    if passed >= KEYS_PERIOD {
+                        self.counted = now;
+                        tell_keys(&mut report, counts(passed));
+                    }
                     actions.push(Action::Send(Message::Report(report)));
                 }
                 actions
@@ -248,3 +262,21 @@
         vec![Action::Send(Message::Digest(self.view.digest()))]
     }
 }
+
+fn tell_keys(report: &mut EntryReport, counts: Vec<KeyLoads>) {
+    for KeyLoads {
+        service,
+        total,
+        keys,
+        ..
+    } in counts
+    {
+        let hottest = keys.iter().take(KEYS_TOLD).map(|key| HotKey {
+            service: service.clone(),
+            hash: key.hash,
+            rate: key.rate,
+        });
+        report.hot_keys.extend(hottest);
+        report.rates.insert(service, total);
+    }
+}
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -10,6 +10,8 @@
 use gooseberryloft::ids::BootId;
 use gooseberryloft::ids::TicketNumber;
 use gooseberryloft::link::Message;
+use gooseberryloft::route::KeyLoad;
+use gooseberryloft::route::KeyLoads;
 use gooseberryloft::spread::Summary;
 use gooseberryloft::ticket::InForce;
 use gooseberryloft::traffic::follow::Action;
@@ -79,7 +81,7 @@
     let now = Instant::now();
     let mut follower = follower(now);
     expect_that!(
-        opens(&follower.tick(now, Vec::new)),
+        opens(&follower.tick(now, |_| Vec::new())),
         some(eq(controllers()[0]))
     );
     let actions = follower.opened(now);
@@ -101,7 +103,7 @@
 fn a_gap_is_answered_with_the_digest() {
     let now = Instant::now();
     let mut follower = follower(now);
-    follower.tick(now, Vec::new);
+    follower.tick(now, |_| Vec::new());
     follower.opened(now);
     follower.received(state(3), now);
     let actions = follower.received(step(4, 5), now);
@@ -116,13 +118,13 @@
 fn a_silent_controller_is_left_for_the_next() {
     let mut now = Instant::now();
     let mut follower = follower(now);
-    follower.tick(now, Vec::new);
+    follower.tick(now, |_| Vec::new());
     follower.opened(now);
     follower.received(state(3), now);
     let silent = now;
     let next = loop {
         now += TICK;
-        if let Some(peer) = opens(&follower.tick(now, Vec::new)) {
+        if let Some(peer) = opens(&follower.tick(now, |_| Vec::new())) {
             break peer;
         }
     };
@@ -132,7 +134,7 @@
     let tried = now;
     let next = loop {
         now += TICK;
-        if let Some(peer) = opens(&follower.tick(now, Vec::new)) {
+        if let Some(peer) = opens(&follower.tick(now, |_| Vec::new())) {
             break peer;
         }
     };
@@ -144,7 +146,7 @@
 fn the_view_goes_stale_when_nobody_confirms_it() {
     let now = Instant::now();
     let mut follower = follower(now);
-    follower.tick(now, Vec::new);
+    follower.tick(now, |_| Vec::new());
     follower.opened(now);
     follower.received(state(3), now);
     follower.received(summary(3, Some(0)), now);
@@ -152,7 +154,7 @@
     expect_that!(follower.is_fresh(now + STALE_LIMIT + TICK), eq(false));
     let later = now + STALE_LIMIT + TICK;
     follower.lost(later);
-    follower.tick(later + TICK * 4, Vec::new);
+    follower.tick(later + TICK * 4, |_| Vec::new());
     follower.opened(later + TICK * 4);
     follower.received(Message::Pong(1), later + TICK * 5);
     expect_that!(follower.is_fresh(later + TICK * 5), eq(false));
@@ -164,7 +166,7 @@
 fn a_controller_that_lacks_state_gets_it() {
     let now = Instant::now();
     let mut follower = follower(now);
-    follower.tick(now, Vec::new);
+    follower.tick(now, |_| Vec::new());
     follower.opened(now);
     follower.received(state(3), now);
     let actions = follower.received(Message::Digest(ViewDigest::default()), now);
@@ -188,6 +190,32 @@
     );
 }
 
+#[googletest::test]
+fn reports_tell_the_hottest_keys_from_time_to_time() {
+    let start = Instant::now();
+    let mut follower = follower(start);
+    follower.tick(start, |_| Vec::new());
+    follower.opened(start);
+    let keys = (0..100).map(|hash| KeyLoad { hash, rate: 9.0 });
+    let load = KeyLoads {
+        service: "jobs".into(),
+        total: 1000.0,
+        keys: keys.collect(),
+        shards: Vec::new(),
+    };
+    let mut told = Vec::new();
+    for second in 1..=10 {
+        let now = start + Duration::from_secs(second);
+        follower.received(Message::Pong(0), now);
+        for action in follower.tick(now, |_| vec![load.clone()]) {
+            if let Action::Send(Message::Report(report)) = action {
+                told.push(report.hot_keys.len());
+            }
+        }
+    }
+    expect_that!(told, eq(&vec![0, 0, 0, 0, 32, 0, 0, 0, 0, 32]));
+}
+
 proptest! {
     #[test]
     fn the_number_in_force_never_falls(
@@ -203,7 +231,7 @@
                 1 => follower.lost(now),
                 2 => follower.received(state(number), now),
                 3 => follower.received(step(number, number + 1), now),
-                _ => follower.tick(now, Vec::new),
+                _ => follower.tick(now, |_| Vec::new()),
             };
             if let Some(number) = published(&actions) {
                 prop_assert!(number > highest, "{} after {}", number, highest);
