Pass on to every VM what an entry knows of requests that crash targets

Cause: a request that crashes its targets was recognised on one entry only; sent again through another VM it crashed more. Conclusion: the telling ends once all know the same. Each telling is whole, up to 512 facts; its bytes at 4,000 VMs were not measured.

--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -13,6 +13,7 @@
 use crate::ids::TicketNumber;
 use crate::ids::VmId;
 use crate::owner::message::PeerMessage;
+use crate::route::CrashReport;
 use crate::route::EntryRank;
 use crate::spread::Census;
 use crate::spread::Feed;
@@ -43,6 +44,8 @@
     Centres(Vec<Census>),
     /// The receiving entry's position among all entries.
     Rank(EntryRank),
+    /// What the sender knows of requests that crash targets.
+    Crashes(CrashReport),
     /// Asks for a [`Message::Pong`] with the same number.
     Ping(u64),
     /// Answers a ping.
--- a/src/route/crash.rs
+++ b/src/route/crash.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -73,6 +74,8 @@
     facts: Mutex<VecDeque<Fact>>,
     cases: Mutex<HashMap<u64, Case>>,
     fact_count: AtomicUsize,
+    /// Rises with every fact that is new.
+    learned: AtomicU64,
     case_count: AtomicUsize,
 }
 
@@ -171,6 +174,11 @@
         }
     }
 
+    /// Returns a count that rises with every fact that is new.
+    pub(crate) fn learned(&self) -> u64 {
+        self.learned.load(Ordering::Relaxed)
+    }
+
     /// Takes what another VM knows.
     pub(crate) fn merge(&self, report: &CrashReport, now: Instant) {
         for fact in report.facts.iter().take(MAX_FACTS) {
@@ -191,6 +199,7 @@
         facts.retain(|f| now.saturating_duration_since(f.at) < CRASH_MEMORY);
         if !facts.iter().any(|held| held.is_same(&fact)) {
             insert(&mut facts, fact);
+            self.learned.fetch_add(1, Ordering::Relaxed);
         }
         self.fact_count.store(facts.len(), Ordering::Relaxed);
         if is_poison(&facts, fingerprint, now) {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -27,6 +27,7 @@
 pub use crash::CrashFact;
 pub use crash::CrashKind;
 pub use crash::CrashReport;
+pub(crate) use crash::Crashes;
 pub use crash::QUARANTINE;
 pub use hot::KeyLoad;
 pub use hot::KeyLoads;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -198,6 +198,11 @@
         self.crashes.report(now)
     }
 
+    /// Returns a count that rises whenever [`Router::crashes`] has something new to tell.
+    pub fn crashes_learned(&self) -> u64 {
+        self.crashes.learned()
+    }
+
     /// Takes what another entry knows of requests that crash targets.
     pub fn learn_crashes(&self, report: &CrashReport, now: Instant) {
         self.crashes.merge(report, now);
--- a/src/spread/links.rs
+++ b/src/spread/links.rs
@@ -45,6 +45,7 @@
         if is_entry {
             self.tell_ranks(out);
         }
+        self.send_crashes(now, vec![link], out);
     }
 
     pub(super) fn unlinked(&mut self, now: Instant, link: LinkId) {
--- a/src/spread/machine.rs
+++ b/src/spread/machine.rs
@@ -14,6 +14,7 @@
 use crate::member::Members;
 use crate::member::VmTable;
 use crate::member::score;
+use crate::route::Crashes;
 use crate::spread::Action;
 use crate::spread::Census;
 use crate::spread::Input;
@@ -48,6 +49,9 @@
     pub(super) dialling: BTreeMap<VmId, Instant>,
     pub(super) ready: Readiness,
     pub(super) centres: Vec<Census>,
+    pub(super) crashes: Crashes,
+    pub(super) crashes_told: u64,
+    pub(super) crashes_at: Instant,
     pub(super) seeds_at: Instant,
     pub(super) count_at: Instant,
     table_at: Instant,
@@ -72,6 +76,9 @@
             links: BTreeMap::new(),
             dialling: BTreeMap::new(),
             centres: Vec::new(),
+            crashes: Crashes::default(),
+            crashes_told: 0,
+            crashes_at: now,
             seeds_at: now + LIST_INTERVAL,
             count_at: now + phase,
             table_at: now + phase,
@@ -162,6 +169,7 @@
         }
         self.maintain_links(now, out);
         self.sum_up(now, out);
+        self.tell_crashes(now, out);
         self.count(now, out);
         self.confirm_by_relays(now);
         self.check_peers(now);
@@ -280,6 +288,7 @@
             Message::Changes(changes) => self.take_changes(now, link, changes, out),
             Message::Digest(digest) => self.take_digest(link, &digest, out),
             Message::Summary(summary) => self.take_summary(now, link, summary),
+            Message::Crashes(report) => self.take_crashes(now, &report),
             Message::Subscribe(feed) => self.subscribed(now, link, feed),
             Message::Report(report) => self.take_report(link, &report),
             Message::Census(census) => self.take_census(now, link, census),
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -6,6 +6,7 @@
 
 mod changes;
 mod count;
+mod crashes;
 mod io;
 mod links;
 mod machine;
--- a/src/traffic/control.rs
+++ b/src/traffic/control.rs
@@ -29,11 +29,13 @@
         link: None,
         token,
         shared,
+        told: 0,
     };
     while control.shared.drain.stage() < Stage::Cutting {
         let counts = |passed| control.shared.router.take_key_loads(passed);
         let actions = follower.tick(Instant::now(), counts);
         control.perform(&mut follower, actions).await;
+        control.tell_crashes(&mut follower).await;
         control.receive(&mut follower).await;
         control.publish_freshness(&follower);
     }
@@ -43,6 +45,8 @@
     link: Option<Link>,
     token: String,
     shared: Arc<Shared>,
+    /// The count of facts about crashes that the link was told.
+    told: u64,
 }
 
 impl Control {
@@ -61,6 +65,7 @@
                     return follower.lost(Instant::now());
                 };
                 self.link = Some(link);
+                self.told = 0;
                 return follower.opened(Instant::now());
             }
             Action::Drop => {
@@ -69,6 +74,9 @@
                 }
             }
             Action::Send(message) => return self.send(follower, &message).await,
+            Action::Crashes(report) => {
+                self.shared.router.learn_crashes(&report, Instant::now());
+            }
             Action::Rank(rank) => self.shared.router.set_rank(rank),
             Action::Publish(view) => {
                 let number = view.state.number;
@@ -91,6 +99,19 @@
         }
     }
 
+    /// Tells what the router learned of requests that crash targets.
+    async fn tell_crashes(&mut self, follower: &mut Follower) {
+        let router = &self.shared.router;
+        let known = router.crashes_learned();
+        if self.link.is_none() || known == self.told {
+            return;
+        }
+        self.told = known;
+        let message = Message::Crashes(router.crashes(Instant::now()));
+        let actions = self.send(follower, &message).await;
+        self.perform(follower, actions).await;
+    }
+
     /// Waits for a message, at most until the next tick.
     async fn receive(&mut self, follower: &mut Follower) {
         let Some(link) = &mut self.link else {
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -16,6 +16,7 @@
 use crate::link::HotKey;
 use crate::link::Message;
 use crate::link::Role;
+use crate::route::CrashReport;
 use crate::route::EntryRank;
 use crate::route::KeyLoads;
 use crate::spread::Summary;
@@ -49,6 +50,8 @@
     Send(Message),
     /// Route by this view.
     Publish(Arc<View>),
+    /// Learn of requests that crash targets.
+    Crashes(CrashReport),
     /// Hold to the shares of this position.
     Rank(EntryRank),
 }
@@ -170,6 +173,7 @@
             Message::Changes(changes) => self.apply(changes),
             Message::Ping(number) => vec![Action::Send(Message::Pong(number))],
             Message::Digest(theirs) => self.compare(&theirs),
+            Message::Crashes(report) => vec![Action::Crashes(report)],
             Message::Rank(rank) => vec![Action::Rank(rank)],
             Message::Summary(theirs) => self.take_summary(&theirs, now),
             _ => Vec::new(),
--- a/tests/traffic_rank.rs
+++ b/tests/traffic_told.rs
@@ -1,4 +1,4 @@
-//! Which entry stands where: the shares of connections follow.
+//! What controllers tell entries besides the view: their ranks, and requests that crash targets.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -15,6 +15,9 @@
 use gooseberryloft::member::VmTable;
 use gooseberryloft::platform::VmEntry;
 use gooseberryloft::platform::VmState;
+use gooseberryloft::route::CrashFact;
+use gooseberryloft::route::CrashKind;
+use gooseberryloft::route::CrashReport;
 use gooseberryloft::route::EntryRank;
 use gooseberryloft::spread::Action;
 use gooseberryloft::spread::Input;
@@ -121,3 +124,68 @@
         })]
     );
 }
+
+fn told_crashes(actions: Vec<Action>, from: u64) -> Vec<(u64, CrashReport)> {
+    let mut told = Vec::new();
+    for action in actions {
+        if let Action::Send {
+            links,
+            message: Message::Crashes(report),
+        } = action
+        {
+            told.extend(links.iter().map(|to| (to.0, report.clone())));
+        }
+    }
+    expect_that!(told.iter().any(|(to, _)| *to == from), eq(true));
+    told.retain(|(to, _)| *to != from);
+    told
+}
+
+#[googletest::test]
+fn what_one_entry_knows_of_crashes_reaches_the_others_and_ends() {
+    let now = Instant::now();
+    let mut controller = controller(now);
+    for vm in 0..3 {
+        controller.handle(now, entry_links(vm));
+    }
+    let crash = CrashFact {
+        fingerprint: 7,
+        age_ms: 20,
+        kind: CrashKind::Crashed {
+            service: "jobs".into(),
+            target: "jobs-1".into(),
+        },
+    };
+    let report = CrashReport { facts: vec![crash] };
+    let told = |controller: &mut Spread, at: Instant| {
+        let message = Message::Crashes(report.clone());
+        controller.handle(
+            at,
+            Input::Received {
+                link: LinkId(1),
+                message,
+            },
+        );
+        controller.handle(at + Duration::from_secs(1), Input::Tick)
+    };
+    let actions = told(&mut controller, now);
+    let reached = told_crashes(actions, 1);
+    expect_that!(reached, len(eq(2)));
+    expect_that!(reached[0].1.facts[0].fingerprint, eq(7));
+    expect_that!(reached[0].1.facts[0].age_ms, eq(1020));
+    // Told again, it is nothing new.
+    let late = told(&mut controller, now + Duration::from_millis(10));
+    let again = |action: &Action| {
+        matches!(
+            action,
+            Action::Send {
+                message: Message::Crashes(_),
+                ..
+            }
+        )
+    };
+    expect_that!(late.iter().any(again), eq(false));
+    // Who links later is told.
+    let later = controller.handle(now + Duration::from_secs(2), entry_links(3));
+    expect_that!(later.iter().any(again), eq(true));
+}
