Split the entry's large files, and test filings in flight and lost controllers

Ruled out: nothing. Change: upload.rs and choose.rs hold what exchange.rs and serve.rs had beside their job; three tests in tests/traffic_process.rs. Conclusion: no change in behaviour.

--- /dev/null
+++ b/src/traffic/choose.rs
@@ -0,0 +1,47 @@
+//! Waiting for the router's choice.
+
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Instant;
+
+use futures::FutureExt;
+use futures::future::Either;
+use futures::future::select;
+
+use crate::route::Call;
+use crate::route::Lane;
+use crate::route::Refusal;
+use crate::route::Step;
+use crate::traffic::caller;
+use crate::traffic::caller::Caller;
+use crate::traffic::worker::Worker;
+
+/// Waits for a lane or a refusal; `None` when the caller went away.
+pub async fn next_step(
+    worker: &Worker,
+    caller: &mut Caller,
+    call: &mut Call,
+) -> Option<Result<Lane, Refusal>> {
+    let router = &worker.shared.router;
+    let mut sleep = None;
+    let step = std::future::poll_fn(|cx| {
+        match call.step(router, Instant::now(), cx.waker()) {
+            Step::Send(lane) => return Poll::Ready(Ok(lane)),
+            Step::Refuse(refusal) => return Poll::Ready(Err(refusal)),
+            Step::Wait(until) => sleep = Some(worker.timers.sleep_until(until)),
+        }
+        let due = sleep
+            .as_mut()
+            .is_some_and(|sleep| Pin::new(sleep).poll_unpin(cx).is_ready());
+        if due {
+            cx.waker().wake_by_ref();
+        }
+        Poll::Pending
+    });
+    let Caller { reader, stream } = caller;
+    let watch = caller::watch(reader, stream, &worker.timers, || true);
+    match select(step, std::pin::pin!(watch)).await {
+        Either::Left((step, _)) => Some(step),
+        Either::Right(_) => None,
+    }
+}
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -1,10 +1,8 @@
 //! One attempt: the request to a target, and its answer to the caller.
 
-use std::cell::Cell;
 use std::time::Duration;
 use std::time::Instant;
 
-use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use futures::future::Either;
 use futures::future::select;
@@ -19,40 +17,26 @@
 use crate::traffic::body::BodyDecoder;
 use crate::traffic::body::BodyError;
 use crate::traffic::body::Framing;
-use crate::traffic::caller;
 use crate::traffic::caller::Caller;
 use crate::traffic::drain::Stage;
 use crate::traffic::forward;
-use crate::traffic::forward::Added;
 use crate::traffic::head::AnswerHead;
-use crate::traffic::head::RequestHead;
 use crate::traffic::pool;
 use crate::traffic::pool::TargetConn;
 use crate::traffic::reader::Reader;
 use crate::traffic::relay::RelayError;
 use crate::traffic::relay::Sink;
 use crate::traffic::relay::relay;
-use crate::traffic::request::Routed;
+use crate::traffic::upload::Progress;
+use crate::traffic::upload::Request;
+use crate::traffic::upload::Upload;
+use crate::traffic::upload::opening;
+use crate::traffic::upload::upload;
 use crate::traffic::worker::Worker;
 
 /// How often an attempt looks whether its key has another owner by now.
 const OWNER_CHECK: Duration = Duration::from_millis(25);
 
-/// A request with as much of its body as is kept.
-#[derive(Debug)]
-pub struct Request {
-    /// The head as the caller sent it.
-    pub head: RequestHead,
-    /// Its service and key.
-    pub routed: Routed,
-    /// The start of the body.
-    pub kept: Vec<u8>,
-    /// The part of the body that is still to come.
-    pub rest: BodyDecoder,
-    /// Whether part of the body was passed on that is not kept.
-    pub consumed: bool,
-}
-
 /// What became of an attempt.
 #[derive(Debug)]
 pub enum End {
@@ -75,19 +59,6 @@
     BadBody(BodyError),
 }
 
-#[derive(Debug, Default)]
-struct Progress {
-    sent: Cell<bool>,
-    consumed: Cell<bool>,
-    uploaded: Cell<bool>,
-    answering: Cell<bool>,
-}
-
-enum Upload {
-    Gone,
-    Bad(BodyError),
-}
-
 /// Sends a request to a lane's target and its answer to the caller.
 pub async fn exchange(
     worker: &Worker,
@@ -246,65 +217,6 @@
     }
 }
 
-/// Returns what is sent first, and whether the rest follows in chunks.
-fn opening(request: &Request, lane: &Lane, id: u64) -> (Vec<u8>, bool) {
-    let whole = request.rest.is_done();
-    let framing = match request.head.framing {
-        Framing::Chunked if whole => Framing::Length(request.kept.len() as u64),
-        framing => framing,
-    };
-    let added = Added {
-        group: request.routed.group.as_ref(),
-        shard: lane.shard,
-        left: lane.deadline.saturating_duration_since(Instant::now()),
-        id,
-    };
-    let mut out = Vec::with_capacity(1024 + request.kept.len());
-    forward::request_head(&mut out, &request.head, framing, &added);
-    let chunked = framing == Framing::Chunked;
-    if chunked && !request.kept.is_empty() {
-        forward::put(&mut out, format_args!("{:x}\r\n", request.kept.len()));
-    }
-    out.extend_from_slice(&request.kept);
-    if chunked && !request.kept.is_empty() {
-        out.extend_from_slice(b"\r\n");
-    }
-    (out, chunked)
-}
-
-/// Sends the request, then watches the caller. It returns only when there is nobody to answer.
-async fn upload(
-    reader: &mut Reader,
-    stream: &TcpStream,
-    rest: &mut BodyDecoder,
-    to: &Sink<'_>,
-    out: &[u8],
-    progress: &Progress,
-) -> Upload {
-    let mut target = to.stream;
-    let Ok(count) = target.write(out).await else {
-        return std::future::pending().await;
-    };
-    progress.sent.set(true);
-    if to.write(&out[count..]).await.is_err() {
-        return std::future::pending().await;
-    }
-    if !rest.is_done() {
-        progress.consumed.set(true);
-        match relay(reader, rest, to, Vec::new()).await {
-            Ok(()) => {}
-            Err(RelayError::Cut) => return Upload::Gone,
-            Err(RelayError::Malformed(error)) => return Upload::Bad(error),
-            // The target may have answered before it stopped reading.
-            Err(RelayError::Sink) => return std::future::pending().await,
-        }
-    }
-    progress.uploaded.set(true);
-    let may_probe = || !progress.answering.get();
-    caller::watch(reader, stream, to.timers, may_probe).await;
-    Upload::Gone
-}
-
 /// Keeps a target's connection if there is no doubt about its state.
 fn keep(worker: &Worker, mut conn: TargetConn, head: &AnswerHead, uploaded: bool) {
     if !head.keep_alive || !uploaded {
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -1,15 +1,10 @@
 //! A caller's connection from its first request to its last.
 
-use std::pin::Pin;
-use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
-use futures::FutureExt;
-use futures::future::Either;
-use futures::future::select;
 
 use crate::events::Event;
 use crate::events::record;
@@ -17,18 +12,15 @@
 use crate::metrics;
 use crate::route::AttemptEnd;
 use crate::route::Call;
-use crate::route::Lane;
 use crate::route::Next;
 use crate::route::Refusal;
-use crate::route::Step;
 use crate::traffic::body::BodyDecoder;
 use crate::traffic::body::Framing;
-use crate::traffic::caller;
 use crate::traffic::caller::Caller;
 use crate::traffic::caller::KEPT_BODY_BYTES;
+use crate::traffic::choose::next_step;
 use crate::traffic::drain::Stage;
 use crate::traffic::exchange::End;
-use crate::traffic::exchange::Request;
 use crate::traffic::exchange::exchange;
 use crate::traffic::head::RequestHead;
 use crate::traffic::refuse;
@@ -38,6 +30,7 @@
 use crate::traffic::stats;
 use crate::traffic::stats::InFlight;
 use crate::traffic::stats::Outcome;
+use crate::traffic::upload::Request;
 use crate::traffic::worker::CallerState;
 use crate::traffic::worker::Shared;
 use crate::traffic::worker::Worker;
@@ -227,36 +220,6 @@
     }
 }
 
-/// Waits for a lane or a refusal; `None` when the caller went away.
-async fn next_step(
-    worker: &Worker,
-    caller: &mut Caller,
-    call: &mut Call,
-) -> Option<Result<Lane, Refusal>> {
-    let router = &worker.shared.router;
-    let mut sleep = None;
-    let step = std::future::poll_fn(|cx| {
-        match call.step(router, Instant::now(), cx.waker()) {
-            Step::Send(lane) => return Poll::Ready(Ok(lane)),
-            Step::Refuse(refusal) => return Poll::Ready(Err(refusal)),
-            Step::Wait(until) => sleep = Some(worker.timers.sleep_until(until)),
-        }
-        let due = sleep
-            .as_mut()
-            .is_some_and(|sleep| Pin::new(sleep).poll_unpin(cx).is_ready());
-        if due {
-            cx.waker().wake_by_ref();
-        }
-        Poll::Pending
-    });
-    let Caller { reader, stream } = caller;
-    let watch = caller::watch(reader, stream, &worker.timers, || true);
-    match select(step, std::pin::pin!(watch)).await {
-        Either::Left((step, _)) => Some(step),
-        Either::Right(_) => None,
-    }
-}
-
 fn attempt_end(end: &End) -> AttemptEnd {
     match end {
         End::Failed(end) => *end,
--- a/tests/traffic_process.rs
+++ b/tests/traffic_process.rs
@@ -17,8 +17,10 @@
 use googletest::prelude::*;
 
 use crate::traffic_support::PATIENCE;
+use crate::traffic_support::answering;
 use crate::traffic_support::connect;
 use crate::traffic_support::controller;
+use crate::traffic_support::controller_for;
 use crate::traffic_support::get;
 use crate::traffic_support::read_answer;
 use crate::traffic_support::read_head;
@@ -27,6 +29,7 @@
 use crate::traffic_support::target;
 use crate::traffic_support::text;
 use crate::traffic_support::view;
+use gooseberryloft::ids::TicketNumber;
 
 const PART: usize = 64 << 10;
 const PARTS: usize = 60;
@@ -150,6 +153,70 @@
     expect_that!(std::net::TcpStream::connect(entry.callers), err(anything()));
 }
 
+#[googletest::test]
+fn a_graceful_shutdown_cuts_no_filing() {
+    let counts = answering(|seen| text(&format!("{} bytes", seen.body.len())));
+    let controller = controller(view(&[counts]));
+    let mut entry = Process::start("filing", &[controller], "");
+    entry.wait_ready(true);
+    let mut filing = connect(entry.callers);
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+        PART * PARTS
+    );
+    filing.get_mut().write_all(head.as_bytes()).unwrap();
+    for part in 0..PARTS {
+        if part == 5 {
+            entry.terminate();
+        }
+        filing.get_mut().write_all(&vec![b'x'; PART]).unwrap();
+        thread::sleep(Duration::from_millis(30));
+    }
+    let (head, body) = read_answer(&mut filing).expect("the answer is whole");
+    expect_that!(head, contains_substring("connection: close\r\n"));
+    expect_that!(body, eq(format!("{} bytes", PART * PARTS).as_bytes()));
+    expect_that!(entry.child.wait().unwrap().success(), eq(true));
+}
+
+#[googletest::test]
+fn an_entry_serves_on_without_controllers_up_to_the_stale_limit() {
+    let target = answering(|_| text("whole"));
+    let controller = controller_for(view(&[target]), Duration::from_millis(300));
+    let entry = Process::start("stale", &[controller], "stale_limit = 1500 ms");
+    entry.wait_ready(true);
+    thread::sleep(Duration::from_millis(800));
+    expect_that!(get(entry.callers, "/"), ends_with("\r\n\r\nwhole"));
+    entry.wait_ready(false);
+    let answer = get(entry.callers, "/");
+    expect_that!(answer, starts_with("HTTP/1.1 503 "));
+    expect_that!(
+        answer,
+        contains_substring("x-gooseberryloft-outcome: not-run\r\n")
+    );
+}
+
+#[googletest::test]
+fn an_entry_goes_on_to_the_next_controller() {
+    let target = answering(|_| text("whole"));
+    let first = controller_for(view(&[target]), Duration::from_millis(300));
+    let mut newer = view(&[target]);
+    newer.state.number = TicketNumber(2);
+    newer
+        .state
+        .services
+        .values_mut()
+        .for_each(|s| s.prefix = "/new".into());
+    let entry = Process::start("next", &[first, controller(newer)], "");
+    entry.wait_ready(true);
+    let started = Instant::now();
+    while !get(entry.callers, "/new").ends_with("\r\n\r\nwhole")
+        || !get(entry.callers, "/old").starts_with("HTTP/1.1 404 ")
+    {
+        assert_that!(started.elapsed(), lt(Duration::from_secs(5)));
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 #[googletest::test]
 fn a_drain_limit_bounds_the_graceful_shutdown() {
     let controller = controller(view(&[slow_download()]));
--- a/tests/traffic_support/mod.rs
+++ b/tests/traffic_support/mod.rs
@@ -137,13 +137,24 @@
 
 /// Starts a controller that sends this view to whoever links.
 pub fn controller(view: View) -> SocketAddr {
+    controller_for(view, Duration::MAX)
+}
+
+/// Starts a controller that serves its first link for this long and is gone then, or any number
+/// of links for ever.
+pub fn controller_for(view: View, span: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming() {
             let stream = stream.unwrap().into();
             let view = view.clone();
-            thread::spawn(move || task::block_on(serve_link(stream, view)));
+            if span == Duration::MAX {
+                thread::spawn(move || task::block_on(serve_link(stream, view)));
+                continue;
+            }
+            let _ = task::block_on(async_std::future::timeout(span, serve_link(stream, view)));
+            return;
         }
     });
     address
