Keep an entry's callers within its file descriptors, and a fault within its request

Cause: with the usual limit of 1,024 open files an entry would take callers until it could open no connection to a target, and then hold that against the targets; a panic in one request would end the traffic thread and with it every caller of the thread. Ruled out: raising the limit ourselves; it is the operator's. Conclusion: the catching of a panic has no test, since no input is known that causes one.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -64,6 +64,8 @@
     WorkCut = 501,
     /// An entry's view was not confirmed for longer than the stale limit.
     ViewStale = 502,
+    /// A request met a fault of the program; its connection was closed, the others go on.
+    RequestFailed = 503,
     /// Requests alike crashed several targets and are refused for a while.
     RequestQuarantined = 510,
     /// A target failed repeatedly and gets no requests for a while.
@@ -89,6 +91,7 @@
             Self::RowMalformed => Level::Error,
             Self::LinkLost => Level::Warn,
             Self::WorkCut | Self::ViewStale => Level::Warn,
+            Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused => Level::Debug,
             Self::TableDown => Level::Warn,
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -24,6 +24,7 @@
 use crate::traffic::drain::Stage;
 use crate::traffic::follow::Follower;
 use crate::traffic::follow::Identity;
+use crate::traffic::limits;
 use crate::traffic::worker;
 use crate::traffic::worker::Shared;
 
@@ -81,12 +82,13 @@
         };
         let burn = Recorder::new(settings, Instant::now());
         let shared = Arc::new(Shared::new(config, burn));
+        let max_callers = limits::max_callers() / entry.threads.max(1);
         let mut workers = Vec::new();
         for index in 0..entry.threads.max(1) {
             let listener = listener.try_clone()?;
             let shared = shared.clone();
             let thread = thread::Builder::new().name(format!("traffic-{index}"));
-            workers.push(thread.spawn(move || worker::run(listener, shared))?);
+            workers.push(thread.spawn(move || worker::run(listener, shared, max_callers))?);
         }
         let running = Self {
             workers,
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 pub mod follow;
 mod forward;
 pub mod head;
+pub mod limits;
 pub mod pool;
 pub mod reader;
 mod refuse;
--- a/src/traffic/worker.rs
+++ b/src/traffic/worker.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::Shutdown;
 use std::net::TcpListener as StdListener;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -15,6 +16,7 @@
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
 use async_std::task;
+use futures::FutureExt;
 
 use crate::burn::Recorder;
 use crate::events::Event;
@@ -31,7 +33,6 @@
 use crate::traffic::timers::TICK;
 use crate::traffic::timers::Timers;
 
-const MAX_CALLERS: usize = 16_384;
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -82,6 +83,7 @@
     /// The thread's timers.
     pub timers: Timers,
     callers: RefCell<HashMap<u64, Rc<CallerState>>>,
+    max_callers: usize,
 }
 
 /// What a thread knows of one caller's connection.
@@ -104,12 +106,13 @@
     }
 }
 
-/// Serves callers until the graceful shutdown is complete.
-pub fn run(listener: StdListener, shared: Arc<Shared>) {
+/// Serves at most `max_callers` at a time, until the graceful shutdown is complete.
+pub fn run(listener: StdListener, shared: Arc<Shared>, max_callers: usize) {
     let worker = Rc::new(Worker {
         shared,
         timers: Timers::default(),
         callers: RefCell::default(),
+        max_callers,
     });
     task::block_on(worker.run(TcpListener::from(listener)));
 }
@@ -146,7 +149,7 @@
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut next_id = 0;
         loop {
-            if self.callers.borrow().len() >= MAX_CALLERS {
+            if self.callers.borrow().len() >= self.max_callers {
                 task::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
@@ -171,7 +174,14 @@
         self.callers.borrow_mut().insert(id, state.clone());
         let worker = self.clone();
         task::spawn_local(async move {
-            serve::serve(&worker, &state, stream).await;
+            let served = serve::serve(&worker, &state, stream);
+            // One faulty request must not end the thread that serves the others.
+            if AssertUnwindSafe(served).catch_unwind().await.is_err() {
+                record(
+                    Event::RequestFailed,
+                    format_args!("its connection is closed"),
+                );
+            }
             worker.callers.borrow_mut().remove(&id);
         });
     }
