--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -6,12 +6,14 @@
 
 mod changes;
 mod count;
+mod crashes;
 mod io;
 mod links;
 mod machine;
 mod message;
 mod peer;
 mod plan;
+mod rank;
 mod ready;
 mod recent;
 
