Script and randomise the faults that spreading must stand

Ruled out: a wall-clock bound on agreement instead of a confirmation after the start (a partition just before an outage would let a VM start on an old state). Found: the test's network handed answers to the process after a restart; the state machine now also refuses such an answer (regression kept).

--- a/src/spread/links.rs
+++ b/src/spread/links.rs
@@ -33,6 +33,7 @@
         if dialled {
             self.dialling.remove(&peer.vm);
         }
+        self.close_of_earlier(&peer, out);
         if peer.role == Role::Entry {
             self.catch_up(link, &peer, out);
         } else {
@@ -147,6 +148,16 @@
         }
     }
 
+    // Closes the links to an earlier process of the same VM, which may be silent for good.
+    fn close_of_earlier(&self, peer: &Peer, out: &mut Vec<Action>) {
+        for (link, other) in &self.links {
+            let same = other.vm == peer.vm && other.role == peer.role;
+            if same && other.hello.boot != peer.hello.boot {
+                out.push(Action::Hangup(*link));
+            }
+        }
+    }
+
     // Closes the links that this side opened beside a better one to the same VM.
     fn close_doubled(&self, out: &mut Vec<Action>) {
         for (link, peer) in &self.links {
--- a/src/spread/machine.rs
+++ b/src/spread/machine.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::ids::DataCentre;
 use crate::ids::TicketNumber;
 use crate::ids::VmId;
 use crate::link::Hello;
@@ -211,9 +212,13 @@
                 (number, verified)
             }
         };
+        let held = self.view.state.number;
         // A read below what is held came from a replica that lags.
-        if verified || number >= self.view.state.number {
+        let current = number == held && self.ready.is_started();
+        if (verified && number <= held) || current {
             self.ready.table_confirms(now, verified);
+        } else {
+            self.ready.table_fails();
         }
     }
 
@@ -236,25 +241,30 @@
         }
     }
 
-    // Without the table, relays of most data centres that hold the same confirm each other.
+    // Without the table, relays of most data centres that hold the same confirm each other, as of
+    // the time when the last of them was heard.
     fn confirm_by_relays(&mut self, now: Instant) {
         let number = self.view.state.number;
-        let agrees = |peer: &&Peer| {
-            let summary = peer.recent_summary(now);
-            let same = summary.is_some_and(|s| s.number == number && s.age_ms.is_some());
-            same && peer.is_mesh()
-        };
-        let agreeing = self.links.values().filter(agrees);
-        let near = &self.conf.data_centre;
-        let mut centres: BTreeSet<_> = agreeing.map(|peer| &peer.data_centre).collect();
-        if !self.is_relay() || centres.is_empty() {
+        let mut heard: BTreeMap<&DataCentre, Instant> = BTreeMap::new();
+        for peer in self.links.values().filter(|peer| peer.is_mesh()) {
+            let Some((at, summary)) = peer.recent_summary(now) else {
+                continue;
+            };
+            if summary.number == number && summary.age_ms.is_some() {
+                let latest = heard.entry(&peer.data_centre).or_insert(at);
+                *latest = at.max(*latest);
+            }
+        }
+        if !self.is_relay() || heard.is_empty() {
             return;
         }
-        centres.insert(near);
+        heard.insert(&self.conf.data_centre, now);
         let listed = self.members.listed().map(|entry| &entry.data_centre);
-        let all: BTreeSet<_> = listed.collect();
-        if centres.len() * 2 > all.len() {
-            self.ready.peer_confirms(now, Duration::ZERO);
+        let most = listed.collect::<BTreeSet<_>>().len() / 2;
+        let mut times: Vec<_> = heard.into_values().collect();
+        times.sort_by(|a, b| b.cmp(a));
+        if let Some(at) = times.get(most) {
+            self.ready.peer_confirms(now, now - *at);
         }
     }
 
--- a/src/spread/peer.rs
+++ b/src/spread/peer.rs
@@ -163,11 +163,11 @@
         }
     }
 
-    /// Returns its last summary, unless it is old.
-    pub fn recent_summary(&self, now: Instant) -> Option<&Summary> {
-        let (at, summary) = self.summary.as_ref()?;
+    /// Returns its last summary and when it came, unless it is old.
+    pub fn recent_summary(&self, now: Instant) -> Option<(Instant, Summary)> {
+        let (at, summary) = self.summary?;
         let limit = self.interval() * MISSED;
-        (now.saturating_duration_since(*at) < limit).then_some(summary)
+        (now.saturating_duration_since(at) < limit).then_some((at, summary))
     }
 
     /// Takes a summary of the other end; `held` is this side's.
--- a/src/spread/ready.rs
+++ b/src/spread/ready.rs
@@ -35,7 +35,7 @@
         self.started |= verified;
     }
 
-    /// Takes note that the table does not answer.
+    /// Takes note that the table does not answer, or only from a replica that lags.
     pub fn table_fails(&mut self) {
         self.table_down = true;
     }
@@ -47,10 +47,12 @@
     }
 
     /// Takes note of whether every VM that this one takes state from has been heard and holds
-    /// nothing newer. While the table is down this stands in for the table at the start.
+    /// nothing newer. While the table is down this stands in for the table at the start, provided
+    /// that they confirmed the number after this VM had started.
     pub fn peers_agree(&mut self, now: Instant, agree: bool) {
         let waited = now.saturating_duration_since(self.since) >= PEER_WAIT;
-        self.started |= self.table_down && waited && agree && self.is_fresh(now);
+        let confirmed = self.confirmed.is_some_and(|at| at >= self.since);
+        self.started |= self.table_down && waited && agree && confirmed;
     }
 
     /// Returns whether what was in force at the start is held.
--- /dev/null
+++ b/tests/spread_properties.rs
@@ -0,0 +1,268 @@
+//! Whatever happens, numbers never fall, and a VM that starts becomes ready only with what was in
+//! force everywhere by then.
+
+mod spread_support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use gooseberryloft::ids::DataCentre;
+use gooseberryloft::ids::TicketNumber;
+use gooseberryloft::ids::VmId;
+use gooseberryloft::member::candidates;
+use gooseberryloft::member::ranked;
+use gooseberryloft::platform::VmEntry;
+use gooseberryloft::platform::VmState;
+use gooseberryloft::spread::FAN_OUT;
+use gooseberryloft::spread::Plan;
+use gooseberryloft::spread::RELAYS;
+
+use crate::spread_support::Net;
+use crate::spread_support::NetConf;
+use crate::spread_support::TableState;
+use crate::spread_support::centre_name;
+use crate::spread_support::numbers;
+use crate::spread_support::state;
+use crate::spread_support::vm_name;
+
+const VMS: usize = 9;
+const CENTRES: usize = 3;
+const TARGETS: usize = 2;
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Ticket,
+    Run(u64),
+    Kill(usize),
+    Restart(usize),
+    TableUp,
+    TableDown,
+    TableStale,
+    List(bool),
+    Cut(usize),
+    Heal,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        3 => Just(Fault::Ticket),
+        4 => (100..4000_u64).prop_map(Fault::Run),
+        1 => (0..VMS).prop_map(Fault::Kill),
+        3 => (0..VMS).prop_map(Fault::Restart),
+        2 => Just(Fault::TableUp),
+        1 => Just(Fault::TableDown),
+        1 => Just(Fault::TableStale),
+        1 => any::<bool>().prop_map(Fault::List),
+        1 => (0..CENTRES).prop_map(Fault::Cut),
+        1 => Just(Fault::Heal),
+    ]
+}
+
+/// What one process held so far, and what it must hold to be ready.
+#[derive(Clone, Copy, Default)]
+struct Held {
+    number: TicketNumber,
+    floor: TicketNumber,
+}
+
+struct Watch {
+    net: Net,
+    held: Vec<Held>,
+    everywhere: TicketNumber,
+    accepted: u64,
+}
+
+impl Watch {
+    fn new(seed: u64, loss: f64) -> Self {
+        let net = Net::new(NetConf {
+            vms: VMS,
+            data_centres: CENTRES,
+            loss,
+            tick: Duration::from_millis(50),
+            seed,
+        });
+        Self {
+            net,
+            held: vec![Held::default(); VMS],
+            everywhere: TicketNumber(0),
+            accepted: 0,
+        }
+    }
+
+    fn apply(&mut self, fault: &Fault) {
+        match fault {
+            // Tickets are accepted by the table, so not while it is down.
+            Fault::Ticket if self.net.table != TableState::Down => {
+                self.accepted += 1;
+                self.net.state = state(self.accepted, TARGETS);
+            }
+            Fault::Ticket => {}
+            Fault::Run(millis) => self.run(*millis),
+            Fault::Kill(index) => self.net.kill(*index),
+            Fault::Restart(index) => {
+                self.net.kill(*index);
+                self.net.restart(*index);
+                self.held[*index] = Held {
+                    number: TicketNumber(0),
+                    floor: self.everywhere,
+                };
+            }
+            Fault::TableUp => self.net.table = TableState::Up,
+            Fault::TableDown => self.net.table = TableState::Down,
+            Fault::TableStale => self.net.table = TableState::Stale(self.net.state.clone()),
+            Fault::List(down) => self.net.list_down = *down,
+            Fault::Cut(index) => self.net.cut.push(centre_name(*index)),
+            Fault::Heal => self.net.cut.clear(),
+        }
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            self.net.run(Duration::from_millis(100));
+            self.check();
+        }
+    }
+
+    fn check(&mut self) {
+        let live = self.net.nodes.iter().enumerate();
+        let live = live.filter(|(_, node)| node.alive);
+        let mut lowest = TicketNumber(u64::MAX);
+        for (index, node) in live {
+            let number = node.spread.view().state.number;
+            let held = &mut self.held[index];
+            assert!(
+                number >= held.number,
+                "vm-{index} fell from {}",
+                held.number
+            );
+            held.number = number;
+            lowest = lowest.min(number);
+            if node.spread.is_ready(self.net.now) {
+                assert!(
+                    number >= held.floor,
+                    "vm-{index} is ready below {}",
+                    held.floor
+                );
+            }
+        }
+        if lowest != TicketNumber(u64::MAX) {
+            self.everywhere = self.everywhere.max(lowest);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, ..ProptestConfig::default() })]
+
+    #[test]
+    fn numbers_never_fall_and_ready_means_up_to_date(
+        seed in any::<u64>(),
+        loss in 0.0..0.1_f64,
+        faults in proptest::collection::vec(fault(), 1..40),
+    ) {
+        let mut watch = Watch::new(seed, loss);
+        watch.run(3000);
+        for fault in &faults {
+            watch.apply(fault);
+            watch.run(200);
+        }
+    }
+
+    #[test]
+    fn once_faults_end_every_live_vm_holds_the_newest(
+        seed in any::<u64>(),
+        loss in 0.0..0.05_f64,
+        faults in proptest::collection::vec(fault(), 1..30),
+    ) {
+        let mut watch = Watch::new(seed, loss);
+        watch.run(3000);
+        for fault in &faults {
+            watch.apply(fault);
+        }
+        watch.apply(&Fault::TableUp);
+        watch.apply(&Fault::Heal);
+        watch.apply(&Fault::List(false));
+        watch.run(20_000);
+        let newest = watch.accepted;
+        prop_assert!(watch.net.all_hold(newest), "{newest}: {:?}", numbers(&watch.net));
+    }
+}
+
+fn entries(vms: usize, centres: usize) -> Vec<VmEntry> {
+    let entry = |index: usize| VmEntry {
+        vm: vm_name(index),
+        data_centre: centre_name(index % centres),
+        address: ([127, 0, 0, 1], 1).into(),
+        state: VmState::Live,
+    };
+    (0..vms).map(entry).collect()
+}
+
+fn plan(entry: &VmEntry, list: &[VmEntry]) -> Plan {
+    Plan::new(&entry.vm, &entry.data_centre, list.iter())
+}
+
+proptest! {
+    // A parent ranks before its child on every list, so no circle closes, whatever lists differ.
+    #[test]
+    fn parents_rank_before_their_children(
+        vms in 1..200_usize,
+        missing in proptest::collection::vec(any::<prop::sample::Index>(), 0..20),
+        me in any::<prop::sample::Index>(),
+    ) {
+        let all = entries(vms, 2);
+        let me = me.get(&all).clone();
+        let gone: Vec<&VmId> = missing.iter().map(|index| &index.get(&all).vm).collect();
+        let known = all.iter().filter(|entry| entry.vm == me.vm || !gone.contains(&&entry.vm));
+        let known: Vec<VmEntry> = known.cloned().collect();
+        let order = ranked("spread", all.iter());
+        let place = |vm: &VmId| order.iter().position(|entry| entry.vm == *vm);
+        let plan = plan(&me, &known);
+        prop_assert!(plan.parents.iter().all(|parent| place(parent) < place(&me.vm)));
+        prop_assert!(plan.parents.is_empty() || plan.parents.len() == RELAYS);
+    }
+
+    #[test]
+    fn no_vm_feeds_more_than_its_share(vms in 1..400_usize) {
+        let list = entries(vms, 1);
+        let mut fed = std::collections::BTreeMap::<VmId, usize>::new();
+        for entry in &list {
+            for parent in plan(entry, &list).parents {
+                *fed.entry(parent).or_default() += 1;
+            }
+        }
+        prop_assert!(fed.values().all(|count| *count <= FAN_OUT));
+    }
+
+    #[test]
+    fn candidates_stand_in_different_data_centres(
+        vms in 1..60_usize,
+        centres in 1..8_usize,
+        count in 1..6_usize,
+    ) {
+        let list = entries(vms, centres);
+        let chosen = candidates("jobs/0", list.iter(), count);
+        let places: std::collections::BTreeSet<&DataCentre> =
+            chosen.iter().map(|entry| &entry.data_centre).collect();
+        prop_assert_eq!(chosen.len(), count.min(vms));
+        prop_assert_eq!(places.len(), count.min(vms).min(centres));
+    }
+
+    // A join or a loss moves no more than its own place.
+    #[test]
+    fn a_loss_disturbs_the_ranks_at_one_place(
+        vms in 2..60_usize,
+        lost in any::<prop::sample::Index>(),
+    ) {
+        let list = entries(vms, 3);
+        let lost = lost.get(&list).vm.clone();
+        let names = |list: &[VmEntry]| -> Vec<VmId> {
+            ranked("jobs/0", list.iter()).into_iter().map(|entry| entry.vm.clone()).collect()
+        };
+        let mut before = names(&list);
+        let rest: Vec<VmEntry> = list.into_iter().filter(|entry| entry.vm != lost).collect();
+        before.retain(|vm| *vm != lost);
+        prop_assert_eq!(before, names(&rest));
+    }
+}
--- a/tests/spread_support/mod.rs
+++ b/tests/spread_support/mod.rs
@@ -109,6 +109,7 @@
     at: Instant,
     order: u64,
     to: usize,
+    boot: BootId,
     what: Slot,
 }
 
@@ -236,7 +237,9 @@
             };
             self.now = due.at;
             self.ping();
-            if self.nodes[due.to].alive {
+            // What was meant for an earlier process is lost with it.
+            let node = &self.nodes[due.to];
+            if node.alive && node.hello.boot == due.boot {
                 self.happen(due.to, due.what.0);
             }
         }
@@ -347,6 +350,7 @@
             at: self.now + after,
             order: self.count,
             to,
+            boot: self.nodes[to].hello.boot,
             what: Slot(what),
         };
         self.queue.push(Reverse(due));
