--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -18,13 +18,16 @@
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::ids::VmId;
+use crate::route::call::RequestInfo;
 use crate::route::crash::CrashReport;
 use crate::route::crash::Crashes;
+use crate::route::hot::KeyLoads;
 use crate::route::lane::Lane;
 use crate::route::load::LoadReport;
 use crate::route::load::PeerLoads;
 use crate::route::load::TargetLoad;
 use crate::route::share::EntryRank;
+use crate::route::table::ServiceRoute;
 use crate::route::table::Table;
 use crate::view::View;
 
@@ -119,6 +122,15 @@
         self.table.load().prefixes.service(path).cloned()
     }
 
+    /// Returns whether another target than the lane's owns the request's key by now.
+    pub fn is_superseded(&self, info: &RequestInfo, lane: &Lane) -> bool {
+        let table = self.table.load();
+        let route = table.services.get(&info.service);
+        let key = info.key_hash.zip(route);
+        let owner = key.and_then(|(hash, route)| route.key_route(hash)?.owner);
+        owner.is_some_and(|owner| owner.target.address != lane.address)
+    }
+
     /// Takes what a target's load endpoint tells, in percent; it moves the choice only a little.
     pub fn observe_load(&self, service: &ServiceId, target: &TargetId, percent: u32, now: Instant) {
         let name = (service.clone(), target.clone());
@@ -170,6 +182,17 @@
         lock(&self.peers).expire(now);
     }
 
+    /// Takes the request rates of the keyed services over the time since they were last taken.
+    pub fn take_key_loads(&self, passed: Duration) -> Vec<KeyLoads> {
+        let table = self.table.load();
+        let keyed = table
+            .services
+            .values()
+            .filter(|route| route.service.keying.is_some());
+        let take = |route: &Arc<ServiceRoute>| route.shared.counts.take(&route.id, passed);
+        keyed.map(take).collect()
+    }
+
     /// Returns what this entry knows of requests that crash targets, to tell the others.
     pub fn crashes(&self, now: Instant) -> CrashReport {
         self.crashes.report(now)
@@ -238,10 +261,8 @@
     fn recompile(&self, view: Arc<View>, config: &RouterConfig) {
         let old = self.table.load_full();
         let table = Table::compile(view, &old, config.rank, &config.data_centre);
-        let table = Arc::new(table);
-        self.table.store(table.clone());
-        let queues = old.services.values().chain(table.services.values());
-        for route in queues {
+        self.table.store(Arc::new(table));
+        for route in old.services.values() {
             route.shared.wake_all();
             for target in &route.targets {
                 target.stats.queue.wake_all();
