Feed the load of keys to the groups, and rank candidates after changes only

Ruled out: sums up the tree to the holder, since the samples of the five candidates' own entries serve. Change: an own entry's report reaches the groups; candidates are kept until the list or the ticket changes; carrying out actions is a file of its own. Relays without a list confirm nobody (half of no data centres is none).

--- /dev/null
+++ b/src/control/carry.rs
@@ -0,0 +1,135 @@
+//! Carrying out what the state machines ask for, and answering operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::channel::Sender;
+
+use crate::control::Ask;
+use crate::control::Status;
+use crate::control::groups::GroupAction;
+use crate::control::status;
+use crate::control::thread::Control;
+use crate::events;
+use crate::events::record;
+use crate::link::Frame;
+use crate::link::Hello;
+use crate::link::Message;
+use crate::metrics;
+use crate::owner::group;
+use crate::platform::Table;
+use crate::platform::VmList;
+use crate::spread;
+use crate::spread::LinkId;
+use crate::view::ViewChange;
+
+/// How long a question waits for the counts of other VMs.
+const COUNT_WAIT: Duration = Duration::from_millis(300);
+
+impl<P: Table + VmList + 'static> Control<P> {
+    pub(super) fn carry_out(&mut self, now: Instant, action: spread::Action) {
+        match action {
+            spread::Action::Send { links, message } => self.send(&links, &message),
+            spread::Action::Dial { vm, address } => self.links.dial(vm, address),
+            spread::Action::Hangup(link) => {
+                self.open.remove(&link);
+            }
+            spread::Action::ReadTable { held, verify } => self.outside.read_state(held, verify),
+            spread::Action::ReadVms => self.outside.read_vms(),
+            spread::Action::Counted => self.answer_status(|_| true),
+            spread::Action::Changed(change) => self.changed(now, &change),
+        }
+    }
+
+    fn changed(&mut self, now: Instant, change: &ViewChange) {
+        let view = self.spread.view();
+        let mut hello = Hello::clone(&self.links.hello.load());
+        hello.digest = view.digest();
+        self.links.hello.store(Arc::new(hello));
+        if let ViewChange::State(_) | ViewChange::Services { .. } = change {
+            let number = view.state.number;
+            metrics::instruments().in_force(number);
+            record(
+                events::Event::TicketInForce,
+                format_args!("ticket={number}"),
+            );
+            let services = view.state.services.values();
+            let named: Vec<_> = services.flat_map(|s| s.targets.values()).collect();
+            self.outside
+                .keep_targets(|address| named.iter().any(|target| target.address == *address));
+            let state = &self.spread.view().state;
+            let actions = self.groups.reconcile(now, state, self.spread.members());
+            self.act(now, actions);
+        }
+    }
+
+    pub(super) fn act(&mut self, now: Instant, actions: Vec<GroupAction>) {
+        for GroupAction { group, action } in actions {
+            match action {
+                group::Action::Read { id, keys } => self.outside.read_rows(group, id, keys),
+                group::Action::Commit(tx) => self.outside.commit(group, tx),
+                group::Action::Order {
+                    target,
+                    address,
+                    order,
+                } => self.outside.order(group, target, address, order),
+                group::Action::Send { to, message } => {
+                    let link = self.spread.link_to(&to);
+                    let links: Vec<_> = link.into_iter().collect();
+                    self.send(&links, &Message::Owner { group, message });
+                }
+                group::Action::Publish(change) => self.publish(now, change),
+                group::Action::Record(event, details) => record(event, format_args!("{details}")),
+            }
+        }
+    }
+
+    fn publish(&mut self, now: Instant, change: ViewChange) {
+        self.spread(now, spread::Input::Local(change));
+    }
+
+    fn send(&self, links: &[LinkId], message: &Message) {
+        if links.is_empty() {
+            return;
+        }
+        let frame = Frame::new(message);
+        for open in links.iter().filter_map(|link| self.open.get(link)) {
+            open.outbox.send(frame.clone());
+        }
+    }
+
+    // A channel that nobody reads any more belongs to a caller who went away.
+    pub(super) fn answer(&mut self, now: Instant, ask: Ask) {
+        match ask {
+            Ask::Show(reply) => {
+                let _ = reply.try_send(self.spread.view().state.clone());
+            }
+            Ask::Status(reply) => {
+                self.curious.push((now + COUNT_WAIT, reply));
+                self.spread(now, spread::Input::Count);
+            }
+            Ask::Owner {
+                service,
+                key_hash,
+                reply,
+            } => {
+                let owner = status::owner(self.spread.view(), &service, key_hash);
+                let _ = reply.try_send(owner);
+            }
+            Ask::Accepted(number) => self.spread(now, spread::Input::Accepted(number)),
+            Ask::Ready(reply) => {
+                let _ = reply.try_send(!self.stopping && self.spread.is_ready(now));
+            }
+        }
+    }
+
+    pub(super) fn answer_status(&mut self, due: impl Fn(Instant) -> bool) {
+        let (answered, waiting) = self.curious.drain(..).partition(|(at, _)| due(*at));
+        self.curious = waiting;
+        let answered: Vec<(Instant, Sender<Status>)> = answered;
+        for (_, reply) in answered {
+            let _ = reply.try_send(status::status(&self.me.vm, &self.spread, &self.groups));
+        }
+    }
+}
--- a/src/control/groups.rs
+++ b/src/control/groups.rs
@@ -5,7 +5,9 @@
 use std::time::Instant;
 
 use crate::ids::GroupId;
+use crate::ids::TicketNumber;
 use crate::ids::VmId;
+use crate::link::EntryReport;
 use crate::member::Members;
 use crate::member::candidates;
 use crate::owner::group::Action;
@@ -13,6 +15,7 @@
 use crate::owner::group::GroupConf;
 use crate::owner::group::Input;
 use crate::owner::group::Peer;
+use crate::owner::loads::Loads;
 use crate::owner::message::Member;
 use crate::owner::right::VouchPolicy;
 use crate::ticket::InForce;
@@ -35,6 +38,9 @@
     running: BTreeMap<GroupId, Group>,
     services: BTreeMap<GroupId, Option<Service>>,
     peers: Vec<Peer>,
+    /// The VMs that stand ready for each group, as of `ranked`.
+    candidates: BTreeMap<GroupId, BTreeSet<VmId>>,
+    ranked: (u64, TicketNumber),
 }
 
 impl Groups {
@@ -45,6 +51,8 @@
             running: BTreeMap::new(),
             services: BTreeMap::new(),
             peers: Vec::new(),
+            candidates: BTreeMap::new(),
+            ranked: (0, TicketNumber(0)),
         }
     }
 
@@ -61,6 +69,20 @@
         named(group, machine.handle(now, input))
     }
 
+    /// Tells the groups what this VM's own entry saw of their keys.
+    pub fn load(&mut self, now: Instant, report: &EntryReport) -> Vec<GroupAction> {
+        let mut out = Vec::new();
+        for (group, machine) in &mut self.running {
+            let service = self.services.get(group).and_then(Option::as_ref);
+            let Some(keying) = service.and_then(|service| service.keying.as_ref()) else {
+                continue;
+            };
+            let loads = Loads::of_group(report, group, keying);
+            out.extend(named(group, machine.handle(now, Input::Loads(loads))));
+        }
+        out
+    }
+
     /// Lets time pass for the groups that asked for it.
     pub fn tick(&mut self, now: Instant) -> Vec<GroupAction> {
         let due = self.running.iter();
@@ -99,9 +121,15 @@
         members: &Members,
     ) -> Vec<GroupAction> {
         let mut out = Vec::new();
+        let ranked = (members.version(), state.number);
+        if ranked == self.ranked {
+            return out;
+        }
+        self.ranked = ranked;
         let keyed = keyed_groups(state);
+        self.rank(keyed.keys(), members);
         for group in keyed.keys() {
-            if !self.running.contains_key(group) && self.is_candidate(group, members) {
+            if !self.running.contains_key(group) && self.is_candidate(group) {
                 out.extend(self.start(now, group));
             }
         }
@@ -131,12 +159,11 @@
     }
 
     /// Returns the VMs that the groups need links to.
-    pub fn wanted(&self, members: &Members) -> BTreeSet<VmId> {
+    pub fn wanted(&self) -> BTreeSet<VmId> {
         let mut wanted = BTreeSet::new();
         for (group, machine) in &self.running {
-            let name = group.to_string();
-            let ready = candidates(&name, members.listed(), CANDIDATES);
-            wanted.extend(ready.into_iter().map(|entry| entry.vm.clone()));
+            let ready = self.candidates.get(group);
+            wanted.extend(ready.into_iter().flatten().cloned());
             let status = machine.status();
             wanted.extend(status.holder);
             wanted.extend(status.deputies);
@@ -158,10 +185,19 @@
         self.tell(now, group, Input::Vms(self.peers.clone()))
     }
 
-    fn is_candidate(&self, group: &GroupId, members: &Members) -> bool {
-        let name = group.to_string();
-        let ready = candidates(&name, members.listed(), CANDIDATES);
-        ready.into_iter().any(|entry| entry.vm == self.me.vm)
+    // Ranking every VM for every group takes long at full size, so it is done after changes only.
+    fn rank<'a>(&mut self, groups: impl Iterator<Item = &'a GroupId>, members: &Members) {
+        let ready = groups.map(|group| {
+            let best = candidates(&group.to_string(), members.listed(), CANDIDATES);
+            let names = best.into_iter().map(|entry| entry.vm.clone());
+            (group.clone(), names.collect())
+        });
+        self.candidates = ready.collect();
+    }
+
+    fn is_candidate(&self, group: &GroupId) -> bool {
+        let ready = self.candidates.get(group);
+        ready.is_some_and(|ready| ready.contains(&self.me.vm))
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The controller's process: one control thread, and the adapters that feed it.
 
+mod carry;
 mod event;
 mod groups;
 mod handle;
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -3,28 +3,20 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use async_std::channel::Sender;
 
 use crate::clock::Clock;
-use crate::control::Ask;
 use crate::control::Status;
 use crate::control::event::Event;
-use crate::control::groups::GroupAction;
 use crate::control::groups::Groups;
 use crate::control::links::Links;
 use crate::control::outside::Outside;
-use crate::control::status;
-use crate::events;
-use crate::events::record;
 use crate::ids::VmId;
-use crate::link::Frame;
 use crate::link::Hello;
 use crate::link::Message;
 use crate::link::Outbox;
-use crate::metrics;
 use crate::owner::group;
 use crate::owner::message::Member;
 use crate::platform::Table;
@@ -33,28 +25,24 @@
 use crate::spread;
 use crate::spread::LinkId;
 use crate::spread::Spread;
-use crate::view::ViewChange;
-
-/// How long a question waits for the counts of other VMs.
-const COUNT_WAIT: Duration = Duration::from_millis(300);
 
 /// The state that one thread owns, and the ways out of it.
 pub struct Control<P> {
-    me: Member,
-    clock: Arc<dyn Clock>,
-    spread: Spread,
-    groups: Groups,
-    links: Links,
-    open: BTreeMap<LinkId, OpenLink>,
-    outside: Outside<P>,
-    pending: VecDeque<spread::Input>,
-    curious: Vec<(Instant, Sender<Status>)>,
-    stopping: bool,
+    pub(super) me: Member,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) spread: Spread,
+    pub(super) groups: Groups,
+    pub(super) links: Links,
+    pub(super) open: BTreeMap<LinkId, OpenLink>,
+    pub(super) outside: Outside<P>,
+    pub(super) pending: VecDeque<spread::Input>,
+    pub(super) curious: Vec<(Instant, Sender<Status>)>,
+    pub(super) stopping: bool,
 }
 
-struct OpenLink {
-    vm: VmId,
-    outbox: Outbox,
+pub(super) struct OpenLink {
+    pub(super) vm: VmId,
+    pub(super) outbox: Outbox,
 }
 
 impl<P: Table + VmList + 'static> Control<P> {
@@ -145,16 +133,25 @@
     }
 
     fn received(&mut self, now: Instant, link: LinkId, message: Message) {
-        let Message::Owner { group, message } = message else {
-            self.spread(now, spread::Input::Received { link, message });
-            return;
-        };
         let Some(open) = self.open.get(&link) else {
             return;
         };
         let from = open.vm.clone();
-        let input = group::Input::Peer { from, message };
-        let actions = self.groups.tell(now, &group, input);
+        let actions = match message {
+            Message::Owner { group, message } => {
+                let input = group::Input::Peer { from, message };
+                self.groups.tell(now, &group, input)
+            }
+            message => {
+                // The samples of one entry are enough; others' entries tell their own controllers.
+                let actions = match &message {
+                    Message::Report(report) if from == self.me.vm => self.groups.load(now, report),
+                    _ => Vec::new(),
+                };
+                self.spread(now, spread::Input::Received { link, message });
+                actions
+            }
+        };
         self.act(now, actions);
     }
 
@@ -165,7 +162,7 @@
         self.act(now, actions);
         let actions = self.groups.set_peers(now, self.peers());
         self.act(now, actions);
-        let wanted = self.groups.wanted(self.spread.members());
+        let wanted = self.groups.wanted();
         self.spread(now, spread::Input::Want(wanted));
     }
 
@@ -193,7 +190,7 @@
     }
 
     // A change of one state machine may be news to the other, so both run until nothing is left.
-    fn spread(&mut self, now: Instant, input: spread::Input) {
+    pub(super) fn spread(&mut self, now: Instant, input: spread::Input) {
         self.pending.push_back(input);
         while let Some(input) = self.pending.pop_front() {
             for action in self.spread.handle(now, input) {
@@ -202,111 +199,6 @@
         }
     }
 
-    fn carry_out(&mut self, now: Instant, action: spread::Action) {
-        match action {
-            spread::Action::Send { links, message } => self.send(&links, &message),
-            spread::Action::Dial { vm, address } => self.links.dial(vm, address),
-            spread::Action::Hangup(link) => {
-                self.open.remove(&link);
-            }
-            spread::Action::ReadTable { held, verify } => self.outside.read_state(held, verify),
-            spread::Action::ReadVms => self.outside.read_vms(),
-            spread::Action::Counted => self.answer_status(|_| true),
-            spread::Action::Changed(change) => self.changed(now, &change),
-        }
-    }
-
-    fn changed(&mut self, now: Instant, change: &ViewChange) {
-        let view = self.spread.view();
-        let mut hello = Hello::clone(&self.links.hello.load());
-        hello.digest = view.digest();
-        self.links.hello.store(Arc::new(hello));
-        if let ViewChange::State(_) | ViewChange::Services { .. } = change {
-            let number = view.state.number;
-            metrics::instruments().in_force(number);
-            record(
-                events::Event::TicketInForce,
-                format_args!("ticket={number}"),
-            );
-            let services = view.state.services.values();
-            let named: Vec<_> = services.flat_map(|s| s.targets.values()).collect();
-            self.outside
-                .keep_targets(|address| named.iter().any(|target| target.address == *address));
-            let state = &self.spread.view().state;
-            let actions = self.groups.reconcile(now, state, self.spread.members());
-            self.act(now, actions);
-        }
-    }
-
-    fn act(&mut self, now: Instant, actions: Vec<GroupAction>) {
-        for GroupAction { group, action } in actions {
-            match action {
-                group::Action::Read { id, keys } => self.outside.read_rows(group, id, keys),
-                group::Action::Commit(tx) => self.outside.commit(group, tx),
-                group::Action::Order {
-                    target,
-                    address,
-                    order,
-                } => self.outside.order(group, target, address, order),
-                group::Action::Send { to, message } => {
-                    let link = self.spread.link_to(&to);
-                    let links: Vec<_> = link.into_iter().collect();
-                    self.send(&links, &Message::Owner { group, message });
-                }
-                group::Action::Publish(change) => self.publish(now, change),
-                group::Action::Record(event, details) => record(event, format_args!("{details}")),
-            }
-        }
-    }
-
-    fn publish(&mut self, now: Instant, change: ViewChange) {
-        self.spread(now, spread::Input::Local(change));
-    }
-
-    fn send(&self, links: &[LinkId], message: &Message) {
-        if links.is_empty() {
-            return;
-        }
-        let frame = Frame::new(message);
-        for open in links.iter().filter_map(|link| self.open.get(link)) {
-            open.outbox.send(frame.clone());
-        }
-    }
-
-    // A channel that nobody reads any more belongs to a caller who went away.
-    fn answer(&mut self, now: Instant, ask: Ask) {
-        match ask {
-            Ask::Show(reply) => {
-                let _ = reply.try_send(self.spread.view().state.clone());
-            }
-            Ask::Status(reply) => {
-                self.curious.push((now + COUNT_WAIT, reply));
-                self.spread(now, spread::Input::Count);
-            }
-            Ask::Owner {
-                service,
-                key_hash,
-                reply,
-            } => {
-                let owner = status::owner(self.spread.view(), &service, key_hash);
-                let _ = reply.try_send(owner);
-            }
-            Ask::Accepted(number) => self.spread(now, spread::Input::Accepted(number)),
-            Ask::Ready(reply) => {
-                let _ = reply.try_send(!self.stopping && self.spread.is_ready(now));
-            }
-        }
-    }
-
-    fn answer_status(&mut self, due: impl Fn(Instant) -> bool) {
-        let (answered, waiting) = self.curious.drain(..).partition(|(at, _)| due(*at));
-        self.curious = waiting;
-        let answered: Vec<(Instant, Sender<Status>)> = answered;
-        for (_, reply) in answered {
-            let _ = reply.try_send(status::status(&self.me.vm, &self.spread, &self.groups));
-        }
-    }
-
     fn stop(&mut self, now: Instant) {
         self.stopping = true;
         let actions = self.groups.hand_over(now);
--- a/src/member/members.rs
+++ b/src/member/members.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     list: Arc<VmTable>,
+    version: u64,
     suspects: BTreeMap<VmId, Instant>,
 }
 
@@ -38,6 +39,7 @@
     pub fn take_list(&mut self, list: Arc<VmTable>) -> bool {
         let differs = *self.list != *list;
         self.list = list;
+        self.version += u64::from(differs);
         let entries = &self.list.entries;
         self.suspects.retain(|vm, _| entries.contains_key(vm));
         differs
@@ -63,6 +65,11 @@
         self.list.entries.get(vm)
     }
 
+    /// Returns a number that rises whenever the list differs from the one before.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the number of VMs in the platform's list.
     pub fn count(&self) -> usize {
         self.list.entries.len()
--- a/src/spread/machine.rs
+++ b/src/spread/machine.rs
@@ -259,7 +259,7 @@
                 *latest = at.max(*latest);
             }
         }
-        if !self.is_relay() || heard.is_empty() {
+        if !self.is_relay() || heard.is_empty() || self.members.count() == 0 {
             return;
         }
         heard.insert(&self.conf.data_centre, now);
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -40,6 +40,18 @@
     answers.into_iter().all(|answer| answer.status == 200)
 }
 
+// Every controller has read the list of VMs and heard of every data centre.
+fn all_linked(site: &Site) -> bool {
+    let running = site.controllers.iter().enumerate();
+    let mut running = running.filter(|(_, program)| program.is_some());
+    running.all(|(index, _)| {
+        let status = site.status(index);
+        let centres = status["data_centres"].as_array();
+        let heard = |centre: &serde_json::Value| centre["listed"] == 1 && centre["heard"] == 1;
+        centres.is_some_and(|centres| centres.len() == 3 && centres.iter().all(heard))
+    })
+}
+
 fn in_force(site: &Site, number: u64) -> bool {
     let running = site.controllers.iter().enumerate();
     let mut running = running.filter(|(_, program)| program.is_some());
@@ -97,6 +109,7 @@
         contains_substring("accepted")
     );
     wait_for("in force on every controller", || in_force(&site, 1));
+    wait_for("every controller knows the others", || all_linked(&site));
     site.table.set_faults(Faults {
         down: true,
         ..Faults::default()
