--- a/src/spread/links.rs
+++ b/src/spread/links.rs
@@ -29,12 +29,13 @@
         dialled: bool,
         out: &mut Vec<Action>,
     ) {
+        let is_entry = hello.role == Role::Entry;
         let peer = Peer::new(now, hello, dialled);
         if dialled {
             self.dialling.remove(&peer.vm);
         }
         self.close_of_earlier(&peer, out);
-        if peer.role == Role::Entry {
+        if is_entry {
             self.catch_up(link, &peer, out);
         } else {
             self.replan_at = Some(now);
@@ -42,6 +43,10 @@
         }
         self.links.insert(link, peer);
         self.close_doubled(out);
+        if is_entry {
+            self.tell_ranks(out);
+        }
+        self.send_crashes(now, vec![link], out);
     }
 
     pub(super) fn unlinked(&mut self, now: Instant, link: LinkId) {
