Tell how many requests wait at an entry

Cause: the instrument for the queue was never fed. Ruled out: a label per service (the router counts its queue as a whole). Change: the entry's metrics carry the router's count.

--- a/src/metrics/instruments.rs
+++ b/src/metrics/instruments.rs
@@ -53,7 +53,7 @@
                 .with_description("Requests in flight by service")
                 .build(),
             retries: counter("retries", "Requests sent again, by service"),
-            queued: gauge("queued", "Requests waiting for a target, by service"),
+            queued: gauge("queued", "Requests waiting for a target"),
             in_force: gauge("ticket_in_force", "The number in force on this VM"),
             terms: gauge("group_term", "The newest term known of each group"),
             orders: counter("orders", "Orders to targets by outcome"),
@@ -91,9 +91,8 @@
     }
 
     /// Tells the number of requests that wait.
-    pub fn queued(&self, service: &ServiceId, length: u64) {
-        self.queued
-            .record(length, &[label("service", service.shared())]);
+    pub fn queued(&self, length: usize) {
+        self.queued.record(length as u64, &[]);
     }
 
     /// Tells the number in force.
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -38,6 +38,7 @@
 async fn metrics(request: Request<Arc<Shared>>) -> tide::Result<String> {
     let shared = request.state();
     instruments().in_force(shared.router.view().state.number);
+    instruments().queued(shared.router.waiting());
     Ok(render())
 }
 
--- a/tests/burn_entry.rs
+++ b/tests/burn_entry.rs
@@ -75,6 +75,7 @@
         metrics,
         contains_substring("gooseberryloft_in_flight{service=\"roster\"} 0")
     );
+    expect_that!(metrics, contains_substring("\ngooseberryloft_queued 0\n"));
 }
 
 // The entry may confirm its view again at any moment, so the refusal is asked for until it comes.
