Tell operators plainly why an outcome is not known

Cause: in a trial with the table down the message held three remedies of three layers, meant for the callers of the table. Ruled out: shortening the table's own errors (their callers need them). Change: the filing says in one clause what stood in the way.

--- a/src/operator/routes.rs
+++ b/src/operator/routes.rs
@@ -70,7 +70,10 @@
     match table.get(&ticket::ticket_key(number)).await {
         Ok(Some(row)) => Ok(Response::from(Body::from_bytes(row.value))),
         Ok(None) => Ok(refusal(StatusCode::NotFound, "no ticket has that number")),
-        Err(error) => Ok(refusal(StatusCode::ServiceUnavailable, &error.to_string())),
+        Err(_) => Ok(refusal(
+            StatusCode::ServiceUnavailable,
+            "the table service does not answer; read the state in force, or try again later",
+        )),
     }
 }
 
--- a/src/ticket/file.rs
+++ b/src/ticket/file.rs
@@ -94,10 +94,11 @@
         match input {
             Input::Woken => Action::Load,
             Input::Loaded(Ok(snapshot)) => self.decide(&snapshot),
+            Input::Loaded(Err(LoadError::Table(error))) => self.pause(reason(&error), now),
             Input::Loaded(Err(error)) => self.pause(&error.to_string(), now),
             Input::Read(Ok(row)) => self.judge(row.as_ref()),
             Input::Committed(result) => self.committed(result, now),
-            Input::Read(Err(error)) => self.pause(&error.to_string(), now),
+            Input::Read(Err(error)) => self.pause(reason(&error), now),
         }
     }
 
@@ -110,7 +111,7 @@
             Err(TableError::Conflict { .. }) if proved.is_none() && now < self.deadline => {
                 Action::Load
             }
-            Err(error) => self.pause(&error.to_string(), now),
+            Err(error) => self.pause(reason(&error), now),
         }
     }
 
@@ -206,6 +207,15 @@
     }
 }
 
+// What an operator is told; the table's own words are for those who call it.
+fn reason(error: &TableError) -> &'static str {
+    match error {
+        TableError::Conflict { .. } => "other tickets keep coming first",
+        TableError::Throttled => "the table service refuses requests for now",
+        TableError::Unknown(_) => "the table service does not answer",
+    }
+}
+
 fn in_force_row(next: &InForce) -> Vec<u8> {
     rows::encode(&InForceRow {
         number: next.number,
