Bound what the reading of a file costs by its size

Cause: every key kept a copy of its section's name and every fault did too, so one section name of 2 MB with 1,000 bad keys made 419 MB of fault text; the new test failed on it. Ruled out: a smaller limit for the file (4,000 targets need 466 KB today). Change: names of sections and keys have at most 256 bytes, a file at most 200,000 lines, and places are kept by section. Conclusion: text from outside costs memory in proportion to its own size.

--- a/src/inifile/lines.rs
+++ b/src/inifile/lines.rs
@@ -5,6 +5,11 @@
 use crate::inifile::Fault;
 use crate::inifile::Faults;
 
+/// More lines than this are not read.
+const MAX_LINES: usize = 200_000;
+/// The longest accepted name of a section or key.
+const MAX_NAME_BYTES: usize = 256;
+
 const SHAPES: &str = "write `[section]`, `key = value` or a comment that starts the line with `;`";
 
 /// A file's lines, with comments and malformed lines blanked out.
@@ -12,14 +17,15 @@
 pub(super) struct Lines {
     /// The text that is left for the parser, line by line as in the file.
     pub text: String,
-    places: HashMap<Place, usize>,
+    sections: HashMap<String, Place>,
     section: String,
 }
 
-#[derive(Debug, PartialEq, Eq, Hash)]
+/// Where a section and its keys stand.
+#[derive(Debug, Default)]
 struct Place {
-    section: String,
-    key: String,
+    line: usize,
+    keys: HashMap<String, usize>,
 }
 
 enum Shape<'a> {
@@ -34,6 +40,11 @@
     pub fn read(text: &str, faults: &mut Faults) -> Self {
         let mut lines = Self::default();
         for (i, line) in text.lines().enumerate() {
+            if i == MAX_LINES {
+                let remedy = format!("keep the file to {MAX_LINES} lines");
+                faults.push(lines.fault(i + 1, "", "too many lines", &remedy));
+                break;
+            }
             lines.take(i + 1, line.trim(), faults);
             lines.text.push('\n');
         }
@@ -42,43 +53,41 @@
 
     /// Returns the line of a key, or of its section, or 0.
     pub fn line_of(&self, section: &str, key: &str) -> usize {
-        let place = |key: &str| Place {
-            section: section.to_owned(),
-            key: key.to_owned(),
-        };
-        let line = self.places.get(&place(key));
-        line.or_else(|| self.places.get(&place("")))
-            .copied()
-            .unwrap_or(0)
+        let place = self.sections.get(section);
+        let line = |place: &Place| place.keys.get(key).copied().unwrap_or(place.line);
+        place.map_or(0, line)
     }
 
     fn take(&mut self, number: usize, line: &str, faults: &mut Faults) {
-        let key = match shape(line) {
-            Shape::Nothing => return,
+        match shape(line) {
+            Shape::Nothing => {}
             Shape::Malformed(problem) => {
                 faults.push(self.fault(number, "", problem, SHAPES));
-                return;
             }
             Shape::Section(name) => {
                 name.clone_into(&mut self.section);
-                ""
+                let place = self.sections.entry(name.to_owned()).or_default();
+                let first = std::mem::replace(&mut place.line, number);
+                if first > 0 {
+                    place.line = first;
+                    faults.push(self.doubled(number, "", first));
+                }
+                self.text.push_str(line);
             }
-            Shape::Pair(key) => key,
-        };
-        let place = Place {
-            section: self.section.clone(),
-            key: key.to_owned(),
-        };
-        if let Some(first) = self.places.get(&place) {
-            let problem = format!("given a second time, first on line {first}");
-            faults.push(self.fault(number, key, &problem, "keep one of the two"));
-            if !key.is_empty() {
-                return;
+            Shape::Pair(key) => {
+                let place = self.sections.entry(self.section.clone()).or_default();
+                let first = *place.keys.entry(key.to_owned()).or_insert(number);
+                match first == number {
+                    true => self.text.push_str(line),
+                    false => faults.push(self.doubled(number, key, first)),
+                }
             }
-        } else {
-            self.places.insert(place, number);
         }
-        self.text.push_str(line);
+    }
+
+    fn doubled(&self, line: usize, key: &str, first: usize) -> Fault {
+        let problem = format!("given a second time, first on line {first}");
+        self.fault(line, key, &problem, "keep one of the two")
     }
 
     fn fault(&self, line: usize, key: &str, problem: &str, remedy: &str) -> Fault {
@@ -101,12 +110,16 @@
     }
     if let Some(rest) = line.strip_prefix('[') {
         return match rest.strip_suffix(']').map(str::trim) {
-            Some(name) if !name.is_empty() && !name.contains(['[', ']']) => Shape::Section(name),
+            Some(name) if is_fit(name) && !name.contains(['[', ']']) => Shape::Section(name),
             _ => Shape::Malformed("malformed section"),
         };
     }
     match line.split_once(['=', ':']) {
-        Some((key, _)) if !key.trim().is_empty() => Shape::Pair(key.trim_end()),
-        _ => Shape::Malformed("neither a section, a key nor a comment"),
+        Some((key, _)) if is_fit(key.trim_end()) => Shape::Pair(key.trim_end()),
+        _ => Shape::Malformed("neither a section, a key nor a comment, or a name that is too long"),
     }
 }
+
+fn is_fit(name: &str) -> bool {
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES
+}
--- a/tests/ticket_parse.rs
+++ b/tests/ticket_parse.rs
@@ -183,3 +183,14 @@
         prop_assert!(bytes < 64 << 10);
     }
 }
+
+#[googletest::test]
+fn long_names_and_many_lines_cost_no_more_than_their_text() {
+    let long = "x".repeat(ticket::MAX_TICKET_BYTES / 2);
+    let keys: String = (0..1_000).map(|i| format!("k{i}\n")).collect();
+    let lines = "[a]\n".repeat(ticket::MAX_TICKET_BYTES / 4);
+    for text in [format!("[{long}]\n{keys}"), format!("{long} = 1\n"), lines] {
+        let told: usize = faults(&text).iter().map(String::len).sum();
+        expect_that!(told, all![gt(0), lt(256 << 10)]);
+    }
+}
