--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -1,5 +1,7 @@
 //! The messages between our processes. Unknown fields are ignored; new fields need a default.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
@@ -34,7 +36,9 @@
     Summary(Summary),
     /// The numbers in force on the sender and the VMs below it.
     Census(Census),
-    /// The numbers in force in every data centre; from a parent.
+    /// Asks for [`Message::Centres`] for a while.
+    AskCentres,
+    /// The numbers in force in every data centre.
     Centres(Vec<Census>),
     /// Asks for a [`Message::Pong`] with the same number.
     Ping(u64),
@@ -82,6 +86,9 @@
     /// The hottest keys of each keyed service, hottest first.
     #[serde(default)]
     pub hot_keys: Vec<HotKey>,
+    /// Requests a second of each keyed service.
+    #[serde(default)]
+    pub rates: BTreeMap<ServiceId, f64>,
 }
 
 /// One hot key.
--- a/src/owner/group/base.rs
+++ b/src/owner/group/base.rs
@@ -1,5 +1,6 @@
 //! What every role of a group's state machine shares.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,12 +16,12 @@
 use crate::owner::group::Action;
 use crate::owner::group::FIRST_TERM;
 use crate::owner::group::GroupConf;
-use crate::owner::group::Loads;
 use crate::owner::group::Peer;
 use crate::owner::group::elect;
 use crate::owner::group::fleet::Fleet;
 use crate::owner::group::store::Rows;
 use crate::owner::group::store::Store;
+use crate::owner::loads::Samples;
 use crate::owner::message::Ask;
 use crate::owner::message::Member;
 use crate::owner::message::PeerMessage;
@@ -32,6 +33,7 @@
 use crate::ticket::Target;
 use crate::ticket::TargetState;
 
+const SHUN_TIME: Duration = Duration::from_secs(30);
 const ASKS_KEPT: usize = 16;
 
 /// What the write on its way is for.
@@ -59,7 +61,8 @@
     pub rng: ChaCha8Rng,
     pub service: Option<Service>,
     pub peers: Vec<Peer>,
-    pub loads: Loads,
+    /// The load as the entries saw it lately.
+    pub samples: Samples,
     pub store: Store,
     pub fleet: Fleet,
     /// Who controls the group under the newest term known.
@@ -67,6 +70,8 @@
     pub asks: Asks,
     pub read_due: Instant,
     pub pending: Option<Pending>,
+    /// Members that were out of reach or leave, and until when not to name them.
+    pub shunned: BTreeMap<Member, Instant>,
     /// Whether this process is about to stop as planned.
     pub leaving: bool,
 }
@@ -96,12 +101,13 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             service: None,
             peers: Vec::new(),
-            loads: Loads::default(),
+            samples: Samples::default(),
             fleet: Fleet::default(),
             place: None,
             asks: Asks::default(),
             read_due: now,
             pending: None,
+            shunned: BTreeMap::new(),
             leaving: false,
         }
     }
@@ -164,6 +170,12 @@
             .collect()
     }
 
+    /// Returns the hashed shard of a key.
+    pub fn shard_of(&self, key_hash: u64) -> Option<Shard> {
+        let keying = self.service.as_ref()?.keying.as_ref()?;
+        Some(keying.shard_of(key_hash))
+    }
+
     /// Returns the owners as the table has them.
     pub fn shards(&self) -> Option<&ShardsRow> {
         self.store.rows()?.shards.as_ref()
@@ -191,6 +203,12 @@
         }
     }
 
+    /// Names a member no more for some time.
+    pub fn shun(&mut self, now: Instant, member: Member) {
+        self.shunned.retain(|_, until| now < *until);
+        self.shunned.insert(member, now + SHUN_TIME);
+    }
+
     /// Reads the rows if that is due.
     pub fn read_if_due(&mut self, now: Instant, out: &mut Vec<Action>) {
         if now >= self.read_due && !self.store.reading() {
@@ -198,19 +216,13 @@
         }
     }
 
-    /// Writes this process into the row as the holder of a new term; `without` and `kept`
-    /// say whom else to name.
-    pub fn take(
-        &mut self,
-        now: Instant,
-        without: &[Member],
-        kept: &[Member],
-        out: &mut Vec<Action>,
-    ) {
+    /// Writes this process into the row as the holder of a new term; deputies that are `kept` stay
+    /// unless better ones are to be had.
+    pub fn take(&mut self, now: Instant, kept: &[Member], out: &mut Vec<Action>) {
         let Some(rows) = self.store.rows().cloned() else {
             return;
         };
-        let members = elect::members(self, without, kept);
+        let members = elect::members(self, now, kept);
         let need = self.conf.policy.need(members.len());
         let row = match rows.group {
             None => GroupRow {
