List the metrics for operators

Cause: the operators' page did not say what the metrics are. Ruled out: a page of its own (nine rows). Conclusion: a metric without a row fails the tests.

--- a/tests/docs_operations.rs
+++ b/tests/docs_operations.rs
@@ -1,11 +1,16 @@
-//! The operators' page and the code name the same settings, ticket keys and alerts.
+//! The operators' page and the code name the same settings, ticket keys, metrics and alerts.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use strum::IntoEnumIterator;
 
 use gooseberryloft::events::Event;
+use gooseberryloft::ids::GroupId;
+use gooseberryloft::ids::Term;
+use gooseberryloft::ids::TicketNumber;
+use gooseberryloft::metrics;
 use gooseberryloft::settings::Settings;
 use gooseberryloft::ticket;
 
@@ -90,3 +95,28 @@
     let warned: BTreeSet<String> = warned.map(|event| <&str>::from(event).to_owned()).collect();
     expect_that!(alerts, eq(&warned));
 }
+
+#[googletest::test]
+fn each_metric_is_on_the_page() {
+    let (service, data_centre) = ("a".into(), "b".into());
+    let group = GroupId {
+        service: "a".into(),
+        index: 0,
+    };
+    let instruments = metrics::instruments();
+    instruments.request(&service, &data_centre, "whole", Duration::ZERO);
+    instruments.in_flight(&service, 0);
+    instruments.queued(0);
+    instruments.retry(&service);
+    instruments.in_force(TicketNumber(1));
+    instruments.term(&group, Term(1));
+    instruments.order("taken");
+    instruments.table_error("conflict");
+    let text = metrics::render();
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names = types.filter_map(|rest| rest.split(' ').next());
+    let names: BTreeSet<String> = names.map(str::to_owned).collect();
+    let rows = rows("Metrics");
+    let documented: BTreeSet<String> = rows.iter().skip(2).map(|r| r[0].to_owned()).collect();
+    expect_that!(documented, eq(&names));
+}
