Remember how removed services divided their keys

Cause: a keyed service removed by one ticket and added by the next with another number of shards would map a key to a new owner while the old one may still hold its lease; the check knew only what is in force. Ruled out: never taking a name again (operators do bring services back); waiting out the lease before filing (the filing holds no clock of others). Change: the row in-force keeps the keying of removed keyed services; a ticket that brings one back must divide its keys the same way. Conclusion: the shards of a name never change, in force or not.

--- a/src/ticket/check.rs
+++ b/src/ticket/check.rs
@@ -74,6 +74,23 @@
     faults
 }
 
+/// Checks that a service removed earlier comes back with its keys divided as they were.
+pub fn revival(retired: &BTreeMap<ServiceId, Keying>, ticket: &Ticket) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (name, service) in &ticket.services {
+        let Some(keying) = retired.get(name) else {
+            continue;
+        };
+        if service.keying.as_ref() != Some(keying) {
+            let was = describe(&Some(keying.clone()));
+            let problem = format!("a removed service of this name divided its keys by {was}");
+            let remedy = "divide them the same way, or give the service a name that was not used";
+            faults.push(fault(service_section(name), "key", &problem, remedy));
+        }
+    }
+    faults
+}
+
 fn check_head(ticket: &Ticket, faults: &mut Vec<Fault>) {
     if ticket.number <= ticket.base {
         let problem = format!("{} is not above the base {}", ticket.number, ticket.base);
--- a/src/ticket/file.rs
+++ b/src/ticket/file.rs
@@ -6,9 +6,11 @@
 //! a refusal that a stale read could bring about is proved first, by a transaction that changes
 //! nothing and holds only if the rows are still at the revisions read.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::ids::ServiceId;
 use crate::ids::TicketNumber;
 use crate::platform::Condition;
 use crate::platform::Mutation;
@@ -17,6 +19,7 @@
 use crate::platform::Transaction;
 use crate::platform::WriteId;
 use crate::ticket::InForce;
+use crate::ticket::Keying;
 use crate::ticket::LoadError;
 use crate::ticket::Outcome;
 use crate::ticket::Snapshot;
@@ -128,7 +131,8 @@
             let key = rows::IN_FORCE_KEY.to_owned();
             return self.prove(self.base_replaced(), condition(key, snapshot.revision));
         }
-        let faults = check::change(state, &self.ticket);
+        let mut faults = check::change(state, &self.ticket);
+        faults.extend(check::revival(&snapshot.retired, &self.ticket));
         if faults.is_empty() {
             return Action::Commit(self.transaction(snapshot));
         }
@@ -188,8 +192,9 @@
     fn transaction(&self, snapshot: &Snapshot) -> Transaction {
         let ticket_key = rows::ticket_key(self.ticket.number);
         let next = snapshot.state.apply(&self.ticket);
+        let retired = snapshot.retired_after(&self.ticket);
         let mut mutations = vec![
-            put(rows::IN_FORCE_KEY.to_owned(), in_force_row(&next)),
+            put(rows::IN_FORCE_KEY.to_owned(), in_force_row(&next, retired)),
             put(ticket_key.clone(), self.text.clone().into_bytes()),
         ];
         let services = self.ticket.services.iter();
@@ -216,10 +221,11 @@
     }
 }
 
-fn in_force_row(next: &InForce) -> Vec<u8> {
+fn in_force_row(next: &InForce, retired: BTreeMap<ServiceId, Keying>) -> Vec<u8> {
     rows::encode(&InForceRow {
         number: next.number,
         digest: rows::state_digest(next),
+        retired,
     })
 }
 
--- a/src/ticket/load.rs
+++ b/src/ticket/load.rs
@@ -8,7 +8,9 @@
 use crate::platform::Row;
 use crate::platform::TableError;
 use crate::ticket::InForce;
+use crate::ticket::Keying;
 use crate::ticket::Service;
+use crate::ticket::Ticket;
 use crate::ticket::rows;
 use crate::ticket::rows::InForceRow;
 
@@ -19,6 +21,8 @@
     pub revision: u64,
     /// The state in force.
     pub state: InForce,
+    /// How the keyed services that were removed divided their keys.
+    pub retired: BTreeMap<ServiceId, Keying>,
 }
 
 /// Why the state in force could not be loaded.
@@ -54,12 +58,27 @@
             true => Ok(Self {
                 revision: row.revision,
                 state,
+                retired: head.retired,
             }),
             false => Err(LoadError::Torn),
         }
     }
 }
 
+impl Snapshot {
+    /// Returns the keyed services that are removed once a ticket is in force.
+    pub(super) fn retired_after(&self, ticket: &Ticket) -> BTreeMap<ServiceId, Keying> {
+        let mut retired = self.retired.clone();
+        for name in &ticket.removed {
+            let service = self.state.services.get(name);
+            if let Some(keying) = service.and_then(|service| service.keying.clone()) {
+                retired.insert(name.clone(), keying);
+            }
+        }
+        retired
+    }
+}
+
 fn service(row: &Row) -> Result<(ServiceId, Service), LoadError> {
     let name = row.key.strip_prefix(rows::SERVICE_PREFIX);
     let value = rows::decode(&row.value);
--- a/src/ticket/rows.rs
+++ b/src/ticket/rows.rs
@@ -1,5 +1,7 @@
 //! The table rows that hold tickets and the state in force.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -9,6 +11,7 @@
 use crate::ids::ServiceId;
 use crate::ids::TicketNumber;
 use crate::ticket::InForce;
+use crate::ticket::Keying;
 
 /// The key of the row that names the number in force.
 pub const IN_FORCE_KEY: &str = "in-force";
@@ -23,6 +26,9 @@
     /// The digest of the whole state in force; see [`state_digest`].
     #[serde(with = "serde_bytes")]
     pub digest: Vec<u8>,
+    /// How the keyed services that were removed divided their keys.
+    #[serde(default)]
+    pub retired: BTreeMap<ServiceId, Keying>,
 }
 
 /// Returns the key of a ticket's row, which holds its text.
--- a/tests/ticket_filing.rs
+++ b/tests/ticket_filing.rs
@@ -255,3 +255,37 @@
         expect_that!(again, eq(&accepted), "{commits} commits behind");
     }
 }
+
+fn keyed(base: u64, shards: u32) -> String {
+    let text = text(TicketNumber(base), 1, 0);
+    text.replace(
+        "path = /s\n",
+        &format!("path = /s\nkey = path\nshards = {shards}\n"),
+    )
+}
+
+#[googletest::test]
+fn a_removed_service_comes_back_only_with_its_keys_divided_as_they_were() {
+    let mut table = FakeTable::default();
+    file_alone(&mut table, &keyed(0, 64), 1, &[]);
+    let other = text(TicketNumber(1), 1, 0).replace("service s]", "service o]");
+    let other = other
+        .replace("/s\n", "/o\n")
+        .replace("target s t", "target o t");
+    let removal = other.replace("9001", "9002") + "[remove s]\n";
+    expect_that!(
+        file_alone(&mut table, &removal, 2, &[]).is_accepted(),
+        eq(true)
+    );
+    let divided = file_alone(&mut table, &keyed(2, 128), 3, &[]);
+    expect_that!(
+        divided.to_string(),
+        contains_substring("64 shards and 1 groups")
+    );
+    let unkeyed = file_alone(&mut table, &text(TicketNumber(2), 1, 0), 4, &[]);
+    expect_that!(unkeyed.is_refused(), eq(true));
+    expect_that!(
+        file_alone(&mut table, &keyed(2, 64), 5, &[]).is_accepted(),
+        eq(true)
+    );
+}
