Split confirmation from the spreading machine, and count data centres once

Ruled out: a longer tick, which lengthens every wait. Change: confirm.rs; the number of data centres is kept with the list.

--- a/src/member/members.rs
+++ b/src/member/members.rs
@@ -1,6 +1,7 @@
 //! Who runs: the platform's list, which lags, corrected by what this VM's own links show.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,6 +16,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VmTable {
     entries: BTreeMap<VmId, VmEntry>,
+    data_centres: usize,
 }
 
 /// The VMs as one VM knows them.
@@ -29,8 +31,13 @@
     /// Creates the list from the platform's answer.
     pub fn new(list: Vec<VmEntry>) -> Self {
         let named = list.into_iter().map(|entry| (entry.vm.clone(), entry));
-        let entries = named.collect();
-        Self { entries }
+        let entries: BTreeMap<VmId, VmEntry> = named.collect();
+        let centres: BTreeSet<_> = entries.values().map(|entry| &entry.data_centre).collect();
+        let data_centres = centres.len();
+        Self {
+            entries,
+            data_centres,
+        }
     }
 }
 
@@ -75,6 +82,11 @@
         self.list.entries.len()
     }
 
+    /// Returns the number of data centres in the platform's list.
+    pub fn data_centres(&self) -> usize {
+        self.list.data_centres
+    }
+
     /// Returns every VM of the platform's list.
     pub fn listed(&self) -> impl Iterator<Item = &VmEntry> {
         self.list.entries.values()
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -5,6 +5,7 @@
 //! does not stop it.
 
 mod changes;
+mod confirm;
 mod count;
 mod crashes;
 mod io;
