--- a/examples/capacity/wire.rs
+++ b/examples/capacity/wire.rs
@@ -128,6 +128,7 @@
         seq: 1_000_000,
         place,
         barred: Vec::new(),
+        revision: 1_000_000,
     }
 }
 
@@ -137,6 +138,7 @@
         term: Term(1_000),
         barred: Vec::new(),
         bounds: Vec::new(),
+        vouched: Vec::new(),
         table_ms: 9_000,
         holder_ms: 80,
     }
--- a/examples/measure/keyed.rs
+++ b/examples/measure/keyed.rs
@@ -10,6 +10,15 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::owner_world::Sizes;
+use crate::owner_world::World;
+use crate::report::Report;
+use crate::report::Row;
+use crate::report::figure;
+use crate::world;
+use crate::world::VITRINAS;
+use crate::world::service_id;
+use crate::world::target_id;
 use gooseberryloft::ids::Fence;
 use gooseberryloft::ids::GroupId;
 use gooseberryloft::ids::Shard;
@@ -29,16 +38,6 @@
 use gooseberryloft::ticket::Keying;
 use gooseberryloft::view::View;
 
-use crate::owner_world::Sizes;
-use crate::owner_world::World;
-use crate::report::Report;
-use crate::report::Row;
-use crate::report::figure;
-use crate::world;
-use crate::world::VITRINAS;
-use crate::world::service_id;
-use crate::world::target_id;
-
 const SHARDS: u32 = 1_024;
 const OWNERS: usize = 15;
 const SLOTS: u32 = 2;
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -18,7 +18,7 @@
 use crate::link::Role;
 use crate::route::CrashReport;
 use crate::route::EntryRank;
-use crate::route::KeyLoads;
+use crate::route::ServiceLoads;
 use crate::spread::Summary;
 use crate::view::View;
 use crate::view::ViewChange;
@@ -184,7 +184,7 @@
     pub fn tick(
         &mut self,
         now: Instant,
-        counts: impl FnOnce(Duration) -> Vec<KeyLoads>,
+        counts: impl FnOnce(Duration) -> Vec<ServiceLoads>,
     ) -> Vec<Action> {
         match &mut self.link {
             LinkState::Down { retry } if now >= *retry => {
@@ -267,20 +267,14 @@
     }
 }
 
-fn tell_keys(report: &mut EntryReport, counts: Vec<KeyLoads>) {
-    for KeyLoads {
-        service,
-        total,
-        keys,
-        ..
-    } in counts
-    {
-        let hottest = keys.iter().take(KEYS_TOLD).map(|key| HotKey {
+fn tell_keys(report: &mut EntryReport, counts: Vec<ServiceLoads>) {
+    for ServiceLoads { service, loads } in counts {
+        let hottest = loads.keys.iter().take(KEYS_TOLD).map(|key| HotKey {
             service: service.clone(),
             hash: key.hash,
             rate: key.rate,
         });
         report.hot_keys.extend(hottest);
-        report.rates.insert(service, total);
+        report.rates.insert(service, loads.total);
     }
 }
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -10,8 +10,9 @@
 use gooseberryloft::ids::BootId;
 use gooseberryloft::ids::TicketNumber;
 use gooseberryloft::link::Message;
-use gooseberryloft::route::KeyLoad;
-use gooseberryloft::route::KeyLoads;
+use gooseberryloft::owner::loads::KeyRate;
+use gooseberryloft::owner::loads::Loads;
+use gooseberryloft::route::ServiceLoads;
 use gooseberryloft::spread::Summary;
 use gooseberryloft::ticket::InForce;
 use gooseberryloft::traffic::follow::Action;
@@ -196,12 +197,14 @@
     let mut follower = follower(start);
     follower.tick(start, |_| Vec::new());
     follower.opened(start);
-    let keys = (0..100).map(|hash| KeyLoad { hash, rate: 9.0 });
-    let load = KeyLoads {
-        service: "jobs".into(),
+    let keys = (0..100).map(|hash| KeyRate { hash, rate: 9.0 });
+    let loads = Loads {
         total: 1000.0,
         keys: keys.collect(),
-        shards: Vec::new(),
+    };
+    let load = ServiceLoads {
+        service: "jobs".into(),
+        loads,
     };
     let mut told = Vec::new();
     for second in 1..=10 {
