Leave the members out of questions that need them no more

Cause: a holder asks each deputy ten times a second and named all three members each time. Ruled out: fewer questions; the right to order rests on their pace. Change: a question names the members until its receiver vouched for the term; empty lists are left out; new fields have defaults.

--- a/examples/capacity/wire.rs
+++ b/examples/capacity/wire.rs
@@ -25,9 +25,7 @@
 use gooseberryloft::owner::assignment::AssignmentDelta;
 use gooseberryloft::owner::assignment::Owner;
 use gooseberryloft::owner::message::Ask;
-use gooseberryloft::owner::message::Member;
 use gooseberryloft::owner::message::PeerMessage;
-use gooseberryloft::owner::message::Place;
 use gooseberryloft::owner::message::Vouch;
 use gooseberryloft::owner::order::Order;
 use gooseberryloft::owner::order::OrderReply;
@@ -115,20 +113,12 @@
 }
 
 fn ask() -> Ask {
-    let member = |i: u64| Member {
-        vm: format!("vm-0000{i}").into(),
-        boot: BootId(u64::MAX - i),
-        data_centre: format!("data-centre-{i}").into(),
-    };
-    let place = Place {
-        term: Term(1_000),
-        members: (0..3).map(member).collect(),
-        need: 1,
-    };
     Ask {
         seq: 1_000_000,
-        place,
+        term: Term(1_000),
+        place: None,
         barred: Vec::new(),
+        revision: 1_000_000,
     }
 }
 
@@ -138,6 +128,7 @@
         term: Term(1_000),
         barred: Vec::new(),
         bounds: Vec::new(),
+        vouched: Vec::new(),
         table_ms: 9_000,
         holder_ms: 80,
     }
--- a/src/owner/group/base.rs
+++ b/src/owner/group/base.rs
@@ -28,6 +28,7 @@
 use crate::owner::message::Place;
 use crate::owner::message::TargetBoot;
 use crate::owner::message::Vouched;
+use crate::owner::right::Right;
 use crate::owner::rows::GroupRow;
 use crate::owner::rows::ShardsRow;
 use crate::ticket::Service;
@@ -187,16 +188,24 @@
     }
 
     /// Asks the other members whether they vouch for the term.
-    pub fn ask(&mut self, now: Instant, barred: &[TargetBoot], out: &mut Vec<Action>) {
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        right: &Right,
+        barred: &[TargetBoot],
+        out: &mut Vec<Action>,
+    ) {
         let others = self.others();
         let Some(place) = self.place.clone().filter(|_| !others.is_empty()) else {
             return;
         };
         let seq = self.asks.ask(now);
         for member in others {
+            let informed = right.vouched(&member.vm).is_some();
             let ask = Ask {
                 seq,
-                place: place.clone(),
+                term: place.term,
+                place: (!informed).then(|| place.clone()),
                 barred: barred.to_vec(),
                 revision: self.store.revision(),
             };
--- a/src/owner/group/deputy.rs
+++ b/src/owner/group/deputy.rs
@@ -86,7 +86,7 @@
         }
         if now >= self.ask_due {
             self.ask_due = now + ASK_PERIOD;
-            base.ask(now, &self.barred, out);
+            base.ask(now, &self.right, &self.barred, out);
         }
         orders::extend(base, now, &self.right, &self.barred, out);
         if !self.taking && self.wants(base, now) {
@@ -145,7 +145,7 @@
         base.vouched.insert(from.clone(), now);
         Some(Vouch {
             seq: ask.seq,
-            term: ask.place.term,
+            term: ask.term,
             barred: self.barred.clone(),
             bounds: base.fleet.bounds.left(now, Some(&self.barred)),
             vouched: base.vouched(now),
--- a/src/owner/group/members.rs
+++ b/src/owner/group/members.rs
@@ -93,7 +93,7 @@
             return;
         }
         self.ask_due = now + ASK_PERIOD;
-        base.ask(now, &self.barred(), out);
+        base.ask(now, &self.right, &self.barred(), out);
         let Some(place) = base.place.clone() else {
             return;
         };
--- a/src/owner/group/messages.rs
+++ b/src/owner/group/messages.rs
@@ -54,13 +54,16 @@
 
     pub(super) fn on_ask(&mut self, now: Instant, from: &VmId, ask: Ask, out: &mut Vec<Action>) {
         let seq = ask.seq;
-        let term = ask.place.term;
+        let term = ask.term;
         if term < self.base.term() {
             let message = PeerMessage::Newer(self.base.term());
             return self.base.send(from, message, out);
         }
         if term > self.base.term() {
-            self.adopt(now, ask.place.clone(), out);
+            let Some(place) = ask.place.clone() else {
+                return;
+            };
+            self.adopt(now, place, out);
         }
         let vouch = match &mut self.role {
             Role::Watcher(_) => None,
--- a/src/owner/message.rs
+++ b/src/owner/message.rs
@@ -85,11 +85,16 @@
 pub struct Ask {
     /// Numbers the sender's questions.
     pub seq: u64,
-    /// Who controls the group.
-    pub place: Place,
+    /// The term.
+    pub term: Term,
+    /// Who controls the group; left out once the receiver vouched for the term.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<Place>,
     /// Targets that must not be extended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub barred: Vec<TargetBoot>,
     /// The sum of the rows' revisions that the sender knows of.
+    #[serde(default)]
     pub revision: u64,
 }
 
@@ -101,10 +106,13 @@
     /// The term.
     pub term: Term,
     /// Targets that the sender does not vouch for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub barred: Vec<TargetBoot>,
     /// The sender's bounds for the barred targets; a target without one has none left.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub bounds: Vec<Bound>,
     /// The other members that the sender vouched to lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub vouched: Vec<Vouched>,
     /// Time since the table confirmed the term to the sender, in milliseconds.
     pub table_ms: u64,
