--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -211,13 +211,6 @@
         (ejected + 1) * 2 <= open().count()
     }
 
-    /// Counts a keyed request.
-    pub(crate) fn count(&self, hash: u64) {
-        if let Some(keying) = &self.service.keying {
-            self.shared.counts.count(keying.shards, hash);
-        }
-    }
-
     /// Finds the shard and owner of a key; `None` for an unkeyed service.
     pub(crate) fn key_route(&self, hash: u64) -> Option<KeyRoute<'_>> {
         let keying = self.service.keying.as_ref()?;
@@ -318,7 +311,7 @@
     let compile = |index: u16| {
         let service = id.clone();
         let empty = Assignment::empty(GroupId { service, index });
-        let group = view.groups.get(&empty.group).unwrap_or(&empty);
+        let group = view.groups.get(&empty.group).map_or(&empty, Arc::as_ref);
         let kept = old
             .and_then(|old| old.groups.get(usize::from(index)))
             .filter(|kept| kept.version == group.version)
--- a/src/spread/machine.rs
+++ b/src/spread/machine.rs
@@ -14,6 +14,7 @@
 use crate::member::Members;
 use crate::member::VmTable;
 use crate::member::score;
+use crate::route::Crashes;
 use crate::spread::Action;
 use crate::spread::Census;
 use crate::spread::Input;
@@ -32,7 +33,12 @@
 const TABLE_INTERVAL: Duration = Duration::from_secs(1);
 const TABLE_PAUSE: Duration = Duration::from_millis(250);
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
-const LIST_INTERVAL_PER_VM: Duration = Duration::from_millis(30);
+const LIST_INTERVAL_PER_VM: Duration = Duration::from_millis(150);
+
+/// Returns how often a VM reads the platform's list: the longer the list, the less often.
+pub fn list_interval(vms: usize) -> Duration {
+    LIST_INTERVAL.max(LIST_INTERVAL_PER_VM * vms as u32)
+}
 
 /// Keeps one VM's view up to date.
 #[derive(Debug)]
@@ -48,6 +54,9 @@
     pub(super) dialling: BTreeMap<VmId, Instant>,
     pub(super) ready: Readiness,
     pub(super) centres: Vec<Census>,
+    pub(super) crashes: Crashes,
+    pub(super) crashes_told: u64,
+    pub(super) crashes_at: Instant,
     pub(super) seeds_at: Instant,
     pub(super) count_at: Instant,
     table_at: Instant,
@@ -72,6 +81,9 @@
             links: BTreeMap::new(),
             dialling: BTreeMap::new(),
             centres: Vec::new(),
+            crashes: Crashes::default(),
+            crashes_told: 0,
+            crashes_at: now,
             seeds_at: now + LIST_INTERVAL,
             count_at: now + phase,
             table_at: now + phase,
@@ -126,7 +138,7 @@
         let mut out = Vec::new();
         match input {
             Input::Tick => self.tick(now, &mut out),
-            Input::Vms(list) => self.take_list(now, list),
+            Input::Vms(list) => self.take_list(now, list, &mut out),
             Input::Want(vms) => self.wanted = vms,
             Input::Linked {
                 link,
@@ -152,8 +164,7 @@
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         if now >= self.list_at {
-            let count = self.members.count() as u32;
-            self.list_at = now + LIST_INTERVAL.max(LIST_INTERVAL_PER_VM * count);
+            self.list_at = now + list_interval(self.members.count());
             out.push(Action::ReadVms);
         }
         if now >= self.table_at {
@@ -162,6 +173,7 @@
         }
         self.maintain_links(now, out);
         self.sum_up(now, out);
+        self.tell_crashes(now, out);
         self.count(now, out);
         self.confirm_by_relays(now);
         self.check_peers(now);
@@ -190,9 +202,10 @@
         }
     }
 
-    fn take_list(&mut self, now: Instant, list: Arc<VmTable>) {
+    fn take_list(&mut self, now: Instant, list: Arc<VmTable>, out: &mut Vec<Action>) {
         if self.members.take_list(list) {
             self.replan_at = Some(now);
+            self.tell_ranks(out);
         }
     }
 
@@ -211,9 +224,13 @@
                 (number, verified)
             }
         };
+        let held = self.view.state.number;
         // A read below what is held came from a replica that lags.
-        if verified || number >= self.view.state.number {
+        let current = number == held && self.ready.is_started();
+        if (verified && number <= held) || current {
             self.ready.table_confirms(now, verified);
+        } else {
+            self.ready.table_fails();
         }
     }
 
@@ -236,49 +253,12 @@
         }
     }
 
-    // Without the table, relays of most data centres that hold the same confirm each other.
-    fn confirm_by_relays(&mut self, now: Instant) {
-        let number = self.view.state.number;
-        let agrees = |peer: &&Peer| {
-            let summary = peer.recent_summary(now);
-            let same = summary.is_some_and(|s| s.number == number && s.age_ms.is_some());
-            same && peer.is_mesh()
-        };
-        let agreeing = self.links.values().filter(agrees);
-        let near = &self.conf.data_centre;
-        let mut centres: BTreeSet<_> = agreeing.map(|peer| &peer.data_centre).collect();
-        if !self.is_relay() || centres.is_empty() {
-            return;
-        }
-        centres.insert(near);
-        let listed = self.members.listed().map(|entry| &entry.data_centre);
-        let all: BTreeSet<_> = listed.collect();
-        if centres.len() * 2 > all.len() {
-            self.ready.peer_confirms(now, Duration::ZERO);
-        }
-    }
-
-    // At the start: whether everybody to take state from was heard and holds nothing newer.
-    fn check_peers(&mut self, now: Instant) {
-        let number = self.view.state.number;
-        if self.ready.is_started() {
-            return;
-        }
-        let sources = self.sources().into_iter();
-        let linked: Vec<_> = sources.filter_map(|(vm, _)| self.link_to(&vm)).collect();
-        let agrees = |link: &LinkId| {
-            let summary = self.links[link].summary;
-            summary.is_some_and(|(_, summary)| summary.number <= number)
-        };
-        let agree = !linked.is_empty() && linked.iter().all(agrees);
-        self.ready.peers_agree(now, agree);
-    }
-
     fn received(&mut self, now: Instant, link: LinkId, message: Message, out: &mut Vec<Action>) {
         match message {
             Message::Changes(changes) => self.take_changes(now, link, changes, out),
             Message::Digest(digest) => self.take_digest(link, &digest, out),
             Message::Summary(summary) => self.take_summary(now, link, summary),
+            Message::Crashes(report) => self.take_crashes(now, &report),
             Message::Subscribe(feed) => self.subscribed(now, link, feed),
             Message::Report(report) => self.take_report(link, &report),
             Message::Census(census) => self.take_census(now, link, census),
