Check in the fake world that assignments are made before they are told, and survive

Cause: the schedules checked exclusiveness and service, not the second promise. Ruled out: a test of its own; every schedule and script can check it. Change: after each write no assignment may have given way but to one with a higher fence, and no owner may be published that the table never held.

--- a/tests/support/owner_world.rs
+++ b/tests/support/owner_world.rs
@@ -169,6 +169,10 @@
     pub gaps: BTreeMap<Shard, Duration>,
     pub worst: BTreeMap<Shard, Duration>,
     fences: BTreeMap<(Shard, Fence), (TargetId, BootId)>,
+    /// Every assignment that the table ever held.
+    made: BTreeMap<(Shard, Fence), TargetId>,
+    /// The newest row of shards.
+    newest: ShardsRow,
     queue: BinaryHeap<Reverse<Queued>>,
     seq: u64,
     boots: u64,
@@ -194,6 +198,8 @@
             gaps: BTreeMap::new(),
             worst: BTreeMap::new(),
             fences: BTreeMap::new(),
+            made: BTreeMap::new(),
+            newest: ShardsRow::default(),
             queue: BinaryHeap::new(),
             seq: 0,
             boots: 0,
@@ -477,6 +483,7 @@
                 self.push(LIST_PERIOD, Job::List);
             }
             Job::View(change) => {
+                self.check_told(&change);
                 self.view.apply(*change);
             }
             Job::Order { .. } => self.handle_order(event, None),
@@ -488,6 +495,7 @@
             }
             Job::Commit { vm, boot, tx } => {
                 let result = self.table.commit(&tx);
+                self.check_made();
                 let half = self.table.latency / 2;
                 let input = Box::new(Input::Committed { id: tx.id, result });
                 self.push(half, Job::Input { vm, boot, input });
@@ -676,6 +684,38 @@
         cut(name, other) || cut(other, name) || cut(name, "*") || cut(other, "*")
     }
 
+    /// An assignment in the table gives way only to one with a higher fence.
+    fn check_made(&mut self) {
+        let row = self.shards_row().unwrap_or_default();
+        for (shard, owner) in &row.owners {
+            let made = self.made.entry((*shard, owner.fence));
+            let made = made.or_insert(owner.target.clone());
+            assert_eq!(*made, owner.target, "shard {shard} changed under its fence");
+        }
+        for (shard, before) in &self.newest.owners {
+            let kept = row.owners.get(shard).map(|owner| owner.fence);
+            let hot = self.newest.hot_keys.values().any(|hot| hot == shard);
+            let survives =
+                kept.is_some_and(|fence| fence >= before.fence) || (hot && kept.is_none());
+            assert!(survives, "the assignment of shard {shard} did not survive");
+        }
+        self.newest = row;
+    }
+
+    /// Nobody is told of an owner that the table did not hold before.
+    fn check_told(&self, change: &ViewChange) {
+        let owners = match change {
+            ViewChange::Group(group) => &group.owners,
+            ViewChange::Delta(delta) => &delta.owners,
+            _ => return,
+        };
+        for (shard, owner) in owners {
+            let made = self.made.get(&(*shard, owner.fence));
+            let told = owner.target.is_none() || made == owner.target.as_ref();
+            assert!(told, "shard {shard} was told before it was made");
+        }
+    }
+
     /// No shard is held by two processes, and no fence ever belongs to two.
     fn check(&mut self) {
         let group = Self::group_id();
