Split the fake world's checks from its machinery

Ruled out: nothing. Change: what must hold at every step is in a file of its own; the queue is an ordered map, which needs no ordering code.

--- /dev/null
+++ b/tests/support/owner_checks.rs
@@ -0,0 +1,152 @@
+//! What holds in the fake world at every step, and what its tests ask of it.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::world::World;
+use gooseberryloft::ids::BootId;
+use gooseberryloft::ids::Shard;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::owner::group::Group;
+use gooseberryloft::owner::order::ShardFence;
+use gooseberryloft::owner::rows;
+use gooseberryloft::owner::rows::GroupRow;
+use gooseberryloft::owner::rows::ShardsRow;
+use gooseberryloft::view::ViewChange;
+
+impl World {
+    /// Returns the longest total time without service of one shard since the mark.
+    pub fn worst_gap(&self) -> Duration {
+        self.worst.values().max().copied().unwrap_or_default()
+    }
+
+    /// Returns the number of earlier terms that the table names as possibly not ended.
+    pub fn open_terms(&self) -> usize {
+        let row = self.table.rows.get(&rows::group_key(&Self::group_id()));
+        let row = row.and_then(|row| rows::decode::<GroupRow>(&row.key, &row.value).ok());
+        row.map_or(0, |row| row.prior.len())
+    }
+
+    /// Returns the number of shards without service since the mark although their owner runs.
+    pub fn away_without_cause(&self) -> usize {
+        let row = self.shards_row().unwrap_or_default();
+        let runs = |shard: &&Shard| {
+            let owner = row.owner(**shard);
+            owner.is_some_and(|at| {
+                let process = self.targets[&at.target].last();
+                process.is_some_and(|p| p.boot == at.boot && !p.dead && p.frozen.is_none())
+            })
+        };
+        self.worst.keys().filter(runs).count()
+    }
+
+    /// Describes the state of the world, for a failed test.
+    pub fn report(&self) -> String {
+        let mut text = String::new();
+        for (at, event, details) in &self.log {
+            text += &format!("{at:?} {event:?} {details}\n");
+        }
+        for vm in &self.vms {
+            let status = vm.group.as_ref().map(Group::status);
+            text += &format!("{} {status:?}\n", vm.name);
+        }
+        text + &format!("worst {:?} row {:?}", self.worst, self.shards_row())
+    }
+
+    pub fn shards_row(&self) -> Option<ShardsRow> {
+        let row = self.table.rows.get(&rows::shards_key(&Self::group_id()))?;
+        rows::decode(&row.key, &row.value).ok()
+    }
+
+    /// An assignment in the table gives way only to one with a higher fence.
+    pub fn check_made(&mut self) {
+        let row = self.shards_row().unwrap_or_default();
+        for (shard, owner) in &row.owners {
+            let made = self.made.entry((*shard, owner.fence));
+            let made = made.or_insert(owner.target.clone());
+            assert_eq!(*made, owner.target, "shard {shard} changed under its fence");
+        }
+        for (shard, before) in &self.newest.owners {
+            let kept = row.owners.get(shard).map(|owner| owner.fence);
+            let hot = self.newest.hot_keys.values().any(|hot| hot == shard);
+            let survives =
+                kept.is_some_and(|fence| fence >= before.fence) || (hot && kept.is_none());
+            assert!(survives, "the assignment of shard {shard} did not survive");
+        }
+        self.newest = row;
+    }
+
+    /// Nobody is told of an owner that the table did not hold before.
+    pub fn check_told(&self, change: &ViewChange) {
+        let owners = match change {
+            ViewChange::Group(group) => &group.owners,
+            ViewChange::Delta(delta) => &delta.owners,
+            _ => return,
+        };
+        for (shard, owner) in owners {
+            let made = self.made.get(&(*shard, owner.fence));
+            let told = owner.target.is_none() || made == owner.target.as_ref();
+            assert!(told, "shard {shard} was told before it was made");
+        }
+    }
+
+    /// No shard is held by two processes, and no fence ever belongs to two.
+    pub fn check(&mut self) {
+        let group = Self::group_id();
+        let mut held: BTreeMap<Shard, (TargetId, BootId)> = BTreeMap::new();
+        for (target, processes) in &mut self.targets {
+            for process in processes.iter_mut().filter(|process| !process.dead) {
+                let me = (target.clone(), process.boot);
+                for at in process.grants.held(self.now, &group) {
+                    if let Some(other) = held.insert(at.shard, me.clone()) {
+                        panic!(
+                            "shard {} held by {other:?} and {me:?} at {:?}",
+                            at.shard,
+                            self.now - self.start
+                        );
+                    }
+                    let owner = self
+                        .fences
+                        .entry((at.shard, at.fence))
+                        .or_insert(me.clone());
+                    assert_eq!(
+                        *owner, me,
+                        "fence {} of shard {} repeats",
+                        at.fence, at.shard
+                    );
+                }
+            }
+        }
+    }
+
+    pub fn sample(&mut self) {
+        self.check();
+        let group = Self::group_id();
+        let Some(assignment) = self.view.groups.get(&group) else {
+            return;
+        };
+        let mut away = Vec::new();
+        for (shard, owner) in &assignment.owners {
+            let processes = owner
+                .target
+                .as_ref()
+                .and_then(|target| self.targets.get_mut(target));
+            let process = processes.and_then(|p| p.last_mut());
+            let serves = process.is_some_and(|p| {
+                let at = ShardFence {
+                    shard: *shard,
+                    fence: owner.fence,
+                };
+                !p.dead && p.frozen.is_none() && p.grants.check(self.now, &group, at).is_ok()
+            });
+            if !serves {
+                away.push(*shard);
+            }
+        }
+        for shard in away {
+            *self.worst.entry(shard).or_default() += self.sizes.sample;
+        }
+    }
+}
--- a/tests/support/owner_world.rs
+++ b/tests/support/owner_world.rs
@@ -2,10 +2,8 @@
 
 #![allow(dead_code)]
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,8 +29,6 @@
 use gooseberryloft::owner::message::Member;
 use gooseberryloft::owner::order::Order;
 use gooseberryloft::owner::right::VouchPolicy;
-use gooseberryloft::owner::rows;
-use gooseberryloft::owner::rows::GroupRow;
 use gooseberryloft::owner::rows::ShardsRow;
 use gooseberryloft::platform::Transaction;
 use gooseberryloft::ticket::KeySource;
@@ -81,29 +77,6 @@
     List,
 }
 
-struct Queued {
-    at: Instant,
-    seq: u64,
-    event: Job,
-}
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        self.seq == other.seq
-    }
-}
-impl Eq for Queued {}
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Queued {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.seq).cmp(&(other.at, other.seq))
-    }
-}
-
 pub struct Vm {
     pub name: VmId,
     pub boot: BootId,
@@ -168,12 +141,13 @@
     /// Time without service of each shard since the last mark.
     pub gaps: BTreeMap<Shard, Duration>,
     pub worst: BTreeMap<Shard, Duration>,
-    fences: BTreeMap<(Shard, Fence), (TargetId, BootId)>,
+    pub fences: BTreeMap<(Shard, Fence), (TargetId, BootId)>,
     /// Every assignment that the table ever held.
-    made: BTreeMap<(Shard, Fence), TargetId>,
+    pub made: BTreeMap<(Shard, Fence), TargetId>,
     /// The newest row of shards.
-    newest: ShardsRow,
-    queue: BinaryHeap<Reverse<Queued>>,
+    pub newest: ShardsRow,
+    /// What happens when, in the order of its sending where times are equal.
+    queue: BTreeMap<(Instant, u64), Job>,
     seq: u64,
     boots: u64,
 }
@@ -200,7 +174,7 @@
             fences: BTreeMap::new(),
             made: BTreeMap::new(),
             newest: ShardsRow::default(),
-            queue: BinaryHeap::new(),
+            queue: BTreeMap::new(),
             seq: 0,
             boots: 0,
         };
@@ -338,13 +312,12 @@
 
     pub fn pause_vm(&mut self, vm: usize) {
         // What the VM was about to send waits with it.
-        let mut kept = Vec::new();
-        for Reverse(queued) in std::mem::take(&mut self.queue) {
-            match &queued.event {
-                Job::Order { vm: from, .. } if *from == vm => kept.push(queued.event),
-                _ => self.queue.push(Reverse(queued)),
-            }
-        }
+        let mine = |job: &Job| matches!(job, Job::Order { vm: from, .. } if *from == vm);
+        let (kept, queue) = std::mem::take(&mut self.queue)
+            .into_iter()
+            .partition::<BTreeMap<_, _>, _>(|(_, job)| mine(job));
+        self.queue = queue;
+        let kept = kept.into_values().collect();
         self.vms[vm].paused = Some(kept);
     }
 
@@ -388,15 +361,14 @@
 
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
-        while let Some(Reverse(next)) = self.queue.peek() {
-            if next.at > end {
+        while let Some(next) = self.queue.first_entry() {
+            let (at, _) = *next.key();
+            if at > end {
                 break;
             }
-            let Some(Reverse(queued)) = self.queue.pop() else {
-                break;
-            };
-            self.now = self.now.max(queued.at);
-            self.step(queued.event);
+            let job = next.remove();
+            self.now = self.now.max(at);
+            self.step(job);
         }
         self.now = end;
     }
@@ -407,57 +379,9 @@
         self.gaps.clear();
     }
 
-    /// Returns the longest total time without service of one shard since the mark.
-    pub fn worst_gap(&self) -> Duration {
-        self.worst.values().max().copied().unwrap_or_default()
-    }
-
-    /// Returns the number of earlier terms that the table names as possibly not ended.
-    pub fn open_terms(&self) -> usize {
-        let row = self.table.rows.get(&rows::group_key(&Self::group_id()));
-        let row = row.and_then(|row| rows::decode::<GroupRow>(&row.key, &row.value).ok());
-        row.map_or(0, |row| row.prior.len())
-    }
-
-    /// Returns the number of shards without service since the mark although their owner runs.
-    pub fn away_without_cause(&self) -> usize {
-        let row = self.shards_row().unwrap_or_default();
-        let runs = |shard: &&Shard| {
-            let owner = row.owner(**shard);
-            owner.is_some_and(|at| {
-                let process = self.targets[&at.target].last();
-                process.is_some_and(|p| p.boot == at.boot && !p.dead && p.frozen.is_none())
-            })
-        };
-        self.worst.keys().filter(runs).count()
-    }
-
-    /// Describes the state of the world, for a failed test.
-    pub fn report(&self) -> String {
-        let mut text = String::new();
-        for (at, event, details) in &self.log {
-            text += &format!("{at:?} {event:?} {details}\n");
-        }
-        for vm in &self.vms {
-            let status = vm.group.as_ref().map(Group::status);
-            text += &format!("{} {status:?}\n", vm.name);
-        }
-        text + &format!("worst {:?} row {:?}", self.worst, self.shards_row())
-    }
-
-    pub fn shards_row(&self) -> Option<ShardsRow> {
-        let row = self.table.rows.get(&rows::shards_key(&Self::group_id()))?;
-        rows::decode(&row.key, &row.value).ok()
-    }
-
     fn push(&mut self, after: Duration, event: Job) {
         self.seq += 1;
-        let queued = Queued {
-            at: self.now + after,
-            seq: self.seq,
-            event,
-        };
-        self.queue.push(Reverse(queued));
+        self.queue.insert((self.now + after, self.seq), event);
     }
 
     fn input(&mut self, vm: usize, after: Duration, input: Input) {
@@ -683,96 +607,6 @@
         let cut = |a: &str, b: &str| self.cuts.contains(&(a.into(), b.into()));
         cut(name, other) || cut(other, name) || cut(name, "*") || cut(other, "*")
     }
-
-    /// An assignment in the table gives way only to one with a higher fence.
-    fn check_made(&mut self) {
-        let row = self.shards_row().unwrap_or_default();
-        for (shard, owner) in &row.owners {
-            let made = self.made.entry((*shard, owner.fence));
-            let made = made.or_insert(owner.target.clone());
-            assert_eq!(*made, owner.target, "shard {shard} changed under its fence");
-        }
-        for (shard, before) in &self.newest.owners {
-            let kept = row.owners.get(shard).map(|owner| owner.fence);
-            let hot = self.newest.hot_keys.values().any(|hot| hot == shard);
-            let survives =
-                kept.is_some_and(|fence| fence >= before.fence) || (hot && kept.is_none());
-            assert!(survives, "the assignment of shard {shard} did not survive");
-        }
-        self.newest = row;
-    }
-
-    /// Nobody is told of an owner that the table did not hold before.
-    fn check_told(&self, change: &ViewChange) {
-        let owners = match change {
-            ViewChange::Group(group) => &group.owners,
-            ViewChange::Delta(delta) => &delta.owners,
-            _ => return,
-        };
-        for (shard, owner) in owners {
-            let made = self.made.get(&(*shard, owner.fence));
-            let told = owner.target.is_none() || made == owner.target.as_ref();
-            assert!(told, "shard {shard} was told before it was made");
-        }
-    }
-
-    /// No shard is held by two processes, and no fence ever belongs to two.
-    fn check(&mut self) {
-        let group = Self::group_id();
-        let mut held: BTreeMap<Shard, (TargetId, BootId)> = BTreeMap::new();
-        for (target, processes) in &mut self.targets {
-            for process in processes.iter_mut().filter(|process| !process.dead) {
-                let me = (target.clone(), process.boot);
-                for at in process.grants.held(self.now, &group) {
-                    if let Some(other) = held.insert(at.shard, me.clone()) {
-                        panic!(
-                            "shard {} held by {other:?} and {me:?} at {:?}",
-                            at.shard,
-                            self.now - self.start
-                        );
-                    }
-                    let owner = self
-                        .fences
-                        .entry((at.shard, at.fence))
-                        .or_insert(me.clone());
-                    assert_eq!(
-                        *owner, me,
-                        "fence {} of shard {} repeats",
-                        at.fence, at.shard
-                    );
-                }
-            }
-        }
-    }
-
-    fn sample(&mut self) {
-        self.check();
-        let group = Self::group_id();
-        let Some(assignment) = self.view.groups.get(&group) else {
-            return;
-        };
-        let mut away = Vec::new();
-        for (shard, owner) in &assignment.owners {
-            let processes = owner
-                .target
-                .as_ref()
-                .and_then(|target| self.targets.get_mut(target));
-            let process = processes.and_then(|p| p.last_mut());
-            let serves = process.is_some_and(|p| {
-                let at = gooseberryloft::owner::order::ShardFence {
-                    shard: *shard,
-                    fence: owner.fence,
-                };
-                !p.dead && p.frozen.is_none() && p.grants.check(self.now, &group, at).is_ok()
-            });
-            if !serves {
-                away.push(*shard);
-            }
-        }
-        for shard in away {
-            *self.worst.entry(shard).or_default() += self.sizes.sample;
-        }
-    }
 }
 
 pub fn data_centre(vm: usize) -> gooseberryloft::ids::DataCentre {
