Tell a loss that waits once

Cause: event 304 came with every step of the state machine while no target was given up: the mark that it was told was cleared whenever nothing was barred. Ruled out: a limit on the rate of the log, which would hide the cause. Change: the mark is cleared when nothing is lost any more.

--- a/src/owner/group/bars.rs
+++ b/src/owner/group/bars.rs
@@ -78,7 +78,11 @@
             .into_iter()
             .filter(|at| !self.bars.contains_key(at))
             .collect();
-        if lost.is_empty() || !self.table_works(base, now) {
+        if lost.is_empty() {
+            self.spared = false;
+            return;
+        }
+        if !self.table_works(base, now) {
             return;
         }
         let mut room = self.room(base, now);
@@ -160,7 +164,6 @@
         let before = self.bars.len();
         self.bars.retain(|at, _| owns(at) && !back(at));
         self.dirty |= self.bars.len() != before;
-        self.spared &= !self.bars.is_empty();
     }
 }
 
--- a/tests/owner_group.rs
+++ b/tests/owner_group.rs
@@ -11,6 +11,7 @@
 
 use crate::world::Sizes;
 use crate::world::World;
+use gooseberryloft::events::Event;
 use gooseberryloft::ticket::TargetState;
 
 #[test]
@@ -65,3 +66,19 @@
     assert_eq!(left.count(), 0);
     assert!(world.worst_gap() < Duration::from_millis(100));
 }
+
+#[test]
+fn a_loss_that_waits_is_told_once() {
+    let mut world = World::new(Sizes {
+        targets: 1,
+        ..Sizes::default()
+    });
+    world.run(Duration::from_secs(3));
+    world.kill_target(&"t1".into());
+    world.run(Duration::from_secs(10));
+    let told = world
+        .log
+        .iter()
+        .filter(|(_, event, _)| *event == Event::LossSpared);
+    assert_eq!(told.count(), 1, "{}", world.report());
+}
