Store each target's name once in the row of shards

Cause: every shard carried its target's name and the names of its fields: 33 bytes a shard, 135 kB for 4,096 shards written whole with each change. Ruled out: a row a shard, which would make a loss cost as many writes. Change: the stored form lists targets once; shards refer to them by place. A shard that refers to none makes the row malformed, never unowned.

--- a/src/owner/rows.rs
+++ b/src/owner/rows.rs
@@ -35,6 +35,7 @@
 
 /// The owners of a group's shards: the row `shards/SERVICE/INDEX`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Packed", into = "Packed")]
 pub struct ShardsRow {
     /// The highest fence ever used in the group.
     pub top: Fence,
@@ -49,7 +50,7 @@
 }
 
 /// The owner of one shard as the table has it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RowOwner {
     /// The target.
     pub target: TargetId,
@@ -57,6 +58,55 @@
     pub fence: Fence,
 }
 
+/// The row as it is stored: each target's name stands once, shards refer to it by its place.
+#[derive(Serialize, Deserialize)]
+struct Packed {
+    top: Fence,
+    next_shard: Shard,
+    targets: Vec<(TargetId, BootId)>,
+    owners: Vec<(Shard, u32, Fence)>,
+    hot_keys: Vec<(u64, Shard)>,
+}
+
+impl From<ShardsRow> for Packed {
+    fn from(row: ShardsRow) -> Self {
+        let index: BTreeMap<_, u32> = row.boots.keys().zip(0..).collect();
+        let owner = |(shard, owner): (&Shard, &RowOwner)| {
+            let place = index.get(&owner.target)?;
+            Some((*shard, *place, owner.fence))
+        };
+        Self {
+            top: row.top,
+            next_shard: row.next_shard,
+            owners: row.owners.iter().filter_map(owner).collect(),
+            hot_keys: row.hot_keys.into_iter().collect(),
+            targets: row.boots.into_iter().collect(),
+        }
+    }
+}
+
+impl TryFrom<Packed> for ShardsRow {
+    type Error = String;
+
+    fn try_from(packed: Packed) -> Result<Self, String> {
+        let owner = |(shard, place, fence): &(Shard, u32, Fence)| {
+            let known = packed.targets.get(*place as usize);
+            let (target, _) = known.ok_or(format!("shard {shard} has no target"))?;
+            let target = target.clone();
+            let fence = *fence;
+            Ok::<_, String>((*shard, RowOwner { target, fence }))
+        };
+        let owners: Result<_, _> = packed.owners.iter().map(owner).collect();
+        Ok(Self {
+            top: packed.top,
+            next_shard: packed.next_shard,
+            owners: owners?,
+            hot_keys: packed.hot_keys.into_iter().collect(),
+            boots: packed.targets.into_iter().collect(),
+        })
+    }
+}
+
 impl ShardsRow {
     /// Returns the process that owns a shard.
     pub fn owner(&self, shard: Shard) -> Option<TargetBoot> {
