Hold that a hot key leaves its shard only after the release

Cause: the code that keeps ownership's promises was broken in places, one at a time, on a scratch copy, to see which test fails. All were caught but one: a key carved out of a shard that its owner had not released yet passed. Ruled out: leaving it to the random schedules, whose check knows shards, not keys. Change: a test in which the owner freezes before it releases while another loss makes a write.

--- a/src/owner/order.rs
+++ b/src/owner/order.rs
@@ -39,7 +39,7 @@
 pub struct Stamp(pub u64);
 
 /// One shard with the fence of its assignment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ShardFence {
     /// The shard.
     pub shard: Shard,
--- a/tests/owner_hot_keys.rs
+++ b/tests/owner_hot_keys.rs
@@ -18,6 +18,7 @@
 use gooseberryloft::ids::Shard;
 use gooseberryloft::ids::TargetId;
 use gooseberryloft::ids::key_hash;
+use gooseberryloft::owner::loads::KeyRate;
 use gooseberryloft::owner::loads::Loads;
 use gooseberryloft::owner::order::ShardFence;
 use gooseberryloft::owner::sketch::Sketch;
@@ -133,6 +134,53 @@
     );
 }
 
+/// Every place that any view ever named for one key.
+struct Places {
+    hash: u64,
+    hashed: Shard,
+    known: BTreeSet<(TargetId, ShardFence)>,
+}
+
+impl Places {
+    fn new(world: &World, hash: u64) -> Self {
+        Self {
+            hash,
+            hashed: Shard((hash % u64::from(world.sizes.shards)) as u32),
+            known: BTreeSet::new(),
+        }
+    }
+
+    /// Entries with any earlier view may send the key where that view says: one target takes it.
+    fn check(&mut self, world: &mut World) {
+        let group = World::group_id();
+        if let Some(held) = world.view.groups.get(&group) {
+            let shard = held
+                .hot_keys
+                .get(&self.hash)
+                .copied()
+                .unwrap_or(self.hashed);
+            let owner = &held.owners[&shard];
+            let fence = owner.fence;
+            let target = owner.target.clone();
+            let at = ShardFence { shard, fence };
+            self.known.extend(target.map(|target| (target, at)));
+        }
+        let now = world.now;
+        let takers = self.known.iter().filter(|(target, at)| {
+            let process = world.targets.get_mut(target).and_then(|p| p.last_mut());
+            process.is_some_and(|p| !p.dead && p.grants.check(now, &group, *at).is_ok())
+        });
+        let takers: BTreeSet<_> = takers.map(|(target, _)| target).collect();
+        assert!(takers.len() <= 1, "key served by {takers:?}");
+    }
+}
+
+fn heat(world: &mut World, hash: u64, rate: f64) {
+    let keys = vec![KeyRate { hash, rate }];
+    let total = 1000.0;
+    world.sample_loads(0, Loads { total, keys });
+}
+
 #[test]
 fn a_key_on_its_way_is_served_at_one_place() {
     let mut world = World::new(Sizes {
@@ -140,42 +188,46 @@
         shards: 8,
         ..Sizes::default()
     });
-    let hot = key_hash(b"depot-7");
-    let hashed = Shard((hot % 8) as u32);
-    let group = World::group_id();
-    let mut places = BTreeSet::new();
-    let mut shards = BTreeSet::new();
+    let hash = key_hash(b"depot-7");
+    let mut places = Places::new(&world, hash);
     for round in 0..400 {
         let rate = if (round / 100) % 2 == 0 { 400.0 } else { 0.0 };
-        let keys = vec![gooseberryloft::owner::loads::KeyRate { hash: hot, rate }];
-        let total = 1000.0;
-        world.sample_loads(0, Loads { total, keys });
+        heat(&mut world, hash, rate);
         for _ in 0..20 {
             world.run(Duration::from_millis(5));
-            if let Some(held) = world.view.groups.get(&group) {
-                let shard = held.hot_keys.get(&hot).copied().unwrap_or(hashed);
-                shards.insert(shard);
-                let owner = &held.owners[&shard];
-                let fence = owner.fence;
-                let target = owner.target.clone();
-                places.extend(target.map(|target| (target, shard, fence)));
-            }
-            // Entries with any earlier view may still send the key where that view says.
-            let now = world.now;
-            let takers = places.iter().filter(|(target, shard, fence)| {
-                let at = ShardFence {
-                    shard: *shard,
-                    fence: *fence,
-                };
-                let process = world.targets.get_mut(target).and_then(|p| p.last_mut());
-                process.is_some_and(|p| p.grants.check(now, &group, at).is_ok())
-            });
-            let takers: BTreeSet<_> = takers.map(|(target, ..)| target).collect();
-            assert!(takers.len() <= 1, "key served by {takers:?}");
+            places.check(&mut world);
         }
     }
+    let shards: BTreeSet<_> = places.known.iter().map(|(_, at)| at.shard).collect();
     assert!(
         shards.len() >= 3,
         "carved twice, merged between: {shards:?}"
     );
 }
+
+#[test]
+fn a_key_is_not_carved_before_its_shard_is_released() {
+    let mut world = World::new(Sizes {
+        targets: 4,
+        shards: 8,
+        ..Sizes::default()
+    });
+    world.run(Duration::from_secs(4));
+    let hash = key_hash(b"depot-7");
+    let mut places = Places::new(&world, hash);
+    places.check(&mut world);
+    let row = world.shards_row().expect("a row of shards");
+    let owner = row.owners[&places.hashed].target.clone();
+    let mut others = world.targets.keys().filter(|target| **target != owner);
+    let other = others.next().cloned().expect("another target");
+    // The loss of another target makes a write while the owner cannot release.
+    world.kill_target(&other);
+    world.run(Duration::from_millis(230));
+    heat(&mut world, hash, 400.0);
+    world.run(Duration::from_millis(5));
+    world.freeze_target(&owner);
+    for _ in 0..600 {
+        world.run(Duration::from_millis(5));
+        places.check(&mut world);
+    }
+}
