--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -22,16 +22,22 @@
     queue: 0,
 };
 
+/// The router of entries that tell each other nothing.
+const ALONE: Policy = Policy::Router {
+    shares: false,
+    queue: 0,
+};
+
+const SLOTS_CASE: &str = "2-slot unkeyed targets, 12 entries, 80% busy";
+const ALONE_CASE: &str = "the same, entries that tell each other nothing";
+
 const POLICIES: [Policy; 8] = [
     Policy::Random,
     Policy::RoundRobin,
     Policy::LocalLeast,
     Policy::TwoChoices,
     Policy::Central,
-    Policy::Router {
-        shares: false,
-        queue: 0,
-    },
+    ALONE,
     Policy::Router {
         shares: true,
         queue: 2,
@@ -60,17 +66,18 @@
                 push(report, "slots", &case, *policy, outcome, ratios);
             }
             if world.user == VITRINAS.user && service_ms == 50 {
-                judge_slots(report, find(&all, ROUTER), &ideal);
+                judge_slots(report, SLOTS_CASE, find(&all, ROUTER), &ideal);
+                judge_slots(report, ALONE_CASE, find(&all, ALONE), &ideal);
             }
         }
     }
 }
 
-fn judge_slots(report: &mut Report, router: &Outcome, ideal: &Outcome) {
+fn judge_slots(report: &mut Report, case: &'static str, router: &Outcome, ideal: &Outcome) {
     let mean = router.mean() / ideal.mean();
     let tail = router.quantile(0.99) / ideal.quantile(0.99);
     report.judge(
-        "2-slot unkeyed targets, 12 entries, 80% busy",
+        case,
         "mean at most 1.10 x, p99 at most 1.25 x the all-seeing queue's",
         format!("mean {mean:.3} x, p99 {tail:.3} x at 50 ms of work"),
         mean <= 1.10 && tail <= 1.25,
@@ -106,7 +113,7 @@
     let mut most: f64 = 0.0;
     for world in [VITRINAS, GUILD] {
         for load in [0.3, 0.5] {
-            for policy in [Policy::Random, Policy::LocalLeast, ROUTER] {
+            for policy in [Policy::Random, Policy::LocalLeast, ALONE, ROUTER] {
                 let mut setup = setup(&world, policy, seed);
                 setup.load = load;
                 setup.fault = Fault::Breaks;
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -46,45 +46,98 @@
 
 /// Takes a place at the best target that has a free slot and a free connection.
 pub(crate) fn choose(route: &ServiceRoute, choice: Choice) -> Result<&TargetRoute, NoChoice> {
-    let mut retry_at = 0;
-    let far_cost =
-        FAR_COST_PER_PERCENT * 100u32.saturating_sub(route.service.spread_percent.into());
-    let parts = [(&route.near, 0), (&route.far, far_cost)];
+    let per_cent = 100u32.saturating_sub(route.service.spread_percent.into());
+    let far_cost = FAR_COST_PER_PERCENT * per_cent;
     let longest = route.near.len().max(route.far.len()).min(MAX_LOOKS);
-    let patient_until = choice.since + FAR_PATIENCE_MICROS;
-    let patient = choice.now < patient_until && has_open_near(route, choice.now);
+    let mut search = Search::new(route, choice);
     let mut from = 0;
     while from < longest {
-        let mut best: Option<(u32, &TargetRoute)> = None;
-        for (list, extra) in parts {
-            for target in window(route, list, choice.random, from) {
-                let shut = target.stats.shut_until(choice.now);
-                if shut > 0 && (retry_at == 0 || shut < retry_at) {
-                    retry_at = shut;
-                }
-                let Some(cost) = cost(route, target, choice) else {
-                    continue;
-                };
-                if extra > 0 && patient && is_last_slot(target, choice.now) {
-                    if retry_at == 0 || patient_until < retry_at {
-                        retry_at = patient_until;
-                    }
-                    continue;
-                }
-                if best.is_none_or(|(least, _)| cost + extra < least) {
-                    best = Some((cost + extra, target));
-                }
-            }
+        search.look_near(from);
+        if search.best.is_none_or(|(least, _)| least > far_cost) {
+            search.look_far(from, far_cost);
         }
-        match best {
-            Some((_, target)) if target.stats.enter(target.share) => return Ok(target),
+        match search.best.take() {
+            Some((_, target)) if target.stats.enter(limit(target, choice.now)) => {
+                return Ok(target);
+            }
             Some(_) => {}
             None => from += WINDOW,
         }
     }
+    let retry_at = search.retry_at;
     Err(NoChoice { retry_at })
 }
 
+/// One decision's way through the targets.
+struct Search<'a> {
+    route: &'a ServiceRoute,
+    choice: Choice,
+    best: Option<(u32, &'a TargetRoute)>,
+    retry_at: u64,
+}
+
+impl<'a> Search<'a> {
+    fn new(route: &'a ServiceRoute, choice: Choice) -> Self {
+        Self {
+            route,
+            choice,
+            best: None,
+            retry_at: 0,
+        }
+    }
+
+    fn look_near(&mut self, from: usize) {
+        for target in window(self.route, &self.route.near, self.choice.random, from) {
+            if let Some(cost) = self.cost(target) {
+                self.offer(target, cost);
+            }
+        }
+    }
+
+    fn look_far(&mut self, from: usize, far_cost: u32) {
+        let patient_until = self.choice.since + FAR_PATIENCE_MICROS;
+        let patient = self.choice.now < patient_until && has_open_near(self.route, self.choice.now);
+        for target in window(self.route, &self.route.far, self.choice.random, from) {
+            let Some(cost) = self.cost(target) else {
+                continue;
+            };
+            if far_cost > 0 && patient && is_last_slot(target, self.choice.now) {
+                self.retry_by(patient_until);
+            } else {
+                self.offer(target, cost + far_cost);
+            }
+        }
+    }
+
+    fn cost(&mut self, target: &TargetRoute) -> Option<u32> {
+        let shut = target.stats.shut_until(self.choice.now);
+        if shut > 0 {
+            self.retry_by(shut);
+            return None;
+        }
+        cost(self.route, target, self.choice)
+    }
+
+    fn offer(&mut self, target: &'a TargetRoute, cost: u32) {
+        if self.best.is_none_or(|(least, _)| cost < least) {
+            self.best = Some((cost, target));
+        }
+    }
+
+    fn retry_by(&mut self, at: u64) {
+        if self.retry_at == 0 || at < self.retry_at {
+            self.retry_at = at;
+        }
+    }
+}
+
+/// Returns the requests that this entry may have at a target now.
+fn limit(target: &TargetRoute, now: u64) -> u32 {
+    let others = target.stats.peers.load(Ordering::Relaxed);
+    let room = target.stats.ramp(target.target.slots, now);
+    target.share.min(room.saturating_sub(others))
+}
+
 fn window<'a>(
     route: &'a ServiceRoute,
     list: &'a [u32],
@@ -108,7 +161,7 @@
     target.stats.busy() + 1 >= target.stats.ramp(target.target.slots, now)
 }
 
-/// Returns the cost of one more request in thousandths of the target's slots; `None` when the
+/// Returns the cost of one more request in thousandths of the target's slots; `None` when an open
 /// target takes none now.
 fn cost(route: &ServiceRoute, target: &TargetRoute, choice: Choice) -> Option<u32> {
     let stats = &target.stats;
@@ -118,7 +171,7 @@
         return None;
     }
     let room = stats.ramp(target.target.slots, choice.now);
-    if own >= target.share || busy >= room || stats.shut_until(choice.now) > 0 {
+    if own >= target.share || busy >= room {
         return None;
     }
     let slots = u32::from(target.target.slots.max(1));
