--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -13,6 +13,8 @@
 use crate::ids::TicketNumber;
 use crate::ids::VmId;
 use crate::owner::message::PeerMessage;
+use crate::route::CrashReport;
+use crate::route::EntryRank;
 use crate::spread::Census;
 use crate::spread::Feed;
 use crate::spread::Summary;
@@ -40,6 +42,10 @@
     AskCentres,
     /// The numbers in force in every data centre.
     Centres(Vec<Census>),
+    /// The receiving entry's position among all entries.
+    Rank(EntryRank),
+    /// What the sender knows of requests that crash targets.
+    Crashes(CrashReport),
     /// Asks for a [`Message::Pong`] with the same number.
     Ping(u64),
     /// Answers a ping.
--- a/src/member/members.rs
+++ b/src/member/members.rs
@@ -1,6 +1,7 @@
 //! Who runs: the platform's list, which lags, corrected by what this VM's own links show.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,12 +16,14 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VmTable {
     entries: BTreeMap<VmId, VmEntry>,
+    data_centres: usize,
 }
 
 /// The VMs as one VM knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     list: Arc<VmTable>,
+    version: u64,
     suspects: BTreeMap<VmId, Instant>,
 }
 
@@ -28,8 +31,13 @@
     /// Creates the list from the platform's answer.
     pub fn new(list: Vec<VmEntry>) -> Self {
         let named = list.into_iter().map(|entry| (entry.vm.clone(), entry));
-        let entries = named.collect();
-        Self { entries }
+        let entries: BTreeMap<VmId, VmEntry> = named.collect();
+        let centres: BTreeSet<_> = entries.values().map(|entry| &entry.data_centre).collect();
+        let data_centres = centres.len();
+        Self {
+            entries,
+            data_centres,
+        }
     }
 }
 
@@ -38,6 +46,7 @@
     pub fn take_list(&mut self, list: Arc<VmTable>) -> bool {
         let differs = *self.list != *list;
         self.list = list;
+        self.version += u64::from(differs);
         let entries = &self.list.entries;
         self.suspects.retain(|vm, _| entries.contains_key(vm));
         differs
@@ -63,11 +72,21 @@
         self.list.entries.get(vm)
     }
 
+    /// Returns a number that rises whenever the list differs from the one before.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the number of VMs in the platform's list.
     pub fn count(&self) -> usize {
         self.list.entries.len()
     }
 
+    /// Returns the number of data centres in the platform's list.
+    pub fn data_centres(&self) -> usize {
+        self.list.data_centres
+    }
+
     /// Returns every VM of the platform's list.
     pub fn listed(&self) -> impl Iterator<Item = &VmEntry> {
         self.list.entries.values()
--- a/src/owner/message.rs
+++ b/src/owner/message.rs
@@ -50,6 +50,15 @@
     pub left_us: u64,
 }
 
+/// When the sender last vouched to a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouched {
+    /// The member that asked.
+    pub vm: VmId,
+    /// Time since its question came, when the message was made, in microseconds.
+    pub age_us: u64,
+}
+
 /// One message about a group between two VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -76,10 +85,17 @@
 pub struct Ask {
     /// Numbers the sender's questions.
     pub seq: u64,
-    /// Who controls the group.
-    pub place: Place,
+    /// The term.
+    pub term: Term,
+    /// Who controls the group; left out once the receiver vouched for the term.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<Place>,
     /// Targets that must not be extended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub barred: Vec<TargetBoot>,
+    /// The sum of the rows' revisions that the sender knows of.
+    #[serde(default)]
+    pub revision: u64,
 }
 
 /// The answer to [`Ask`].
@@ -90,9 +106,14 @@
     /// The term.
     pub term: Term,
     /// Targets that the sender does not vouch for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub barred: Vec<TargetBoot>,
     /// The sender's bounds for the barred targets; a target without one has none left.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub bounds: Vec<Bound>,
+    /// The other members that the sender vouched to lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub vouched: Vec<Vouched>,
     /// Time since the table confirmed the term to the sender, in milliseconds.
     pub table_ms: u64,
     /// Time since the sender heard from the holder, in milliseconds.
@@ -117,6 +138,8 @@
     pub prior: Term,
     /// The sender's bounds; a target without one has none left.
     pub bounds: Vec<Bound>,
+    /// The other members that the sender vouched to lately.
+    pub vouched: Vec<Vouched>,
 }
 
 impl Place {
--- a/src/spread/links.rs
+++ b/src/spread/links.rs
@@ -29,11 +29,13 @@
         dialled: bool,
         out: &mut Vec<Action>,
     ) {
+        let is_entry = hello.role == Role::Entry;
         let peer = Peer::new(now, hello, dialled);
         if dialled {
             self.dialling.remove(&peer.vm);
         }
-        if peer.role == Role::Entry {
+        self.close_of_earlier(&peer, out);
+        if is_entry {
             self.catch_up(link, &peer, out);
         } else {
             self.replan_at = Some(now);
@@ -41,6 +43,10 @@
         }
         self.links.insert(link, peer);
         self.close_doubled(out);
+        if is_entry {
+            self.tell_ranks(out);
+        }
+        self.send_crashes(now, vec![link], out);
     }
 
     pub(super) fn unlinked(&mut self, now: Instant, link: LinkId) {
@@ -147,6 +153,16 @@
         }
     }
 
+    // Closes the links to an earlier process of the same VM, which may be silent for good.
+    fn close_of_earlier(&self, peer: &Peer, out: &mut Vec<Action>) {
+        for (link, other) in &self.links {
+            let same = other.vm == peer.vm && other.role == peer.role;
+            if same && other.hello.boot != peer.hello.boot {
+                out.push(Action::Hangup(*link));
+            }
+        }
+    }
+
     // Closes the links that this side opened beside a better one to the same VM.
     fn close_doubled(&self, out: &mut Vec<Action>) {
         for (link, peer) in &self.links {
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -5,13 +5,16 @@
 //! does not stop it.
 
 mod changes;
+mod confirm;
 mod count;
+mod crashes;
 mod io;
 mod links;
 mod machine;
 mod message;
 mod peer;
 mod plan;
+mod rank;
 mod ready;
 mod recent;
 
@@ -21,6 +24,7 @@
 pub use io::SpreadConf;
 pub use io::TableAnswer;
 pub use machine::Spread;
+pub use machine::list_interval;
 pub use message::Census;
 pub use message::Feed;
 pub use message::Summary;
