Count the first ticket of a confirmed controller at once

Ruled out: confirming by any change, which a controller sends also before it was itself confirmed. Change: on a link whose controller said that it was confirmed, a change that raises the number confirms the view; each new link starts without that trust.

--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -91,6 +91,8 @@
 
 #[derive(Debug)]
 struct UpLink {
+    /// Whether the controller said that it was itself confirmed.
+    trusted: bool,
     heard: Instant,
     pinged: Instant,
     reported: Instant,
@@ -132,6 +134,7 @@
     /// The link is open.
     pub fn opened(&mut self, now: Instant) -> Vec<Action> {
         self.link = LinkState::Up(UpLink {
+            trusted: false,
             heard: now,
             pinged: now,
             reported: now,
@@ -170,7 +173,7 @@
         up.heard = now;
         self.pause = FIRST_PAUSE;
         match message {
-            Message::Changes(changes) => self.apply(changes),
+            Message::Changes(changes) => self.apply(changes, now),
             Message::Ping(number) => vec![Action::Send(Message::Pong(number))],
             Message::Digest(theirs) => self.compare(&theirs),
             Message::Crashes(report) => vec![Action::Crashes(report)],
@@ -220,7 +223,7 @@
         }
     }
 
-    fn apply(&mut self, changes: Vec<ViewChange>) -> Vec<Action> {
+    fn apply(&mut self, changes: Vec<ViewChange>, now: Instant) -> Vec<Action> {
         let before = self.view.digest();
         let mut gap = false;
         for change in changes {
@@ -231,12 +234,21 @@
         if digest != before {
             actions.push(Action::Publish(Arc::new(self.view.clone())));
         }
+        // What raises the view comes from a controller that holds at least as much.
+        let raised = digest.number > before.number;
+        if raised && !gap && self.is_trusted() {
+            self.confirmed = Some(now);
+        }
         if gap {
             actions.push(Action::Send(Message::Digest(digest)));
         }
         actions
     }
 
+    fn is_trusted(&self) -> bool {
+        matches!(&self.link, LinkState::Up(up) if up.trusted)
+    }
+
     /// Sends what the controller lacks, and asks for what the entry lacks.
     fn compare(&self, theirs: &ViewDigest) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -256,6 +268,9 @@
     /// A controller that was itself confirmed stands behind the number that it holds.
     fn take_summary(&mut self, theirs: &Summary, now: Instant) -> Vec<Action> {
         let held = Summary::of(&self.view, None);
+        if let LinkState::Up(up) = &mut self.link {
+            up.trusted |= theirs.age_ms.is_some();
+        }
         let is_known = held.number > TicketNumber(0) && theirs.age_ms.is_some();
         if is_known && theirs.number == held.number {
             self.confirmed = Some(now);
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -162,6 +162,24 @@
     expect_that!(follower.is_fresh(later + TICK * 5), eq(true));
 }
 
+#[googletest::test]
+fn the_first_ticket_of_a_confirmed_controller_counts_at_once() {
+    let now = Instant::now();
+    let mut follower = follower(now);
+    follower.tick(now, |_| Vec::new());
+    follower.opened(now);
+    follower.received(summary(0, Some(5)), now);
+    expect_that!(follower.is_fresh(now), eq(false));
+    follower.received(state(1), now);
+    expect_that!(follower.is_fresh(now), eq(true));
+    // Another controller, and another link, start without trust.
+    follower.lost(now + STALE_LIMIT);
+    follower.tick(now + STALE_LIMIT * 2, |_| Vec::new());
+    follower.opened(now + STALE_LIMIT * 2);
+    follower.received(state(2), now + STALE_LIMIT * 2);
+    expect_that!(follower.is_fresh(now + STALE_LIMIT * 2), eq(false));
+}
+
 #[googletest::test]
 fn a_controller_that_lacks_state_gets_it() {
     let now = Instant::now();
