Try a VM that did not answer again after 2 s, not 10

Ruled out: a fixed 2 s, which would try a VM that stays away all the time. Change: the pause starts at 2 s and doubles up to 32 s until the VM answers.

--- a/src/member/members.rs
+++ b/src/member/members.rs
@@ -9,8 +9,11 @@
 use crate::ids::VmId;
 use crate::platform::VmEntry;
 
-/// How long a VM whose link failed is passed over before it is tried again.
-pub const SUSPECT_TIME: Duration = Duration::from_secs(10);
+/// How long a VM whose link failed is passed over before it is tried again; doubled with every
+/// failure until it answers.
+pub const FIRST_PAUSE: Duration = Duration::from_secs(2);
+/// The longest time for which a VM is passed over.
+pub const LONGEST_PAUSE: Duration = Duration::from_secs(32);
 
 /// The platform's list of VMs by name.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -24,7 +27,14 @@
 pub struct Members {
     list: Arc<VmTable>,
     version: u64,
-    suspects: BTreeMap<VmId, Instant>,
+    suspects: BTreeMap<VmId, Suspect>,
+}
+
+/// A VM that did not answer.
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    until: Instant,
+    pause: Duration,
 }
 
 impl VmTable {
@@ -54,7 +64,11 @@
 
     /// Takes note that a link to the VM failed.
     pub fn suspect(&mut self, now: Instant, vm: &VmId) {
-        self.suspects.insert(vm.clone(), now);
+        let before = self.suspects.get(vm);
+        let pause = before.map_or(FIRST_PAUSE, |before| before.pause * 2);
+        let pause = pause.min(LONGEST_PAUSE);
+        let until = now + pause;
+        self.suspects.insert(vm.clone(), Suspect { until, pause });
     }
 
     /// Takes note that the VM answers; returns whether it was suspected.
@@ -95,8 +109,8 @@
     /// Returns the VMs believed to run: listed, and without a link that failed lately.
     pub fn believed(&self, now: Instant) -> impl Iterator<Item = &VmEntry> {
         self.listed().filter(move |entry| {
-            let since = self.suspects.get(&entry.vm);
-            since.is_none_or(|since| now.saturating_duration_since(*since) >= SUSPECT_TIME)
+            let suspect = self.suspects.get(&entry.vm);
+            suspect.is_none_or(|suspect| now >= suspect.until)
         })
     }
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -3,8 +3,9 @@
 mod members;
 mod rank;
 
+pub use members::FIRST_PAUSE;
+pub use members::LONGEST_PAUSE;
 pub use members::Members;
-pub use members::SUSPECT_TIME;
 pub use members::VmTable;
 pub use rank::candidates;
 pub use rank::ranked;
