--- a/src/owner/group/base.rs
+++ b/src/owner/group/base.rs
@@ -27,6 +27,8 @@
 use crate::owner::message::PeerMessage;
 use crate::owner::message::Place;
 use crate::owner::message::TargetBoot;
+use crate::owner::message::Vouched;
+use crate::owner::right::Right;
 use crate::owner::rows::GroupRow;
 use crate::owner::rows::ShardsRow;
 use crate::ticket::Service;
@@ -34,6 +36,10 @@
 use crate::ticket::TargetState;
 
 const SHUN_TIME: Duration = Duration::from_secs(30);
+/// A vouch as old as this has no effect on any clock.
+const VOUCHED_KEPT: Duration = Duration::from_secs(10);
+/// Clocks gain or lose at most one part in this many.
+const CLOCK_DRIFT: u32 = 50;
 const ASKS_KEPT: usize = 16;
 
 /// What the write on its way is for.
@@ -60,6 +66,8 @@
     pub conf: GroupConf,
     pub rng: ChaCha8Rng,
     pub service: Option<Service>,
+    /// The hashed shards of the group.
+    pub hashed: Vec<Shard>,
     pub peers: Vec<Peer>,
     /// The load as the entries saw it lately.
     pub samples: Samples,
@@ -70,6 +78,10 @@
     pub asks: Asks,
     pub read_due: Instant,
     pub pending: Option<Pending>,
+    /// When this process last vouched to each member, under any term.
+    pub vouched: BTreeMap<VmId, Instant>,
+    /// No write of an earlier holder that began later has effect.
+    pub written: Option<Instant>,
     /// Members that were out of reach or leave, and until when not to name them.
     pub shunned: BTreeMap<Member, Instant>,
     /// Whether this process is about to stop as planned.
@@ -100,6 +112,7 @@
             conf,
             rng: ChaCha8Rng::seed_from_u64(seed),
             service: None,
+            hashed: Vec::new(),
             peers: Vec::new(),
             samples: Samples::default(),
             fleet: Fleet::default(),
@@ -107,6 +120,8 @@
             asks: Asks::default(),
             read_due: now,
             pending: None,
+            vouched: BTreeMap::new(),
+            written: None,
             shunned: BTreeMap::new(),
             leaving: false,
         }
@@ -133,6 +148,7 @@
 
     pub fn set_service(&mut self, now: Instant, service: Option<Service>) {
         self.service = service;
+        self.hashed = self.list_hashed();
         for (target, address) in self
             .targets()
             .map(|(id, t)| (id.clone(), t.address))
@@ -155,21 +171,6 @@
             .filter(|(_, target)| target.state == TargetState::Serving)
     }
 
-    /// Returns the hashed shards of the group.
-    pub fn hashed(&self) -> Vec<Shard> {
-        let keying = self
-            .service
-            .as_ref()
-            .and_then(|service| service.keying.as_ref());
-        let Some(keying) = keying else {
-            return Vec::new();
-        };
-        let index = self.conf.group.index;
-        let all = (0..keying.shards).map(Shard);
-        all.filter(|shard| keying.group_of(*shard) == index)
-            .collect()
-    }
-
     /// Returns the hashed shard of a key.
     pub fn shard_of(&self, key_hash: u64) -> Option<Shard> {
         let keying = self.service.as_ref()?.keying.as_ref()?;
@@ -187,28 +188,60 @@
     }
 
     /// Asks the other members whether they vouch for the term.
-    pub fn ask(&mut self, now: Instant, barred: &[TargetBoot], out: &mut Vec<Action>) {
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        right: &Right,
+        barred: &[TargetBoot],
+        out: &mut Vec<Action>,
+    ) {
         let others = self.others();
         let Some(place) = self.place.clone().filter(|_| !others.is_empty()) else {
             return;
         };
         let seq = self.asks.ask(now);
         for member in others {
+            let informed = right.vouched(&member.vm).is_some();
             let ask = Ask {
                 seq,
-                place: place.clone(),
+                term: place.term,
+                place: (!informed).then(|| place.clone()),
                 barred: barred.to_vec(),
+                revision: self.store.revision(),
             };
             self.send(&member.vm, PeerMessage::Ask(ask), out);
         }
     }
 
+    /// Returns the members vouched to lately, as a message carries them.
+    pub fn vouched(&self, now: Instant) -> Vec<Vouched> {
+        let lately = self.vouched.iter();
+        let lately = lately.map(|(vm, at)| (vm, now.saturating_duration_since(*at)));
+        let lately = lately.filter(|(_, age)| *age < VOUCHED_KEPT);
+        let vouched = lately.map(|(vm, age)| Vouched {
+            vm: vm.clone(),
+            age_us: (age - age / CLOCK_DRIFT).as_micros() as u64,
+        });
+        vouched.collect()
+    }
+
     /// Names a member no more for some time.
     pub fn shun(&mut self, now: Instant, member: Member) {
         self.shunned.retain(|_, until| now < *until);
         self.shunned.insert(member, now + SHUN_TIME);
     }
 
+    fn list_hashed(&self) -> Vec<Shard> {
+        let service = self.service.as_ref();
+        let Some(keying) = service.and_then(|service| service.keying.as_ref()) else {
+            return Vec::new();
+        };
+        let index = self.conf.group.index;
+        let all = (0..keying.shards).map(Shard);
+        all.filter(|shard| keying.group_of(*shard) == index)
+            .collect()
+    }
+
     /// Reads the rows if that is due.
     pub fn read_if_due(&mut self, now: Instant, out: &mut Vec<Action>) {
         if now >= self.read_due && !self.store.reading() {
@@ -217,8 +250,19 @@
     }
 
     /// Writes this process into the row as the holder of a new term; deputies that are `kept` stay
-    /// unless better ones are to be had.
-    pub fn take(&mut self, now: Instant, kept: &[Member], out: &mut Vec<Action>) {
+    /// unless better ones are to be had. No write of the holder before that began after `written`
+    /// has effect, if that is known.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        kept: &[Member],
+        written: Option<Instant>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.store.writing() {
+            return;
+        }
+        self.written = written;
         let Some(rows) = self.store.rows().cloned() else {
             return;
         };
--- a/src/route/call.rs
+++ b/src/route/call.rs
@@ -225,10 +225,7 @@
             }
             AttemptEnd::Superseded => {
                 self.uncertain = true;
-                match self.info.idempotent && self.may_repeat() {
-                    true => Next::Again,
-                    false => Next::Refuse(Refusal::Unknown),
-                }
+                self.after_failure(&lane)
             }
             AttemptEnd::Cancelled => Next::Refuse(Refusal::Unknown),
         }
@@ -288,7 +285,7 @@
         waker: &Waker,
     ) -> Step {
         if !std::mem::replace(&mut self.counted, true) {
-            route.count(hash);
+            route.shared.counts.count(hash);
         }
         let Some(key) = route.key_route(hash) else {
             return self.refuse(Refusal::NoKey);
