Hold that members refuse to vouch for an ended term

Ruled out: more random cases. Change: a test in which the old holder, cut off from its successor and the table, hears the other deputy again after the takeover and still reaches a target that the successor cannot reach.

--- a/tests/owner_group.rs
+++ b/tests/owner_group.rs
@@ -65,3 +65,35 @@
     assert_eq!(left.count(), 0);
     assert!(world.worst_gap() < Duration::from_millis(100));
 }
+
+#[test]
+fn an_old_holder_gets_no_vouch_for_its_ended_term() {
+    let mut world = World::new(Sizes {
+        targets: 3,
+        shards: 12,
+        checks_term: false,
+        ..Sizes::default()
+    });
+    world.run(Duration::from_secs(4));
+    let holder = world.holder().expect("a holder");
+    let status = world.vms[holder].group.as_ref().map(|group| group.status());
+    let deputies = status.expect("a running VM").deputies;
+    let [old, first, second] = [&world.vms[holder].name, &deputies[0], &deputies[1]];
+    let [old, first, second] = [old, first, second].map(|vm| vm.to_string());
+    let pair = |a: &str, b: &str| (a.to_string(), b.to_string());
+    world.cuts.insert(pair(&old, &first));
+    world.cuts.insert(pair(&old, &second));
+    world.cuts.insert(pair(&old, "table"));
+    world.cuts.insert(pair(&first, "t1"));
+    world.run(Duration::from_millis(600));
+    assert_eq!(
+        world.holder().map(|vm| world.vms[vm].name.to_string()),
+        Some(first)
+    );
+    // The old holder hears the second deputy again, and still reaches the target.
+    world.cuts.remove(&pair(&old, &second));
+    world.run(Duration::from_secs(4));
+    let row = world.shards_row().expect("a row of shards");
+    let left = row.owners.values().filter(|o| o.target == "t1".into());
+    assert_eq!(left.count(), 0, "{}", world.report());
+}
