--- a/examples/quickstart/cluster.rs
+++ b/examples/quickstart/cluster.rs
@@ -7,10 +7,12 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Context;
 use anyhow::Result;
 use anyhow::ensure;
+use async_std::task;
 use http_types::Method;
 
 use crate::http;
@@ -22,12 +24,16 @@
 const KEYED_TARGETS: usize = 6;
 const DESK_TARGETS: usize = 3;
 const PLATFORM_LIMIT: Duration = Duration::from_secs(2);
+const READY_LIMIT: Duration = Duration::from_secs(20);
+const READY_PAUSE: Duration = Duration::from_millis(50);
 const TOKEN: &str = "quickstart-token";
 
 /// One VM: an entry and a controller.
 pub struct Vm {
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// Where the platform's balancer asks whether the entry is ready.
+    pub admin: SocketAddr,
     /// The settings file.
     pub settings: PathBuf,
     _entry: Process,
@@ -108,6 +114,18 @@
         })
     }
 
+    /// Waits until every entry is ready, as a balancer does before it sends callers.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let limit = Instant::now() + READY_LIMIT;
+        for vm in &self.vms {
+            while !is_ready(vm.admin).await {
+                ensure!(Instant::now() < limit, "the entry on {} is not ready", vm.listen);
+                task::sleep(READY_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Writes a ticket; targets named in `left_out` are not in it, those in `leaving` are leaving.
     pub fn write_ticket(&self, ticket: &TicketPlan<'_>) -> Result<PathBuf> {
         let path = self.dir.join(format!("{}.ini", ticket.file));
@@ -229,6 +247,11 @@
     Ok(PlatformStandin { address, process })
 }
 
+async fn is_ready(admin: SocketAddr) -> bool {
+    let answer = http::send(admin, Ask::get("/readyz", &[]), PLATFORM_LIMIT).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
 async fn list_vms(platform: SocketAddr, plans: &[VmPlan]) -> Result<()> {
     let body = vm_list(plans).into_bytes();
     let ask = Ask {
@@ -305,6 +328,7 @@
     let entry = start("entry")?;
     Ok(Vm {
         listen: plan.listen,
+        admin: plan.entry_admin,
         settings,
         _entry: entry,
         controller,
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -50,6 +50,7 @@
     let mut cluster = Cluster::start(programs, &dir).await?;
     let mut before = Findings::default();
     script::first_ticket(&cluster, &mut before)?;
+    cluster.wait_ready().await?;
     let entries: Vec<_> = cluster.vms.iter().map(|vm| vm.listen).collect();
     let tally = Arc::new(Tally::default());
     let callers = traffic::start(&entries, &tally);
