Build the examples with the fake world's checks in a file of their own

Cause: the checks of the fake world moved to support/owner_checks.rs; measure and capacity no longer compiled. Ruled out: a copy of what they need. Change: both include the file; measure's own type is Fleet, since the checks name the world's.

--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -3,6 +3,8 @@
 //!
 //! `cargo run --release --example capacity` takes under a minute. `docs/CAPACITY.md` explains it.
 
+#[path = "../../tests/support/owner_checks.rs"]
+mod checks;
 #[path = "../../tests/spread_support/mod.rs"]
 mod net;
 #[path = "../../tests/support/owner_table.rs"]
--- a/examples/measure/world.rs
+++ b/examples/measure/fleet.rs
@@ -14,7 +14,7 @@
 
 /// One service of one user, as the entries see it.
 #[derive(Clone, Debug)]
-pub struct World {
+pub struct Fleet {
     /// The user's name.
     pub user: &'static str,
     /// The number of data centres.
@@ -34,7 +34,7 @@
 }
 
 /// Vitrinas' street reports: unkeyed, two slots a target.
-pub const VITRINAS: World = World {
+pub const VITRINAS: Fleet = Fleet {
     user: "vitrinas",
     data_centres: 3,
     entries: 12,
@@ -46,7 +46,7 @@
 };
 
 /// The Guild's roster: unkeyed, six slots a target.
-pub const GUILD: World = World {
+pub const GUILD: Fleet = Fleet {
     user: "guild",
     data_centres: 4,
     entries: 12,
@@ -57,7 +57,7 @@
     near_micros: 250,
 };
 
-impl World {
+impl Fleet {
     /// Returns all slots.
     pub fn capacity(&self) -> usize {
         self.targets * usize::from(self.slots)
--- a/examples/measure/keyed.rs
+++ b/examples/measure/keyed.rs
@@ -10,15 +10,15 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::owner_world::Sizes;
-use crate::owner_world::World;
+use crate::fleet;
+use crate::fleet::VITRINAS;
+use crate::fleet::service_id;
+use crate::fleet::target_id;
 use crate::report::Report;
 use crate::report::Row;
 use crate::report::figure;
-use crate::world;
-use crate::world::VITRINAS;
-use crate::world::service_id;
-use crate::world::target_id;
+use crate::world::Sizes;
+use crate::world::World;
 use gooseberryloft::ids::Fence;
 use gooseberryloft::ids::GroupId;
 use gooseberryloft::ids::Shard;
@@ -232,7 +232,7 @@
 }
 
 fn view() -> View {
-    let mut view = world::World {
+    let mut view = fleet::Fleet {
         targets: 1,
         connections: 1_000,
         ..VITRINAS
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -2,9 +2,10 @@
 //!
 //! `cargo run --release --example measure [-- EXPERIMENT] [--seed N] [--json]`
 
+#[path = "../../tests/support/owner_checks.rs"]
+mod checks;
+mod fleet;
 mod keyed;
-#[path = "../../tests/support/owner_world.rs"]
-mod owner_world;
 mod ownership;
 mod policy;
 mod report;
@@ -12,6 +13,7 @@
 mod sim;
 #[path = "../../tests/support/owner_table.rs"]
 mod table;
+#[path = "../../tests/support/owner_world.rs"]
 mod world;
 
 use anyhow::Result;
--- a/examples/measure/ownership.rs
+++ b/examples/measure/ownership.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::owner_world::Sizes;
-use crate::owner_world::World;
 use crate::report::Report;
 use crate::report::Row;
 use crate::report::figure;
 use crate::table::Mode;
+use crate::world::Sizes;
+use crate::world::World;
 use gooseberryloft::ids::Shard;
 use gooseberryloft::ids::TargetId;
 use gooseberryloft::ticket::TargetState;
--- a/examples/measure/policy.rs
+++ b/examples/measure/policy.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use strum::Display;
 
-use crate::world::World;
+use crate::fleet::Fleet;
 
 /// How a target is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -61,11 +61,11 @@
 
 impl Plain {
     /// Starts idle.
-    pub fn new(world: &World) -> Self {
+    pub fn new(fleet: &Fleet) -> Self {
         Self {
-            turns: (0..world.entries).collect(),
-            in_flight: vec![vec![0; world.targets]; world.entries],
-            reserved: vec![0; world.targets],
+            turns: (0..fleet.entries).collect(),
+            in_flight: vec![vec![0; fleet.targets]; fleet.entries],
+            reserved: vec![0; fleet.targets],
         }
     }
 
@@ -107,10 +107,10 @@
     }
 
     /// Takes the nearest slot that is free and not promised.
-    pub fn nearest_idle(&mut self, world: &World, entry: usize, slots: u16) -> Option<usize> {
-        let centre = world.centre(entry);
+    pub fn nearest_idle(&mut self, fleet: &Fleet, entry: usize, slots: u16) -> Option<usize> {
+        let centre = fleet.centre(entry);
         let idle = (0..self.reserved.len()).filter(|&t| self.reserved[t] < slots);
-        let cost = |&t: &usize| (world.delay(centre, world.centre(t)), self.reserved[t]);
+        let cost = |&t: &usize| (fleet.delay(centre, fleet.centre(t)), self.reserved[t]);
         let best = idle.min_by_key(cost)?;
         self.reserved[best] += 1;
         Some(best)
--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -1,5 +1,8 @@
 //! Experiments on unkeyed services: slots, overload, failures and misleading endpoints.
 
+use crate::fleet::Fleet;
+use crate::fleet::GUILD;
+use crate::fleet::VITRINAS;
 use crate::policy::Policy;
 use crate::report::Figure;
 use crate::report::Report;
@@ -9,9 +12,6 @@
 use crate::sim::Fault;
 use crate::sim::Outcome;
 use crate::sim::Setup;
-use crate::world::GUILD;
-use crate::world::VITRINAS;
-use crate::world::World;
 
 const SERVICE_MICROS: f64 = 50_000.0;
 const PATIENCE_MICROS: u64 = 2_000_000;
@@ -47,16 +47,16 @@
 
 /// Time in system at 80 % of the slots busy, against one queue that sees everything.
 pub fn slots(report: &mut Report, seed: u64) {
-    for world in [VITRINAS, GUILD] {
+    for fleet in [VITRINAS, GUILD] {
         for service_ms in [20, 50, 100] {
             let mut all = Vec::new();
             for policy in POLICIES {
-                let mut setup = setup(&world, policy, seed);
+                let mut setup = setup(&fleet, policy, seed);
                 setup.service_micros = f64::from(service_ms) * 1e3;
                 setup.patience = 60_000_000;
                 all.push((policy, sim::run(setup)));
             }
-            let case = format!("{} 80% busy, {service_ms} ms", world.user);
+            let case = format!("{} 80% busy, {service_ms} ms", fleet.user);
             let ideal = find(&all, Policy::Central).clone();
             for (policy, outcome) in &all {
                 let ratios = vec![
@@ -65,7 +65,7 @@
                 ];
                 push(report, "slots", &case, *policy, outcome, ratios);
             }
-            if world.user == VITRINAS.user && service_ms == 50 {
+            if fleet.user == VITRINAS.user && service_ms == 50 {
                 judge_slots(report, SLOTS_CASE, find(&all, ROUTER), &ideal);
                 judge_slots(report, ALONE_CASE, find(&all, ALONE), &ideal);
             }
@@ -87,16 +87,16 @@
 /// Goodput at twice the capacity.
 pub fn overload(report: &mut Report, seed: u64) {
     let mut least = f64::MAX;
-    for world in [VITRINAS, GUILD] {
+    for fleet in [VITRINAS, GUILD] {
         for policy in POLICIES {
-            let mut setup = setup(&world, policy, seed);
+            let mut setup = setup(&fleet, policy, seed);
             setup.load = 2.0;
             let outcome = sim::run(setup);
             if policy == ROUTER {
                 least = least.min(outcome.goodput);
             }
             let goodput = vec![figure("goodput", outcome.goodput, "")];
-            let case = format!("{} twice the capacity", world.user);
+            let case = format!("{} twice the capacity", fleet.user);
             push(report, "overload", &case, policy, &outcome, goodput);
         }
     }
@@ -111,18 +111,18 @@
 /// Requests sent while a third of the targets break every connection.
 pub fn failing(report: &mut Report, seed: u64) {
     let mut most: f64 = 0.0;
-    for world in [VITRINAS, GUILD] {
+    for fleet in [VITRINAS, GUILD] {
         for load in [0.3, 0.5] {
             for policy in [Policy::Random, Policy::LocalLeast, ALONE, ROUTER] {
-                let mut setup = setup(&world, policy, seed);
+                let mut setup = setup(&fleet, policy, seed);
                 setup.load = load;
                 setup.fault = Fault::Breaks;
-                setup.faulty = world.targets / 3;
+                setup.faulty = fleet.targets / 3;
                 let outcome = sim::run(setup);
                 if policy == ROUTER {
                     most = most.max(outcome.sent_ratio());
                 }
-                let case = format!("{} a third fails, load {load}", world.user);
+                let case = format!("{} a third fails, load {load}", fleet.user);
                 push(report, "failing", &case, policy, &outcome, Vec::new());
             }
         }
@@ -137,29 +137,29 @@
 
 /// One slow target, and load endpoints that tell the opposite of the truth.
 pub fn faults(report: &mut Report, seed: u64) {
-    for world in [VITRINAS, GUILD] {
+    for fleet in [VITRINAS, GUILD] {
         for (name, fault, lies) in [
             ("no fault", Fault::None, false),
             ("one target 10 x slower", Fault::Slow, false),
             ("endpoints lie", Fault::None, true),
         ] {
             for policy in POLICIES {
-                let mut setup = setup(&world, policy, seed);
+                let mut setup = setup(&fleet, policy, seed);
                 setup.load = 0.6;
                 setup.fault = fault;
                 setup.faulty = usize::from(fault != Fault::None);
                 setup.lies = lies;
                 let outcome = sim::run(setup);
-                let case = format!("{} {name}", world.user);
+                let case = format!("{} {name}", fleet.user);
                 push(report, "faults", &case, policy, &outcome, Vec::new());
             }
         }
     }
 }
 
-fn setup(world: &World, policy: Policy, seed: u64) -> Setup {
+fn setup(fleet: &Fleet, policy: Policy, seed: u64) -> Setup {
     Setup {
-        world: world.clone(),
+        fleet: fleet.clone(),
         policy,
         seed,
         service_micros: SERVICE_MICROS,
--- a/examples/measure/sim.rs
+++ b/examples/measure/sim.rs
@@ -14,12 +14,12 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::fleet::Fleet;
+use crate::fleet::centre_id;
+use crate::fleet::service_id;
+use crate::fleet::target_id;
 use crate::policy::Plain;
 use crate::policy::Policy;
-use crate::world::World;
-use crate::world::centre_id;
-use crate::world::service_id;
-use crate::world::target_id;
 use gooseberryloft::ids::VmId;
 use gooseberryloft::route::AttemptEnd;
 use gooseberryloft::route::Call;
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug)]
 pub struct Setup {
     /// The sizes.
-    pub world: World,
+    pub fleet: Fleet,
     /// The policy.
     pub policy: Policy,
     /// The seed.
@@ -192,15 +192,15 @@
 
 impl Sim {
     fn new(setup: Setup) -> Self {
-        let world = &setup.world;
-        let view = Arc::new(world.view());
+        let fleet = &setup.fleet;
+        let view = Arc::new(fleet.view());
         let router = |index: usize| {
             let config = RouterConfig {
                 vm: VmId::from(format!("vm-{index}")),
-                data_centre: centre_id(world.centre(index)),
+                data_centre: centre_id(fleet.centre(index)),
                 rank: EntryRank {
                     rank: index as u32,
-                    entries: world.entries as u32,
+                    entries: fleet.entries as u32,
                 },
                 seed: setup.seed * 1_000 + index as u64,
             };
@@ -220,11 +220,11 @@
             bodies: std::collections::HashMap::new(),
             next_event: 0,
             calls: Vec::new(),
-            targets: (0..world.targets).map(target).collect(),
-            routers: (0..world.entries).map(router).collect(),
-            telling: vec![false; world.entries],
+            targets: (0..fleet.targets).map(target).collect(),
+            routers: (0..fleet.entries).map(router).collect(),
+            telling: vec![false; fleet.entries],
             woken: Arc::default(),
-            plain: Plain::new(world),
+            plain: Plain::new(fleet),
             central: VecDeque::new(),
             outcome: Outcome::default(),
             half_at: 0,
@@ -267,14 +267,14 @@
     fn arrive(&mut self) {
         let index = self.calls.len();
         if index + 1 < self.setup.requests {
-            let rate = self.setup.load * self.setup.world.capacity() as f64;
+            let rate = self.setup.load * self.setup.fleet.capacity() as f64;
             let gap = self.exponential(self.setup.service_micros / rate);
             self.at(self.now + gap, Event::Arrive);
         }
         if index == self.setup.requests / 2 {
             self.half_at = self.now;
         }
-        let entry = self.rng.random_range(0..self.setup.world.entries);
+        let entry = self.rng.random_range(0..self.setup.fleet.entries);
         let info = RequestInfo {
             service: service_id(),
             key_hash: None,
@@ -355,7 +355,7 @@
     }
 
     fn reach(&mut self, call: usize, target: usize) {
-        let slots = usize::from(self.setup.world.slots);
+        let slots = usize::from(self.setup.fleet.slots);
         let faulty = target < self.setup.faulty;
         if faulty && self.setup.fault == Fault::Breaks {
             return self.answer(call, target, AttemptEnd::Broken);
@@ -466,9 +466,9 @@
     }
 
     fn place_centrally(&mut self, index: usize) {
-        let slots = self.setup.world.slots;
+        let slots = self.setup.fleet.slots;
         let entry = self.calls[index].entry;
-        match self.plain.nearest_idle(&self.setup.world, entry, slots) {
+        match self.plain.nearest_idle(&self.setup.fleet, entry, slots) {
             Some(target) => self.send(index, target),
             None => self.central.push_back(index),
         }
@@ -487,10 +487,10 @@
         let report = Arc::new(self.routers[entry].loads());
         let mut bytes = Vec::new();
         ciborium::into_writer(&*report, &mut bytes).expect("a report is encodable");
-        let from = self.setup.world.centre(entry);
-        for other in (0..self.setup.world.entries).filter(|&other| other != entry) {
+        let from = self.setup.fleet.centre(entry);
+        for other in (0..self.setup.fleet.entries).filter(|&other| other != entry) {
             self.told_bytes += bytes.len() as u64;
-            let delay = self.setup.world.delay(from, self.setup.world.centre(other));
+            let delay = self.setup.fleet.delay(from, self.setup.fleet.centre(other));
             let report = report.clone();
             let entry = other;
             self.at(self.now + delay, Event::Hear { entry, report });
@@ -501,7 +501,7 @@
     fn hint(&mut self) {
         let now = self.instant(self.now);
         for (index, target) in self.targets.iter().enumerate() {
-            let used = target.busy * 100 / usize::from(self.setup.world.slots);
+            let used = target.busy * 100 / usize::from(self.setup.fleet.slots);
             let lie = 100 - used.min(100) as u32;
             for router in &self.routers {
                 router.observe_load(&service_id(), &target_id(index), lie, now);
@@ -513,8 +513,8 @@
     }
 
     fn delay(&self, entry: usize, target: usize) -> u64 {
-        let world = &self.setup.world;
-        world.delay(world.centre(entry), world.centre(target))
+        let fleet = &self.setup.fleet;
+        fleet.delay(fleet.centre(entry), fleet.centre(target))
     }
 
     fn exponential(&mut self, mean: f64) -> u64 {
@@ -529,12 +529,12 @@
         let mean = used.iter().sum::<f64>() / used.len() as f64;
         let peak = used.iter().copied().fold(0.0, f64::max);
         let window = (last - self.half_at) as f64;
-        let slots = (healthy * usize::from(self.setup.world.slots)) as f64;
+        let slots = (healthy * usize::from(self.setup.fleet.slots)) as f64;
         self.outcome.times.sort_unstable();
         self.outcome.imbalance = peak / mean;
         self.outcome.goodput *= self.setup.service_micros / window / slots;
         let seconds = last as f64 / 1e6;
-        let entries = self.setup.world.entries as f64;
+        let entries = self.setup.fleet.entries as f64;
         self.outcome.control_bytes = self.told_bytes as f64 / seconds / entries;
         self.outcome
     }
