Let the fake world bring its checks along

Cause: the examples that include the fake world did not build since its checks had moved out. Ruled out: naming both files in each example. Change: the world declares the checks as a module of its own.

--- a/tests/owner_faults.rs
+++ b/tests/owner_faults.rs
@@ -1,7 +1,5 @@
 //! Random schedules of faults: no shard is ever held twice, and service returns.
 
-#[path = "support/owner_checks.rs"]
-mod checks;
 #[path = "support/owner_table.rs"]
 mod table;
 #[path = "support/owner_world.rs"]
--- a/tests/owner_group.rs
+++ b/tests/owner_group.rs
@@ -1,7 +1,5 @@
 //! One group under faults, in a fake world with a virtual clock.
 
-#[path = "support/owner_checks.rs"]
-mod checks;
 #[path = "support/owner_table.rs"]
 mod table;
 #[path = "support/owner_world.rs"]
--- a/tests/owner_hot_keys.rs
+++ b/tests/owner_hot_keys.rs
@@ -1,7 +1,5 @@
 //! Hot keys get shards of their own, and load evens out with few moves.
 
-#[path = "support/owner_checks.rs"]
-mod checks;
 #[path = "support/owner_table.rs"]
 mod table;
 #[path = "support/owner_world.rs"]
--- a/tests/owner_scenarios.rs
+++ b/tests/owner_scenarios.rs
@@ -1,7 +1,5 @@
 //! Scripted scenarios of ownership; see `tests/scenarios/owner`.
 
-#[path = "support/owner_checks.rs"]
-mod checks;
 #[path = "support/owner_table.rs"]
 mod table;
 #[path = "support/owner_world.rs"]
--- a/tests/owner_ways.rs
+++ b/tests/owner_ways.rs
@@ -1,7 +1,5 @@
 //! The ways to decide who may extend grants, each under the same faults.
 
-#[path = "support/owner_checks.rs"]
-mod checks;
 #[path = "support/owner_table.rs"]
 mod table;
 #[path = "support/owner_world.rs"]
--- a/tests/support/owner_checks.rs
+++ b/tests/support/owner_checks.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::world::World;
+use super::World;
 use gooseberryloft::ids::BootId;
 use gooseberryloft::ids::Shard;
 use gooseberryloft::ids::TargetId;
--- a/tests/support/owner_world.rs
+++ b/tests/support/owner_world.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+#[path = "owner_checks.rs"]
+mod checks;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
