Relieve a holder that alone is cut off from the table

Cause: a holder that its deputies hear kept the group although it could not change owners; the shards of a lost owner waited for as long as its way to the table was down. Ruled out: polling the table; a holder notices at the first read that a loss asks for. Change: its questions say when the table fails it; after 3 s a deputy that reads the table takes over. All owner tests pass.

--- a/examples/capacity/wire.rs
+++ b/examples/capacity/wire.rs
@@ -118,6 +118,7 @@
         place: None,
         barred: Vec::new(),
         revision: 1_000_000,
+        cut: false,
     }
 }
 
--- a/src/owner/group/base.rs
+++ b/src/owner/group/base.rs
@@ -208,6 +208,7 @@
                 place: (!informed).then(|| place.clone()),
                 barred: barred.to_vec(),
                 revision: self.store.revision(),
+                cut: self.store.failed(),
             };
             self.send(&member.vm, PeerMessage::Ask(ask), out);
         }
--- a/src/owner/group/deputy.rs
+++ b/src/owner/group/deputy.rs
@@ -24,6 +24,8 @@
 
 const COVER_AFTER: Duration = Duration::from_millis(150);
 const TAKE_AFTER: Duration = Duration::from_millis(400);
+/// A holder that the table does not answer for this long is relieved.
+const CUT_AFTER: Duration = Duration::from_secs(3);
 const KEEP: Duration = Duration::from_secs(1);
 /// A deputy about to stop leaves this many others the time to take over.
 const LEAVING_STEPS: usize = 3;
@@ -45,6 +47,8 @@
     /// When another member heard the holder last.
     seen_alive: Option<Instant>,
     ask_due: Instant,
+    /// Since when the table does not answer the holder.
+    cut: Option<Instant>,
     /// Whether the holder asked to be relieved.
     told: bool,
     taking: bool,
@@ -59,6 +63,7 @@
             seen: 0,
             heard: now,
             revision: 0,
+            cut: None,
             seen_alive: None,
             ask_due: now,
             told: false,
@@ -80,8 +85,13 @@
         if base.leaving {
             self.leave(base, now, out);
         }
+        if !self.taking && self.wants(base, now) {
+            self.taking = true;
+            base.read_due = now;
+            base.read_if_due(now, out);
+        }
         if !self.covers(now) {
-            self.taking = false;
+            self.taking &= self.is_cut(base, now);
             return;
         }
         if now >= self.ask_due {
@@ -89,11 +99,6 @@
             base.ask(now, &self.right, &self.barred, out);
         }
         orders::extend(base, now, &self.right, &self.barred, out);
-        if !self.taking && self.wants(base, now) {
-            self.taking = true;
-            base.read_due = now;
-            base.read_if_due(now, out);
-        }
     }
 
     /// Takes that the table held the term when a read began, and takes over if that is due.
@@ -140,6 +145,7 @@
             self.seen = ask.seq;
             self.heard = now;
             self.revision = ask.revision;
+            self.cut = ask.cut.then(|| self.cut.unwrap_or(now));
             self.barred = ask.barred;
         }
         base.vouched.insert(from.clone(), now);
@@ -179,12 +185,24 @@
         if base.service.is_none() {
             return false;
         }
-        let before_me = self.index - 1 + usize::from(base.leaving) * LEAVING_STEPS;
-        let late = STEP_APART * before_me as u32;
+        let late = self.late(base);
         let seen = self
             .seen_alive
             .is_some_and(|at| now < at + TAKE_AFTER + late);
-        self.told || (now >= self.heard + TAKE_AFTER + late && !seen)
+        let silent = now >= self.heard + TAKE_AFTER + late && !seen;
+        self.told || silent || self.is_cut(base, now)
+    }
+
+    /// Only the holder is cut off from the table, if this process can read it.
+    fn is_cut(&self, base: &Base, now: Instant) -> bool {
+        let limit = CUT_AFTER + self.late(base);
+        self.cut.is_some_and(|since| now >= since + limit)
+    }
+
+    /// Returns the time that this process leaves to those before it.
+    fn late(&self, base: &Base) -> Duration {
+        let before_me = self.index - 1 + usize::from(base.leaving) * LEAVING_STEPS;
+        STEP_APART * before_me as u32
     }
 
     /// Tells the holder to name another deputy.
--- a/src/owner/message.rs
+++ b/src/owner/message.rs
@@ -96,6 +96,9 @@
     /// The sum of the rows' revisions that the sender knows of.
     #[serde(default)]
     pub revision: u64,
+    /// Whether the table does not answer the sender.
+    #[serde(default)]
+    pub cut: bool,
 }
 
 /// The answer to [`Ask`].
