--- a/tests/owner_group.rs
+++ b/tests/owner_group.rs
@@ -9,6 +9,7 @@
 
 use crate::world::Sizes;
 use crate::world::World;
+use gooseberryloft::events::Event;
 use gooseberryloft::ticket::TargetState;
 
 #[test]
@@ -95,3 +96,19 @@
     let left = row.owners.values().filter(|o| o.target == "t1".into());
     assert_eq!(left.count(), 0, "{}", world.report());
 }
+
+#[test]
+fn a_loss_that_waits_is_told_once() {
+    let mut world = World::new(Sizes {
+        targets: 1,
+        ..Sizes::default()
+    });
+    world.run(Duration::from_secs(3));
+    world.kill_target(&"t1".into());
+    world.run(Duration::from_secs(10));
+    let told = world
+        .log
+        .iter()
+        .filter(|(_, event, _)| *event == Event::LossSpared);
+    assert_eq!(told.count(), 1, "{}", world.report());
+}
