--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -2,8 +2,6 @@
 //!
 //! `cargo run --release --example measure [-- EXPERIMENT] [--seed N] [--json]`
 
-#[path = "../../tests/support/owner_checks.rs"]
-mod checks;
 mod fleet;
 mod keyed;
 mod ownership;
--- a/examples/quickstart/cluster.rs
+++ b/examples/quickstart/cluster.rs
@@ -119,7 +119,11 @@
         let limit = Instant::now() + READY_LIMIT;
         for vm in &self.vms {
             while !is_ready(vm.admin).await {
-                ensure!(Instant::now() < limit, "the entry on {} is not ready", vm.listen);
+                ensure!(
+                    Instant::now() < limit,
+                    "the entry on {} is not ready",
+                    vm.listen
+                );
                 task::sleep(READY_PAUSE).await;
             }
         }
--- a/tests/owner_group.rs
+++ b/tests/owner_group.rs
@@ -1,7 +1,5 @@
 //! One group under faults, in a fake world with a virtual clock.
 
-#[path = "support/owner_checks.rs"]
-mod checks;
 #[path = "support/owner_table.rs"]
 mod table;
 #[path = "support/owner_world.rs"]
@@ -67,22 +65,6 @@
     assert!(world.worst_gap() < Duration::from_millis(100));
 }
 
-#[test]
-fn a_loss_that_waits_is_told_once() {
-    let mut world = World::new(Sizes {
-        targets: 1,
-        ..Sizes::default()
-    });
-    world.run(Duration::from_secs(3));
-    world.kill_target(&"t1".into());
-    world.run(Duration::from_secs(10));
-    let told = world
-        .log
-        .iter()
-        .filter(|(_, event, _)| *event == Event::LossSpared);
-    assert_eq!(told.count(), 1, "{}", world.report());
-}
-
 #[test]
 fn an_old_holder_gets_no_vouch_for_its_ended_term() {
     let mut world = World::new(Sizes {
@@ -114,3 +96,19 @@
     let left = row.owners.values().filter(|o| o.target == "t1".into());
     assert_eq!(left.count(), 0, "{}", world.report());
 }
+
+#[test]
+fn a_loss_that_waits_is_told_once() {
+    let mut world = World::new(Sizes {
+        targets: 1,
+        ..Sizes::default()
+    });
+    world.run(Duration::from_secs(3));
+    world.kill_target(&"t1".into());
+    world.run(Duration::from_secs(10));
+    let told = world
+        .log
+        .iter()
+        .filter(|(_, event, _)| *event == Event::LossSpared);
+    assert_eq!(told.count(), 1, "{}", world.report());
+}
