File the quickstart's first ticket once the controllers take it

Cause: one of nine quickstart runs ended with 1 within two seconds of its start, its messages not kept; the operator command does not wait for a controller that is still starting (exit code 3 at once, tried), and the run filed its first ticket right after it started them. Ruled out: waiting inside the command, whose answer must be quick in scripts. Change: the run waits for the readiness of the controllers, then of the entries.

--- a/examples/quickstart/cluster.rs
+++ b/examples/quickstart/cluster.rs
@@ -34,6 +34,8 @@
     pub listen: SocketAddr,
     /// Where the platform's balancer asks whether the entry is ready.
     pub admin: SocketAddr,
+    /// Where operators reach the controller.
+    pub operators: SocketAddr,
     /// The settings file.
     pub settings: PathBuf,
     _entry: Process,
@@ -114,20 +116,14 @@
         })
     }
 
+    /// Waits until every controller takes tickets.
+    pub async fn wait_controllers(&self) -> Result<()> {
+        wait_ready(self.vms.iter().map(|vm| vm.operators)).await
+    }
+
     /// Waits until every entry is ready, as a balancer does before it sends callers.
-    pub async fn wait_ready(&self) -> Result<()> {
-        let limit = Instant::now() + READY_LIMIT;
-        for vm in &self.vms {
-            while !is_ready(vm.admin).await {
-                ensure!(
-                    Instant::now() < limit,
-                    "the entry on {} is not ready",
-                    vm.listen
-                );
-                task::sleep(READY_PAUSE).await;
-            }
-        }
-        Ok(())
+    pub async fn wait_entries(&self) -> Result<()> {
+        wait_ready(self.vms.iter().map(|vm| vm.admin)).await
     }
 
     /// Writes a ticket; targets named in `left_out` are not in it, those in `leaving` are leaving.
@@ -251,6 +247,20 @@
     Ok(PlatformStandin { address, process })
 }
 
+async fn wait_ready(addresses: impl Iterator<Item = SocketAddr>) -> Result<()> {
+    let limit = Instant::now() + READY_LIMIT;
+    for address in addresses {
+        while !is_ready(address).await {
+            ensure!(
+                Instant::now() < limit,
+                "the program with its admin address on {address} is not ready; see its log"
+            );
+            task::sleep(READY_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
 async fn is_ready(admin: SocketAddr) -> bool {
     let answer = http::send(admin, Ask::get("/readyz", &[]), PLATFORM_LIMIT).await;
     answer.is_ok_and(|answer| answer.status == 200)
@@ -333,6 +343,7 @@
     Ok(Vm {
         listen: plan.listen,
         admin: plan.entry_admin,
+        operators: plan.admin,
         settings,
         _entry: entry,
         controller,
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -48,9 +48,10 @@
     let dir = std::env::temp_dir().join(format!("gooseberryloft-{}", std::process::id()));
     say(&format!("logs and settings are in {}", dir.display()));
     let mut cluster = Cluster::start(programs, &dir).await?;
+    cluster.wait_controllers().await?;
     let mut before = Findings::default();
     script::first_ticket(&cluster, &mut before)?;
-    cluster.wait_ready().await?;
+    cluster.wait_entries().await?;
     let entries: Vec<_> = cluster.vms.iter().map(|vm| vm.listen).collect();
     let tally = Arc::new(Tally::default());
     let callers = traffic::start(&entries, &tally);
