--- a/src/owner/group/fleet.rs
+++ b/src/owner/group/fleet.rs
@@ -141,13 +141,6 @@
 }
 
 impl Fleet {
-    /// Lets the next order to a target go out earlier.
-    pub fn hurry(&mut self, target: &TargetId, at: Instant) {
-        if let Some(contact) = self.contacts.get_mut(target) {
-            contact.due = contact.due.min(at);
-        }
-    }
-
     /// Returns the process that a target answers with.
     pub fn process(&self, target: &TargetId) -> Option<TargetBoot> {
         let boot = self.contacts.get(target)?.boot?;
--- a/src/owner/group/lead.rs
+++ b/src/owner/group/lead.rs
@@ -28,10 +28,6 @@
 pub(super) const READ_PERIOD: Duration = Duration::from_secs(30);
 
 pub(super) const MEMBERS_PERIOD: Duration = Duration::from_secs(1);
-/// A release waits until the table answered within this time, since the shard is without service
-/// until the table names its new owner.
-const RELEASE_FRESH: Duration = Duration::from_millis(100);
-const RELEASE_RETRY: Duration = Duration::from_millis(25);
 pub(super) const RENEW_AHEAD: Duration = Duration::from_millis(120);
 
 /// The holder of the newest term.
@@ -229,16 +225,8 @@
     fn order(&mut self, base: &mut Base, now: Instant, out: &mut Vec<Action>) {
         let barred = self.barred();
         for target in orders::due(base, now) {
-            let mut shards = self.shards_for(base, &target);
-            let held = !shards.release.is_empty() && !base.store.works(now, RELEASE_FRESH);
-            if held {
-                shards.release.clear();
-            }
+            let shards = self.shards_for(base, &target);
             orders::send(base, now, &self.right, &barred, &target, shards, out);
-            if held && !base.store.failed() {
-                base.read_due = base.read_due.min(now);
-                base.fleet.hurry(&target, now + RELEASE_RETRY);
-            }
         }
     }
 
