--- a/examples/measure/fleet.rs
+++ b/examples/measure/fleet.rs
@@ -80,7 +80,7 @@
     /// Returns the view of the service.
     pub fn view(&self) -> View {
         let service = Service {
-            prefix: "/work/".to_owned(),
+            prefix: "/desk/".to_owned(),
             keying: None,
             idempotent: vec!["GET".to_owned()],
             priority: 1,
