--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -27,6 +27,8 @@
     TokenRefused = 103,
     /// The metrics could not be written.
     MetricsFailed = 104,
+    /// The settings file changed.
+    SettingsReloaded = 105,
     /// A VM took a newer ticket into force.
     TicketInForce = 200,
     /// A ticket was accepted.
@@ -37,6 +39,8 @@
     TicketRefused = 203,
     /// It is not known whether a filed ticket was accepted.
     TicketUnresolved = 204,
+    /// A node took newer rules into force.
+    RulesInForce = 205,
     /// A VM became the holder of a group.
     GroupTaken = 300,
     /// Another VM became the holder of a group that this VM held.
@@ -56,8 +60,16 @@
     GrantDenied = 307,
     /// A row of the table cannot be read.
     RowMalformed = 308,
+    /// Keys have another owner, or their owner holds them now.
+    KeysMoved = 309,
+    /// A target did not carry out an order, as far as known.
+    OrderFailed = 310,
     /// A link to a peer was lost.
     LinkLost = 400,
+    /// A node was heard for the first time.
+    PeerSeen = 401,
+    /// A node has been silent for long.
+    PeerLost = 402,
     /// A request was refused.
     RequestRefused = 500,
     /// A graceful shutdown came to its limit and cut work in flight.
@@ -66,14 +78,20 @@
     ViewStale = 502,
     /// A request met a fault of the program; its connection was closed, the others go on.
     RequestFailed = 503,
+    /// A target did not answer a request soundly.
+    AttemptFailed = 504,
     /// Requests alike crashed several targets and are refused for a while.
     RequestQuarantined = 510,
     /// A target failed repeatedly and gets no requests for a while.
     TargetEjected = 511,
+    /// A target joined, is leaving or is gone.
+    TargetChanged = 512,
     /// The table service does not answer.
     TableDown = 600,
     /// The table service answers again.
     TableUp = 601,
+    /// A row could not be written, or it is not known whether it was.
+    TableWriteFailed = 602,
 }
 
 impl Event {
@@ -94,7 +112,8 @@
             Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused => Level::Debug,
-            Self::TableDown => Level::Warn,
+            Self::TableDown | Self::TableWriteFailed => Level::Warn,
+            Self::OrderFailed | Self::PeerLost => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 pub mod member;
 pub mod metrics;
+pub mod node;
 pub mod operator;
 pub mod owner;
 pub mod platform;
--- /dev/null
+++ b/src/node/control/follow.rs
@@ -0,0 +1,154 @@
+//! Follows the rules and the targets.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+
+use crate::events::Event;
+use crate::node::counters::Counter;
+use crate::node::edge::Cursor;
+use crate::node::edge::EdgeError;
+use crate::node::edge::Platform;
+use crate::node::edge::TargetsReading;
+use crate::node::fleet::FleetChange;
+use crate::node::state::Stage;
+use crate::node::state::State;
+
+/// How long one call waits for new rules; a connection that went silent is found this late.
+const RULES_WAIT: Duration = Duration::from_millis(3_000);
+/// How often the list of targets is read: targets that leave must get no work 2 s later.
+const TARGETS_PERIOD: Duration = Duration::from_millis(700);
+/// Pause after a call that failed, doubled each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(80);
+const PAUSE_DOUBLINGS: u32 = 3;
+
+/// Tells whether a dependency answers, and logs when that changes.
+#[derive(Debug)]
+struct Watch {
+    what: &'static str,
+    failures: u32,
+}
+
+impl Watch {
+    fn new(what: &'static str) -> Self {
+        Self { what, failures: 0 }
+    }
+
+    fn answered(&mut self, state: &State) {
+        if std::mem::take(&mut self.failures) > 0 {
+            state
+                .log
+                .tell(Event::TableUp, |line| line.text("what", self.what));
+        }
+    }
+
+    /// Records a failure; returns how long to wait.
+    fn failed(&mut self, state: &State, error: &EdgeError) -> Duration {
+        state.counters.add(Counter::TableFailures);
+        if self.failures == 0 {
+            state.log.tell(Event::TableDown, |line| {
+                line.text("what", self.what);
+                line.show("error", error);
+            });
+        }
+        let doublings = self.failures.min(PAUSE_DOUBLINGS);
+        self.failures += 1;
+        // Nodes that failed together must not come back together.
+        (FIRST_PAUSE * 2u32.pow(doublings)).mul_f64(0.5 + rand::random::<f64>())
+    }
+}
+
+/// Follows the rules until the process ends; `hint` rings when another node has newer ones.
+pub async fn rules(state: Rc<State>, platform: Rc<impl Platform>, hint: Rc<Notify>) {
+    let mut watch = Watch::new("rules");
+    let mut cursor: Option<Cursor> = None;
+    loop {
+        let reading = tokio::select! {
+            reading = platform.rules(cursor, RULES_WAIT) => reading,
+            // The call may wait on a connection that has gone silent.
+            () = hint.notified() => {
+                cursor = None;
+                continue;
+            }
+        };
+        state.counters.add(Counter::TableCalls);
+        match reading {
+            Ok((next, rules)) => {
+                watch.answered(&state);
+                cursor = Some(next);
+                if let Some(rules) = rules {
+                    take_rules(&state, rules);
+                }
+            }
+            Err(EdgeError::HistoryDropped) => cursor = None,
+            Err(error) => tokio::time::sleep(watch.failed(&state, &error)).await,
+        }
+    }
+}
+
+fn take_rules(state: &State, rules: crate::node::rules::Rules) {
+    let (version, before) = (rules.version, state.rules_version());
+    let routes = rules.routes.len() as u64;
+    if state.put_in_force(rules) {
+        state.log.tell(Event::RulesInForce, |line| {
+            line.number("version", version);
+            line.number("before", before);
+            line.number("routes", routes);
+        });
+    }
+}
+
+/// Follows the targets until the process ends.
+pub async fn targets(state: Rc<State>, platform: Rc<impl Platform>) {
+    let mut watch = Watch::new("targets");
+    let mut cursor: Option<Cursor> = None;
+    while state.stage() < Stage::Ended {
+        let begun = Instant::now();
+        let reading = platform.targets(cursor).await;
+        state.counters.add(Counter::TableCalls);
+        let now = Instant::now();
+        let pause = match reading {
+            Ok((next, reading)) => {
+                watch.answered(&state);
+                cursor = Some(next);
+                take_targets(&state, reading, now);
+                TARGETS_PERIOD.saturating_sub(begun.elapsed())
+            }
+            Err(EdgeError::HistoryDropped) => {
+                cursor = None;
+                continue;
+            }
+            Err(error) => {
+                state.fleet.borrow_mut().list_failed(now);
+                watch.failed(&state, &error)
+            }
+        };
+        let expired = state.fleet.borrow_mut().expire(now);
+        tell_changes(&state, &expired);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn take_targets(state: &State, reading: TargetsReading, now: Instant) {
+    let mut fleet = state.fleet.borrow_mut();
+    let changes = match reading {
+        TargetsReading::Whole(entries) => fleet.replace(entries, now),
+        TargetsReading::Changes(listings) => fleet.update(listings, now),
+    };
+    drop(fleet);
+    tell_changes(state, &changes);
+    if !changes.is_empty() {
+        state.changed.notify_waiters();
+    }
+}
+
+fn tell_changes(state: &State, changes: &[(crate::ids::TargetId, FleetChange)]) {
+    for (id, change) in changes {
+        state.log.tell(Event::TargetChanged, |line| {
+            line.text("target", id.as_str());
+            line.text("change", change.into());
+        });
+    }
+}
--- /dev/null
+++ b/src/node/control/peers.rs
@@ -0,0 +1,427 @@
+//! The other nodes: who lives, and what they tell.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::events::Event;
+use crate::ids::BootId;
+use crate::ids::DataCentre;
+use crate::ids::ServiceId;
+use crate::ids::VmId;
+use crate::node::control::group::GroupHandle;
+use crate::node::control::group::GroupMessage;
+use crate::node::control::rows;
+use crate::node::control::rows::NodeRow;
+use crate::node::pulse::Datagram;
+use crate::node::pulse::MAX_DATAGRAM;
+use crate::node::pulse::Message;
+use crate::node::pulse::Pulse;
+use crate::node::pulse::Tag;
+use crate::node::pulse::TermOf;
+use crate::node::pulse::target_tag;
+use crate::node::state::Stage;
+use crate::node::state::State;
+use crate::platform::Row;
+
+/// How often nodes of one data centre tell each other how busy targets are.
+const NEAR_PERIOD: Duration = Duration::from_millis(150);
+/// Every how many periods the others hear of a node: bytes between data centres are paid for.
+const FAR_PERIODS: u64 = 7;
+/// Every how many periods they hear of one that leads a service.
+const LEADER_PERIODS: u64 = 1;
+/// Every how many periods requests by key are told to the leader.
+const HEAT_PERIODS: u64 = 3;
+/// A node that is silent for this long takes no requests, as far as known.
+const LIVE_SPAN: Duration = Duration::from_millis(3_500);
+/// A node that is silent for this long is forgotten until its row is read again.
+const FORGET_SPAN: Duration = Duration::from_secs(12);
+/// Keys told in one datagram.
+const KEYS_A_DATAGRAM: usize = 200;
+/// How long another node's rules may be newer before this one asks again for them.
+const RULES_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Another node.
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    boot: BootId,
+    data_centre: DataCentre,
+    known: Instant,
+    heard: Option<Instant>,
+    loads: Vec<(Tag, u16)>,
+}
+
+/// The other nodes and the socket to them.
+#[derive(Debug)]
+pub struct Peers {
+    state: Rc<State>,
+    socket: UdpSocket,
+    peers: RefCell<BTreeMap<VmId, Peer>>,
+    groups: RefCell<BTreeMap<ServiceId, GroupHandle>>,
+    /// Rings when another node has had newer rules for a while.
+    pub rules_hint: Rc<Notify>,
+    behind: Cell<Option<Instant>>,
+    crashes_told: Cell<u64>,
+    periods: Cell<u64>,
+}
+
+impl Peers {
+    /// Starts with no other node known.
+    pub fn new(state: Rc<State>, socket: UdpSocket) -> Self {
+        Self {
+            state,
+            socket,
+            peers: RefCell::default(),
+            groups: RefCell::default(),
+            rules_hint: Rc::default(),
+            behind: Cell::new(None),
+            crashes_told: Cell::new(0),
+            periods: Cell::new(0),
+        }
+    }
+
+    /// Adds the group of a service.
+    pub fn add_group(&self, service: &ServiceId, group: GroupHandle) {
+        self.groups.borrow_mut().insert(service.clone(), group);
+    }
+
+    /// Returns whether a service has a group.
+    pub fn has_group(&self, service: &ServiceId) -> bool {
+        self.groups.borrow().contains_key(service)
+    }
+
+    /// Takes the rows of nodes.
+    pub fn learn_rows(&self, listed: &[Row], now: Instant) {
+        for row in listed {
+            let name = row.key.trim_start_matches(rows::NODE_PREFIX);
+            match rows::read::<NodeRow>(&row.value) {
+                Some(node) => self.learn(&VmId::from(name), &node, now),
+                None => self.state.log.tell(Event::RowMalformed, |line| {
+                    line.text("row", &row.key);
+                }),
+            }
+        }
+        self.count();
+    }
+
+    /// Returns the live nodes, this one included.
+    pub fn live(&self, now: Instant) -> BTreeSet<VmId> {
+        let peers = self.peers.borrow();
+        let live = peers.iter().filter(|(_, peer)| peer.is_live(now));
+        let live = live.map(|(name, _)| name.clone());
+        live.chain([self.state.conf.name.clone()]).collect()
+    }
+
+    /// Receives until the process ends.
+    pub async fn receive(self: Rc<Self>) {
+        let mut bytes = vec![0; 2 * MAX_DATAGRAM];
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((length, from)) => {
+                    if let Some(datagram) = Datagram::decode(&bytes[..length]) {
+                        self.take(datagram, from, Instant::now());
+                    }
+                }
+                // A peer's port that nobody listens on is reported here; its silence tells more.
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+
+    /// Sends regularly until the process ends.
+    pub async fn send(self: Rc<Self>) {
+        while self.state.stage() < Stage::Ended {
+            tokio::time::sleep(NEAR_PERIOD).await;
+            let period = self.periods.get() + 1;
+            self.periods.set(period);
+            let now = Instant::now();
+            self.forget_silent(now);
+            self.send_pulses(period, now);
+            if period.is_multiple_of(HEAT_PERIODS) {
+                self.send_heat();
+            }
+            self.send_crashes(now);
+            self.count();
+        }
+    }
+
+    /// Tells every node at once that this one leads no more.
+    pub fn send_farewell(&self) {
+        let pulse = Message::Pulse(self.pulse(Vec::new()));
+        let bytes = self.datagram(pulse);
+        for peer in self.peers.borrow().values() {
+            self.post(peer.address, &bytes);
+        }
+    }
+
+    /// Tells every node something; twice, since datagrams get lost.
+    pub fn broadcast(&self, message: Message) {
+        let bytes = self.datagram(message);
+        for _ in 0..2 {
+            for peer in self.peers.borrow().values() {
+                self.post(peer.address, &bytes);
+            }
+        }
+    }
+
+    fn datagram(&self, message: Message) -> Vec<u8> {
+        let datagram = Datagram {
+            node: self.state.conf.name.clone(),
+            boot: self.state.boot,
+            message,
+        };
+        datagram.encode()
+    }
+
+    /// Datagrams are hints: one that cannot be sent is as good as one that is lost.
+    fn post(&self, to: SocketAddr, bytes: &[u8]) {
+        let _ = self.socket.try_send_to(bytes, to);
+    }
+
+    fn learn(&self, name: &VmId, node: &NodeRow, now: Instant) {
+        if *name == self.state.conf.name {
+            return;
+        }
+        let mut peers = self.peers.borrow_mut();
+        if peers.get(name).is_some_and(|peer| peer.boot == node.boot) {
+            return;
+        }
+        let peer = Peer {
+            address: node.address,
+            boot: node.boot,
+            data_centre: node.data_centre.clone(),
+            known: now,
+            heard: None,
+            loads: Vec::new(),
+        };
+        if let Some(old) = peers.insert(name.clone(), peer) {
+            self.unload(&old);
+        }
+    }
+
+    fn take(&self, datagram: Datagram, from: SocketAddr, now: Instant) {
+        let Datagram {
+            node,
+            boot,
+            message,
+        } = datagram;
+        if node == self.state.conf.name {
+            return;
+        }
+        match message {
+            Message::Pulse(pulse) => self.take_pulse(&node, boot, pulse, from, now),
+            Message::Heat(tag, counts) => self.tell(tag, || GroupMessage::Heat(counts)),
+            Message::Moved(tag, sequence, places) => {
+                self.tell(tag, || GroupMessage::Moved(sequence, places));
+            }
+            Message::Crashes(report) => self.state.crashes.merge(&report, now),
+        }
+    }
+
+    fn take_pulse(&self, node: &VmId, boot: BootId, pulse: Pulse, from: SocketAddr, now: Instant) {
+        let row = NodeRow {
+            address: from,
+            boot,
+            data_centre: pulse.data_centre,
+        };
+        self.learn(node, &row, now);
+        self.take_loads(node, pulse.loads, now);
+        self.compare_rules(pulse.rules, now);
+        for term in pulse.terms {
+            let leads = term.leads;
+            self.tell(term.service, || GroupMessage::Peer {
+                node: node.clone(),
+                boot,
+                term: term.term,
+                leads,
+                ended: term.ended,
+            });
+        }
+    }
+
+    fn take_loads(&self, node: &VmId, loads: Vec<(Tag, u16)>, now: Instant) {
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(node) else {
+            return;
+        };
+        if peer.heard.is_none() {
+            self.state
+                .log
+                .tell(Event::PeerSeen, |line| line.text("peer", node.as_str()));
+        }
+        peer.heard = Some(now);
+        let old = std::mem::replace(&mut peer.loads, loads);
+        self.add_loads(&old, false);
+        self.add_loads(&peer.loads, true);
+    }
+
+    fn unload(&self, peer: &Peer) {
+        self.add_loads(&peer.loads, false);
+    }
+
+    fn add_loads(&self, loads: &[(Tag, u16)], add: bool) {
+        if loads.is_empty() {
+            return;
+        }
+        let fleet = self.state.fleet.borrow();
+        let by_tag: BTreeMap<Tag, u16> = loads.iter().copied().collect();
+        for target in fleet.iter() {
+            if let Some(count) = by_tag.get(&target_tag(&target.entry.id)) {
+                let held = target.peer_load.get();
+                let count = u32::from(*count);
+                target.peer_load.set(match add {
+                    true => held + count,
+                    false => held.saturating_sub(count),
+                });
+            }
+        }
+    }
+
+    fn compare_rules(&self, theirs: u64, now: Instant) {
+        if theirs <= self.state.rules_version() {
+            self.behind.set(None);
+            return;
+        }
+        let since = self.behind.get().unwrap_or(now);
+        self.behind.set(Some(since));
+        if now.saturating_duration_since(since) >= RULES_PATIENCE {
+            self.behind.set(Some(now));
+            self.rules_hint.notify_one();
+        }
+    }
+
+    fn tell(&self, tag: Tag, message: impl FnOnce() -> GroupMessage) {
+        let groups = self.groups.borrow();
+        let group = groups
+            .iter()
+            .find(|(name, _)| Tag::of(name.as_str()) == tag);
+        if let Some((_, group)) = group {
+            group.post(message());
+        }
+    }
+
+    fn forget_silent(&self, now: Instant) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|name, peer| {
+            let keep = now.saturating_duration_since(peer.since()) < FORGET_SPAN;
+            if !peer.is_live(now) && !peer.loads.is_empty() {
+                let loads = std::mem::take(&mut peer.loads);
+                self.add_loads(&loads, false);
+            }
+            if !keep {
+                self.state
+                    .log
+                    .tell(Event::PeerLost, |line| line.text("peer", name.as_str()));
+            }
+            keep
+        });
+    }
+
+    fn count(&self) {
+        self.state.nodes.set(self.peers.borrow().len() + 1);
+    }
+
+    fn pulse(&self, loads: Vec<(Tag, u16)>) -> Pulse {
+        let groups = self.groups.borrow();
+        let terms = groups.iter().map(|(service, group)| {
+            let known = group.shown();
+            TermOf {
+                service: Tag::of(service.as_str()),
+                term: known.term,
+                leads: known.leads,
+                ended: known.ended,
+            }
+        });
+        Pulse {
+            data_centre: self.state.conf.data_centre.clone(),
+            rules: self.state.rules_version(),
+            terms: terms.collect(),
+            loads,
+        }
+    }
+
+    fn send_pulses(&self, period: u64, now: Instant) {
+        let leads = self
+            .groups
+            .borrow()
+            .values()
+            .any(|group| group.shown().leads.is_some());
+        let far_every = if leads { LEADER_PERIODS } else { FAR_PERIODS };
+        let near = self.datagram(Message::Pulse(self.pulse(self.loads())));
+        let far = period
+            .is_multiple_of(far_every)
+            .then(|| self.datagram(Message::Pulse(self.pulse(Vec::new()))));
+        for peer in self.peers.borrow().values() {
+            let is_near = peer.data_centre == self.state.conf.data_centre;
+            match &far {
+                _ if is_near && peer.is_live(now) => self.post(peer.address, &near),
+                Some(far) => self.post(peer.address, far),
+                None => {}
+            }
+        }
+    }
+
+    fn loads(&self) -> Vec<(Tag, u16)> {
+        let fleet = self.state.fleet.borrow();
+        let busy = fleet.iter().filter(|target| target.in_flight.get() > 0);
+        let loads = busy.map(|target| {
+            let count = target.in_flight.get().min(u16::MAX.into()) as u16;
+            (target_tag(&target.entry.id), count)
+        });
+        loads.collect()
+    }
+
+    /// Tells the leaders how busy keys are.
+    fn send_heat(&self) {
+        let heat = std::mem::take(&mut *self.state.heat.borrow_mut());
+        for (service, counts) in heat {
+            let groups = self.groups.borrow();
+            let Some(group) = groups.get(&service) else {
+                continue;
+            };
+            let counts: Vec<(u16, u16)> = counts.into_iter().collect();
+            let known = group.shown();
+            if known.leads.is_some() {
+                group.post(GroupMessage::Heat(counts));
+                continue;
+            }
+            let peers = self.peers.borrow();
+            let Some(leader) = known.leader.and_then(|name| peers.get(&name)) else {
+                continue;
+            };
+            let tag = Tag::of(service.as_str());
+            for part in counts.chunks(KEYS_A_DATAGRAM) {
+                let bytes = self.datagram(Message::Heat(tag, part.to_vec()));
+                self.post(leader.address, &bytes);
+            }
+        }
+    }
+
+    fn send_crashes(&self, now: Instant) {
+        let learned = self.state.crashes.learned();
+        if learned == self.crashes_told.replace(learned) {
+            return;
+        }
+        self.broadcast(Message::Crashes(self.state.crashes.recent(now)));
+    }
+}
+
+impl Peer {
+    fn since(&self) -> Instant {
+        self.heard.unwrap_or(self.known)
+    }
+
+    fn is_live(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|at| now.saturating_duration_since(at) < LIVE_SPAN)
+    }
+}
--- /dev/null
+++ b/src/node/fleet.rs
@@ -0,0 +1,340 @@
+//! The targets that a node knows, and what it has seen of each.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::DataCentre;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+
+/// How long a target that vanished in an outage of the list stays in use after the outage;
+/// live targets are listed again within about two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// How long after an outage a removal counts as caused by it.
+const OUTAGE_SHADOW: Duration = Duration::from_millis(3_000);
+/// Weight of the newest sample in moving averages.
+const EWMA_WEIGHT: f64 = 0.15;
+/// Failures in a row after which a target gets no requests for a while.
+const FAILURES_TO_SHUT: u32 = 2;
+/// The first pause of a target that failed; doubles with each further failure.
+const SHUT_PAUSE: Duration = Duration::from_millis(400);
+const SHUT_DOUBLINGS: u32 = 3;
+/// How much a refusal counts as a failure: it costs a repeat, but runs nothing.
+const SHED_SAMPLE: f64 = 0.5;
+/// The pause of a target that refused a request because it is full.
+const SHED_PAUSE: Duration = Duration::from_millis(60);
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetEntry {
+    /// Names the target.
+    pub id: TargetId,
+    /// Tells the target's process from an earlier one of the same id: its start.
+    pub life: u64,
+    /// The service that it belongs to.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub warm_up: Duration,
+}
+
+/// One target in use.
+#[derive(Debug)]
+pub struct Target {
+    /// What it said of itself first.
+    pub entry: TargetEntry,
+    /// Whether it takes no new work.
+    pub leaving: Cell<bool>,
+    /// Requests of this node at the target.
+    pub in_flight: Cell<u32>,
+    /// Requests of other nodes at the target, as they told last.
+    pub peer_load: Cell<u32>,
+    /// Open connections of this node to the target.
+    pub connections: Cell<u32>,
+    /// Moving average of the time to answer, in seconds; 0 when not known.
+    latency: Cell<f64>,
+    failures: Cell<u32>,
+    /// Moving average of the part of requests that failed, 0 to 1.
+    failing: Cell<f64>,
+    shut_until: Cell<Option<Instant>>,
+    warm_at: Cell<Option<Instant>>,
+    /// When the target last answered anything.
+    heard: Cell<Option<Instant>>,
+}
+
+impl Target {
+    fn new(entry: TargetEntry, now: Instant) -> Self {
+        Self {
+            leaving: Cell::new(entry.draining),
+            in_flight: Cell::new(0),
+            peer_load: Cell::new(0),
+            connections: Cell::new(0),
+            latency: Cell::new(0.0),
+            failures: Cell::new(0),
+            failing: Cell::new(0.0),
+            shut_until: Cell::new(None),
+            warm_at: Cell::new((!entry.warm_up.is_zero()).then(|| now + entry.warm_up)),
+            heard: Cell::new(None),
+            entry,
+        }
+    }
+
+    /// Returns the requests of all nodes at the target, as far as known.
+    pub fn load(&self) -> u32 {
+        self.in_flight.get() + self.peer_load.get()
+    }
+
+    /// Returns the moving average of the time to answer, in seconds.
+    pub fn latency(&self) -> Option<f64> {
+        let latency = self.latency.get();
+        (latency > 0.0).then_some(latency)
+    }
+
+    /// Returns the part of the latest requests that failed, 0 to 1.
+    pub fn failing(&self) -> f64 {
+        self.failing.get()
+    }
+
+    /// Returns whether the target gets no requests for now, after failures.
+    pub fn is_shut(&self, now: Instant) -> bool {
+        self.shut_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Returns whether the target is still slow after its start.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.warm_at.get().is_some_and(|at| now < at)
+    }
+
+    /// Returns when the target last answered anything.
+    pub fn heard(&self) -> Option<Instant> {
+        self.heard.get()
+    }
+
+    /// Records an answer that took this long.
+    pub fn answered(&self, took: Duration, now: Instant) {
+        let sample = took.as_secs_f64();
+        let held = self.latency.get();
+        let next = match held {
+            0.0 => sample,
+            _ => held + (sample - held) * EWMA_WEIGHT,
+        };
+        self.latency.set(next);
+        self.failures.set(0);
+        self.sample_failing(0.0);
+        self.shut_until.set(None);
+        self.heard.set(Some(now));
+    }
+
+    /// Records that the target refused a request because it is full.
+    pub fn shed(&self, now: Instant) {
+        self.heard.set(Some(now));
+        self.sample_failing(SHED_SAMPLE);
+        self.shut(now + SHED_PAUSE);
+    }
+
+    /// Records a failure; returns whether the target is shut by it.
+    pub fn failed(&self, now: Instant) -> bool {
+        let failures = self.failures.get() + 1;
+        self.failures.set(failures);
+        self.sample_failing(1.0);
+        if failures < FAILURES_TO_SHUT {
+            return false;
+        }
+        let doublings = (failures - FAILURES_TO_SHUT).min(SHUT_DOUBLINGS);
+        self.shut(now + SHUT_PAUSE * 2u32.pow(doublings));
+        true
+    }
+
+    /// Takes the target out at once: nothing listens there, or somebody else does.
+    pub fn unreachable(&self, now: Instant) {
+        let failures = self.failures.get().max(FAILURES_TO_SHUT - 1) + 1;
+        self.failures.set(failures);
+        let doublings = (failures - FAILURES_TO_SHUT).min(SHUT_DOUBLINGS);
+        self.shut(now + SHUT_PAUSE * 2u32.pow(doublings));
+    }
+
+    fn sample_failing(&self, sample: f64) {
+        let held = self.failing.get();
+        self.failing.set(held + (sample - held) * EWMA_WEIGHT);
+    }
+
+    fn shut(&self, until: Instant) {
+        let held = self.shut_until.get();
+        self.shut_until
+            .set(held.map_or(Some(until), |held| Some(held.max(until))));
+    }
+}
+
+/// A target or its end, as the list tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Listing {
+    /// The target is listed.
+    Present(TargetEntry),
+    /// The target is not listed any more, or its entry cannot be read.
+    Absent(TargetId),
+}
+
+/// What happened to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum FleetChange {
+    /// It joined, or started again.
+    Joined,
+    /// It gets no new work.
+    Leaving,
+    /// It is not listed any more.
+    Gone,
+    /// It vanished in an outage of the list and stays in use for a while.
+    Lapsed,
+}
+
+/// The targets by service.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    services: BTreeMap<ServiceId, Vec<Rc<Target>>>,
+    places: BTreeMap<TargetId, ServiceId>,
+    lapsed: BTreeMap<TargetId, Instant>,
+    trouble: Option<Instant>,
+    known: bool,
+}
+
+impl Fleet {
+    /// Returns whether the list has been read at least once.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Returns the targets of a service.
+    pub fn of(&self, service: &ServiceId) -> &[Rc<Target>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns a target.
+    pub fn get(&self, id: &TargetId) -> Option<&Rc<Target>> {
+        let service = self.places.get(id)?;
+        self.of(service)
+            .iter()
+            .find(|target| target.entry.id == *id)
+    }
+
+    /// Returns every target.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Target>> {
+        self.services.values().flatten()
+    }
+
+    /// Records that the list could not be read.
+    pub fn list_failed(&mut self, now: Instant) {
+        self.trouble = Some(now);
+    }
+
+    /// Takes the whole list; targets that it does not hold are gone.
+    pub fn replace(
+        &mut self,
+        entries: Vec<TargetEntry>,
+        now: Instant,
+    ) -> Vec<(TargetId, FleetChange)> {
+        self.known = true;
+        let listed: std::collections::BTreeSet<_> = entries.iter().map(|e| e.id.clone()).collect();
+        let absent = self.places.keys().filter(|id| !listed.contains(*id));
+        let absent: Vec<_> = absent.cloned().map(Listing::Absent).collect();
+        let present = entries.into_iter().map(Listing::Present);
+        self.update(present.chain(absent).collect(), now)
+    }
+
+    /// Takes what changed in the list.
+    pub fn update(&mut self, listings: Vec<Listing>, now: Instant) -> Vec<(TargetId, FleetChange)> {
+        let mut changes = Vec::new();
+        for listing in listings {
+            let change = match listing {
+                Listing::Present(entry) => self.present(entry, now),
+                Listing::Absent(id) => self.absent(id, now),
+            };
+            changes.extend(change);
+        }
+        changes
+    }
+
+    /// Drops the targets that were not listed again in time after an outage.
+    pub fn expire(&mut self, now: Instant) -> Vec<(TargetId, FleetChange)> {
+        let back = self.trouble;
+        let is_over = |at: &Instant| {
+            let since = back.map_or(*at, |back| back.max(*at));
+            now.saturating_duration_since(since) > LAPSE_GRACE
+        };
+        let over = self.lapsed.iter().filter(|(_, at)| is_over(at));
+        let over: Vec<_> = over.map(|(id, _)| id.clone()).collect();
+        let drop_one = |id: TargetId| {
+            self.remove(&id);
+            (id, FleetChange::Gone)
+        };
+        over.into_iter().map(drop_one).collect()
+    }
+
+    fn present(&mut self, entry: TargetEntry, now: Instant) -> Option<(TargetId, FleetChange)> {
+        let id = entry.id.clone();
+        self.lapsed.remove(&id);
+        if let Some(held) = self.get(&id) {
+            if is_same(&held.entry, &entry) {
+                let was_leaving = held.leaving.replace(entry.draining);
+                let turned = entry.draining && !was_leaving;
+                return turned.then_some((id, FleetChange::Leaving));
+            }
+            self.remove(&id);
+        }
+        let service = entry.service.clone();
+        self.places.insert(id.clone(), service.clone());
+        let target = Rc::new(Target::new(entry, now));
+        self.services.entry(service).or_default().push(target);
+        Some((id, FleetChange::Joined))
+    }
+
+    fn absent(&mut self, id: TargetId, now: Instant) -> Option<(TargetId, FleetChange)> {
+        let held = self.get(&id)?;
+        let in_outage = self
+            .trouble
+            .is_some_and(|at| now.saturating_duration_since(at) <= OUTAGE_SHADOW);
+        if in_outage && !held.leaving.get() {
+            if self.lapsed.contains_key(&id) {
+                return None;
+            }
+            self.lapsed.insert(id.clone(), now);
+            return Some((id, FleetChange::Lapsed));
+        }
+        self.remove(&id);
+        Some((id, FleetChange::Gone))
+    }
+
+    fn remove(&mut self, id: &TargetId) {
+        self.lapsed.remove(id);
+        let Some(service) = self.places.remove(id) else {
+            return;
+        };
+        if let Some(list) = self.services.get_mut(&service) {
+            list.retain(|target| {
+                let stays = target.entry.id != *id;
+                if !stays {
+                    target.leaving.set(true);
+                }
+                stays
+            });
+        }
+    }
+}
+
+fn is_same(held: &TargetEntry, entry: &TargetEntry) -> bool {
+    held.life == entry.life
+        && held.address == entry.address
+        && held.service == entry.service
+        && held.slots == entry.slots
+}
--- /dev/null
+++ b/src/node/http.rs
@@ -0,0 +1,177 @@
+//! A small HTTP client for calls with whole bodies: one address, kept-alive connections.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::io::AsyncWriteExt;
+use tokio::time::timeout_at;
+
+use crate::node::proxy::conn::Conn;
+use crate::platform::client::CallError;
+use crate::traffic::body::BodyDecoder;
+use crate::traffic::forward::put;
+use crate::traffic::head::AnswerHead;
+use crate::traffic::head::head_length;
+use crate::traffic::head::parse_answer;
+
+/// Connections kept for the next calls.
+const IDLE_CONNECTIONS: usize = 4;
+/// A kept connection is used again within this time; servers close later.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// The longest answer, in bytes: more than the platform sends in one.
+const MOST_BYTES: usize = 16 << 20;
+
+/// The whole answer to a call.
+#[derive(Debug)]
+pub struct Reply {
+    /// The head.
+    pub head: AnswerHead,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A call.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The path with its query.
+    pub path: &'a str,
+    /// The type of the body, if there is one.
+    pub content_type: Option<&'a str>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Calls one address.
+#[derive(Debug)]
+pub struct HttpClient {
+    address: SocketAddr,
+    idle: Mutex<Vec<(Conn, Instant)>>,
+}
+
+impl HttpClient {
+    /// Creates a client.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Sends a call and reads the whole answer, within a time.
+    pub async fn call(&self, call: Call<'_>, limit: Duration) -> Result<Reply, CallError> {
+        let deadline = Instant::now() + limit;
+        let mut conn = self.open(deadline).await?;
+        let exchange = timeout_at(deadline.into(), exchange(&mut conn, self.address, call));
+        let reply = match exchange.await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(why)) => return Err(self.lost(why.to_owned())),
+            Err(_) => {
+                // Other connections may have gone silent in the same way.
+                self.lock().clear();
+                return Err(self.lost(format!("no answer within {limit:?}")));
+            }
+        };
+        if reply.head.keep_alive && conn.data().is_empty() {
+            self.keep(conn);
+        }
+        Ok(reply)
+    }
+
+    async fn open(&self, deadline: Instant) -> Result<Conn, CallError> {
+        let now = Instant::now();
+        while let Some((conn, since)) = self.pop() {
+            if now.saturating_duration_since(since) < IDLE_LIMIT && conn.is_idle() {
+                return Ok(conn);
+            }
+        }
+        let address = self.address;
+        let not_sent = |cause: String| CallError::NotSent { address, cause };
+        match timeout_at(deadline.into(), Conn::open(address)).await {
+            Ok(opened) => opened.map_err(|error| not_sent(error.to_string())),
+            Err(_) => Err(not_sent("no connection in time".to_owned())),
+        }
+    }
+
+    fn keep(&self, conn: Conn) {
+        let mut idle = self.lock();
+        if idle.len() < IDLE_CONNECTIONS {
+            idle.push((conn, Instant::now()));
+        }
+    }
+
+    fn pop(&self) -> Option<(Conn, Instant)> {
+        self.lock().pop()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(Conn, Instant)>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lost(&self, cause: String) -> CallError {
+        let address = self.address;
+        CallError::Lost { address, cause }
+    }
+}
+
+async fn exchange(
+    conn: &mut Conn,
+    address: SocketAddr,
+    call: Call<'_>,
+) -> Result<Reply, &'static str> {
+    let mut out = Vec::with_capacity(256 + call.body.len());
+    let (method, path) = (call.method, call.path);
+    put(&mut out, format_args!("{method} {path} HTTP/1.1\r\n"));
+    put(&mut out, format_args!("Host: {address}\r\n"));
+    if let Some(kind) = call.content_type {
+        let length = call.body.len();
+        put(&mut out, format_args!("Content-Type: {kind}\r\n"));
+        put(&mut out, format_args!("Content-Length: {length}\r\n"));
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(call.body);
+    let (_, mut write, _) = conn.split();
+    write
+        .write_all(&out)
+        .await
+        .map_err(|_| "a reset connection")?;
+    let length = loop {
+        match head_length(conn.data()).map_err(|_| "bytes that are no answer")? {
+            Some(length) => break length,
+            None => fill(conn).await?,
+        }
+    };
+    let head = parse_answer(&conn.data()[..length], method).map_err(|_| "a malformed answer")?;
+    conn.consume(length);
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = Vec::new();
+    loop {
+        while !decoder.is_done() && !conn.data().is_empty() {
+            let piece = decoder
+                .decode(conn.data())
+                .map_err(|_| "a malformed body")?;
+            body.extend_from_slice(&conn.data()[piece.skip..piece.used()]);
+            conn.consume(piece.used());
+        }
+        if decoder.is_done() {
+            return Ok(Reply { head, body });
+        }
+        if body.len() > MOST_BYTES {
+            return Err("an answer that is too long");
+        }
+        fill(conn).await?;
+    }
+}
+
+async fn fill(conn: &mut Conn) -> Result<(), &'static str> {
+    match conn.fill().await {
+        Ok(0) => Err("a closed connection"),
+        Ok(_) => Ok(()),
+        Err(_) => Err("a reset connection"),
+    }
+}
--- /dev/null
+++ b/src/node/keys/heat.rs
@@ -0,0 +1,66 @@
+//! How many requests each key gets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::node::keys::map::KeyRange;
+
+/// The time in which a count falls to half: short, since busy keys change within seconds.
+const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Counts below this are forgotten.
+const LEAST_COUNT: f64 = 0.05;
+
+/// Decaying counts of requests by key.
+#[derive(Debug)]
+pub struct Heat {
+    counts: BTreeMap<u16, f64>,
+    decayed: Instant,
+}
+
+impl Heat {
+    /// Starts with nothing counted.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            counts: BTreeMap::new(),
+            decayed: now,
+        }
+    }
+
+    /// Counts requests for a key.
+    pub fn add(&mut self, key: u16, requests: u32) {
+        *self.counts.entry(key).or_insert(0.0) += f64::from(requests);
+    }
+
+    /// Lets counts fall with time.
+    pub fn decay(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.decayed);
+        self.decayed = now;
+        let factor = 0.5f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        self.counts.retain(|_, count| {
+            *count *= factor;
+            *count >= LEAST_COUNT
+        });
+    }
+
+    /// Returns the count of all keys of a range.
+    pub fn of(&self, range: KeyRange) -> f64 {
+        self.counts
+            .range(range.first..=range.last)
+            .map(|(_, count)| count)
+            .sum()
+    }
+
+    /// Returns the last key of the shortest start of a range that has at least this count, if
+    /// something is left behind it.
+    pub fn cut(&self, range: KeyRange, count: f64) -> Option<u16> {
+        let mut sum = 0.0;
+        for (&key, each) in self.counts.range(range.first..=range.last) {
+            sum += each;
+            if sum >= count {
+                return (key < range.last).then_some(key);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/node/keys/plan.rs
@@ -0,0 +1,182 @@
+//! Which owner should get which keys: small moves from the busiest to the idlest.
+
+use std::collections::BTreeMap;
+
+use crate::node::keys::heat::Heat;
+use crate::node::keys::map::Holder;
+use crate::node::keys::map::KeyRange;
+
+/// A move is worth its interruption once the busiest owner has this many times the mean load.
+const HOT_RATIO: f64 = 1.3;
+/// And at least this many counted requests more than the idlest, per unit of capacity.
+const LEAST_DIFFERENCE: f64 = 3.0;
+/// A piece may carry this many times the load wanted before another cut is tried.
+const PIECE_TOLERANCE: f64 = 1.4;
+
+/// A target that may own keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The process.
+    pub holder: Holder,
+    /// Where its orders go.
+    pub address: std::net::SocketAddr,
+    /// How much it can do, relative to the others; above 0.
+    pub capacity: f64,
+    /// Whether it is to lose its keys.
+    pub leaving: bool,
+}
+
+/// Keys to move, and where to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Move {
+    /// The keys; a part of one owner's range or all of it.
+    pub range: KeyRange,
+    /// The owner to be.
+    pub to: Holder,
+}
+
+/// A range with its owner, as the plan sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share<'a> {
+    /// The keys.
+    pub range: KeyRange,
+    /// The owner, or the owner to be.
+    pub owner: &'a Holder,
+    /// Whether the range may be moved now.
+    pub free: bool,
+}
+
+/// Returns the candidate with the least load for its capacity, by load and then by keys.
+pub fn idlest<'a>(
+    candidates: &'a [Candidate],
+    shares: &[Share<'_>],
+    heat: &Heat,
+) -> Option<&'a Candidate> {
+    let loads = Loads::new(candidates, shares, heat);
+    let open = candidates.iter().filter(|candidate| !candidate.leaving);
+    open.min_by(|a, b| {
+        let by_load = loads.relative(a).total_cmp(&loads.relative(b));
+        let keys = |candidate: &Candidate| loads.keys.get(&candidate.holder).copied();
+        by_load.then_with(|| keys(a).cmp(&keys(b)))
+    })
+}
+
+/// Returns equal shares of all keys, one a candidate.
+pub fn even(candidates: &[Candidate]) -> Vec<(KeyRange, Holder)> {
+    let open: Vec<_> = candidates.iter().filter(|c| !c.leaving).collect();
+    let count = open.len() as u32;
+    let all = KeyRange::ALL.len();
+    let start = |at: u32| (u64::from(all) * u64::from(at) / u64::from(count)) as u32;
+    let share = |(at, candidate): (usize, &&Candidate)| {
+        let at = at as u32;
+        let range = KeyRange {
+            first: start(at) as u16,
+            last: (start(at + 1) - 1) as u16,
+        };
+        (range, candidate.holder.clone())
+    };
+    open.iter().enumerate().map(share).collect()
+}
+
+/// Returns the next move that evens the load, if one is worth it.
+pub fn next_move(candidates: &[Candidate], shares: &[Share<'_>], heat: &Heat) -> Option<Move> {
+    let loads = Loads::new(candidates, shares, heat);
+    let open = || candidates.iter().filter(|candidate| !candidate.leaving);
+    let empty = open().find(|candidate| !loads.keys.contains_key(&candidate.holder));
+    let by_load = |a: &&Candidate, b: &&Candidate| loads.relative(a).total_cmp(&loads.relative(b));
+    let cold = match empty {
+        Some(empty) => empty,
+        None => open().min_by(by_load)?,
+    };
+    let hot = open().max_by(by_load)?;
+    if hot.holder == cold.holder {
+        return None;
+    }
+    let mean = loads.mean(open());
+    let difference = loads.relative(hot) - loads.relative(cold);
+    if empty.is_none() && (loads.relative(hot) < HOT_RATIO * mean || difference < LEAST_DIFFERENCE)
+    {
+        return None;
+    }
+    let over = (loads.relative(hot) - mean) * hot.capacity;
+    let room = (mean - loads.relative(cold)) * cold.capacity;
+    let wanted = over.min(room).max(0.0);
+    let most = difference * hot.capacity.min(cold.capacity);
+    let mine = shares.iter().filter(|share| *share.owner == hot.holder);
+    let range = match empty {
+        Some(_) if wanted <= 0.0 || loads.relative(hot) <= 0.0 => half_of_widest(mine)?,
+        _ => piece(mine, heat, wanted, most)?,
+    };
+    let to = cold.holder.clone();
+    Some(Move { range, to })
+}
+
+fn half_of_widest<'a>(shares: impl Iterator<Item = &'a Share<'a>>) -> Option<KeyRange> {
+    let free = shares.filter(|share| share.free);
+    let widest = free.max_by_key(|share| share.range.len())?.range;
+    let first = widest.first + ((widest.len() / 2) as u16);
+    Some(KeyRange { first, ..widest })
+}
+
+/// Returns the piece whose load comes closest to what is wanted; none above `most`, since that
+/// would only exchange the two owners.
+fn piece<'a>(
+    shares: impl Iterator<Item = &'a Share<'a>>,
+    heat: &Heat,
+    wanted: f64,
+    most: f64,
+) -> Option<KeyRange> {
+    let pieces = shares
+        .filter(|share| share.free)
+        .flat_map(|share| pieces_of(share.range, heat, wanted));
+    let weighed = pieces.map(|range| (heat.of(range), range));
+    let fit = weighed.filter(|(load, _)| *load > 0.0 && *load < most);
+    let distance = |load: f64| (load - wanted).abs();
+    fit.min_by(|a, b| distance(a.0).total_cmp(&distance(b.0)))
+        .map(|(_, range)| range)
+}
+
+fn pieces_of(range: KeyRange, heat: &Heat, wanted: f64) -> Vec<KeyRange> {
+    let mut pieces = Vec::new();
+    if heat.of(range) <= wanted * PIECE_TOLERANCE {
+        pieces.push(range);
+    }
+    if let Some(last) = heat.cut(range, wanted) {
+        pieces.push(KeyRange { last, ..range });
+        let first = last + 1;
+        pieces.push(KeyRange { first, ..range });
+    }
+    pieces
+}
+
+struct Loads<'a> {
+    load: BTreeMap<&'a Holder, f64>,
+    keys: BTreeMap<&'a Holder, u32>,
+}
+
+impl<'a> Loads<'a> {
+    fn new(candidates: &'a [Candidate], shares: &[Share<'a>], heat: &Heat) -> Self {
+        let zero = candidates.iter().map(|candidate| (&candidate.holder, 0.0));
+        let mut load: BTreeMap<_, _> = zero.collect();
+        let mut keys = BTreeMap::new();
+        for share in shares {
+            *load.entry(share.owner).or_insert(0.0) += heat.of(share.range);
+            *keys.entry(share.owner).or_insert(0) += share.range.len();
+        }
+        Self { load, keys }
+    }
+
+    fn relative(&self, candidate: &Candidate) -> f64 {
+        let load = self.load.get(&candidate.holder).copied();
+        load.unwrap_or_default() / candidate.capacity
+    }
+
+    fn mean<'b>(&self, candidates: impl Iterator<Item = &'b Candidate>) -> f64 {
+        let (mut load, mut capacity) = (0.0, 0.0);
+        for candidate in candidates {
+            load += self.load.get(&candidate.holder).copied().unwrap_or(0.0);
+            capacity += candidate.capacity;
+        }
+        load / capacity
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,19 @@
+//! One process a VM that does everything: it serves callers, follows the platform, and leads
+//! services when it holds their lease. All of it runs on one thread.
+//!
+//! [`rules`], [`fleet`], [`pick`], [`allowance`] and [`keys`] decide and do no input or output;
+//! [`proxy`] carries requests, [`control`] carries everything else.
+
+pub mod allowance;
+pub mod control;
+pub mod counters;
+pub mod edge;
+pub mod fleet;
+pub mod http;
+pub mod keys;
+pub mod log;
+pub mod pick;
+pub mod proxy;
+pub mod pulse;
+pub mod rules;
+pub mod state;
--- /dev/null
+++ b/src/node/proxy/serve.rs
@@ -0,0 +1,435 @@
+//! A caller's connection from its first request to its last.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::events::Event;
+use crate::ids::ServiceId;
+use crate::node::counters::Counter;
+use crate::node::proxy::attempt::Request;
+use crate::node::proxy::attempt::Rest;
+use crate::node::proxy::conn::Conn;
+use crate::node::proxy::dispatch::Outcome;
+use crate::node::proxy::dispatch::Task;
+use crate::node::proxy::dispatch::dispatch;
+use crate::node::proxy::respond;
+use crate::node::proxy::respond::LAST_CHUNK;
+use crate::node::proxy::respond::Own;
+use crate::node::rules::Limits;
+use crate::node::rules::Router;
+use crate::node::state::Stage;
+use crate::node::state::State;
+use crate::traffic::body::BodyDecoder;
+use crate::traffic::body::Framing;
+use crate::traffic::head::HeadError;
+use crate::traffic::head::RequestHead;
+use crate::traffic::head::head_length;
+use crate::traffic::head::parse_request;
+
+/// What a caller may send before the rules are known.
+const FIRST_LIMITS: Limits = Limits {
+    head_bytes: 16 << 10,
+    body_bytes: 1 << 20,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
+/// How long a caller without rules to route by is asked to wait.
+const START_WAIT: Duration = Duration::from_millis(1_200);
+/// Time taken off what the caller says it waits: the way of the request and of the answer.
+const WAY: Duration = Duration::from_millis(15);
+/// Bytes of further requests that are read ahead while one is served.
+const MOST_AHEAD: usize = 32 << 10;
+/// How long the end of a connection waits for the caller's.
+const LINGER: Duration = Duration::from_millis(500);
+/// How long a caller may take no bytes of an answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// Part of the process's memory that bodies of requests may fill.
+const BODY_MEMORY_PART: u64 = 4;
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// What happens with a connection after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum After {
+    Keep,
+    Close,
+    Break,
+}
+
+/// Counts a request as being served.
+struct Serving<'a>(&'a State);
+
+impl<'a> Serving<'a> {
+    fn new(state: &'a State) -> Self {
+        state.in_flight.set(state.in_flight.get() + 1);
+        Self(state)
+    }
+}
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        if self.0.stage() > Stage::Serving {
+            self.0.turned.notify_waiters();
+        }
+    }
+}
+
+/// Serves a caller until the connection ends.
+pub async fn serve(state: Rc<State>, stream: TcpStream) {
+    let Ok(mut conn) = Conn::new(stream) else {
+        return;
+    };
+    while wait(&state, &mut conn).await {
+        let serving = Serving::new(&state);
+        let after = serve_one(&state, &mut conn).await;
+        drop(serving);
+        match after {
+            After::Keep => {}
+            After::Close => break,
+            After::Break => return,
+        }
+    }
+    linger(conn).await;
+}
+
+/// Waits for a request; returns false when the connection is to end.
+async fn wait(state: &State, conn: &mut Conn) -> bool {
+    if !conn.data().is_empty() {
+        return true;
+    }
+    let idle = limits(state).idle_time;
+    let deadline = Instant::now() + idle;
+    loop {
+        let turned = state.turned.notified();
+        if state.stage() >= Stage::Closing {
+            return false;
+        }
+        tokio::select! {
+            read = conn.fill() => return matches!(read, Ok(1..)),
+            () = turned => {}
+            () = tokio::time::sleep_until(deadline.into()) => return false,
+        }
+    }
+}
+
+/// Ends a connection so that what was sent arrives, even if the caller sent more.
+async fn linger(mut conn: Conn) {
+    let (_, mut write, _) = conn.split();
+    if write.shutdown().await.is_err() {
+        return;
+    }
+    let drain = async {
+        while let Ok(1..) = conn.fill().await {
+            conn.consume(conn.data().len());
+        }
+    };
+    // The caller has had its answer; whether it closes in time does not matter.
+    let _ = timeout(LINGER, drain).await;
+}
+
+fn limits(state: &State) -> Limits {
+    let router = state.router();
+    router.map_or(FIRST_LIMITS, |router| router.rules().limits.clone())
+}
+
+async fn serve_one(state: &State, conn: &mut Conn) -> After {
+    let started = Instant::now();
+    let limits = limits(state);
+    let reading = read_head(conn, &limits);
+    let head = match timeout(limits.head_time, reading).await {
+        Ok(Ok(Some(head))) => head,
+        Ok(Ok(None)) => return After::Break,
+        Ok(Err(error)) => return refuse(state, conn, bad_head(error), None, true).await,
+        Err(_) => return After::Break,
+    };
+    let close = !head.keep_alive || state.stage() > Stage::Serving;
+    let Some(router) = state.router().filter(|_| state.fleet.borrow().is_known()) else {
+        let own = Own::not_run(
+            "no rules are in force here yet; come back later",
+            START_WAIT,
+        );
+        // The body is not read, so the connection cannot go on.
+        let close = close || head.framing != Framing::Empty;
+        return refuse(state, conn, own, Some(&head), close).await;
+    };
+    let routed = match route(state, &router, &head, started) {
+        Ok(routed) => routed,
+        Err(own) => {
+            let close = close || head.framing != Framing::Empty;
+            return refuse(state, conn, own, Some(&head), close).await;
+        }
+    };
+    let body = match read_body(state, conn, &head, &limits, routed.limit).await {
+        Ok(body) => body,
+        Err(Some(own)) => return refuse(state, conn, own, Some(&head), true).await,
+        Err(None) => return After::Break,
+    };
+    let id = head.fields.only(state.conf.headers.request_id);
+    let Some(id) = id.map(<[u8]>::to_vec) else {
+        let own = Own::fault(400, "a request needs one id; send one");
+        return refuse(state, conn, own, Some(&head), close).await;
+    };
+    let task = Task {
+        fingerprint: fingerprint(&head, &body),
+        ..routed
+    };
+    let request = Request { head, body, id };
+    run(state, conn, &task, &request, close).await
+}
+
+async fn run(state: &State, conn: &mut Conn, task: &Task, request: &Request, close: bool) -> After {
+    let outcome = tokio::select! {
+        biased;
+        outcome = dispatch(state, task, request) => outcome,
+        () = gone(conn) => {
+            ended(state, task, "caller-gone");
+            state.counters.add(Counter::CallersGone);
+            return After::Break;
+        }
+    };
+    let close = close || state.stage() > Stage::Serving;
+    match outcome {
+        Outcome::Answer(answer) => {
+            ended(state, task, "answered");
+            let out = respond::whole(&answer, close);
+            send(conn, &out, close).await
+        }
+        Outcome::Stream(answer, rest) => {
+            ended(state, task, "streamed");
+            let (out, chunked) = respond::beginning(&answer, close);
+            stream(state, conn, out, rest, chunked, close).await
+        }
+        Outcome::Refused(refusal) => {
+            let why: &'static str = refusal.into();
+            ended(state, task, why);
+            state.log.tell(Event::RequestRefused, |line| {
+                line.text("id", &String::from_utf8_lossy(&request.id));
+                line.text("service", task.service.as_str());
+                line.text("why", why);
+                line.number("age_ms", task.started.elapsed().as_millis() as u64);
+                line.number("rules", state.rules_version());
+            });
+            let left = task.limit.saturating_duration_since(Instant::now());
+            let out = Own::refusal(refusal, left).encode(close);
+            send(conn, &out, close).await
+        }
+    }
+}
+
+fn ended(state: &State, task: &Task, outcome: &'static str) {
+    state
+        .counters
+        .request(&task.service, outcome, task.started.elapsed());
+}
+
+/// Ends when the caller has closed its connection.
+async fn gone(conn: &mut Conn) {
+    while conn.data().len() < MOST_AHEAD {
+        if !matches!(conn.fill().await, Ok(1..)) {
+            return;
+        }
+    }
+    std::future::pending().await
+}
+
+async fn read_head(conn: &mut Conn, limits: &Limits) -> Result<Option<RequestHead>, HeadError> {
+    let length = loop {
+        match head_length(conn.data())? {
+            Some(length) if length > limits.head_bytes => return Err(HeadError::TooLong),
+            Some(length) => break length,
+            None if conn.data().len() > limits.head_bytes => return Err(HeadError::TooLong),
+            None => {}
+        }
+        if !matches!(conn.fill().await, Ok(1..)) {
+            return Ok(None);
+        }
+    };
+    let head = parse_request(&conn.data()[..length]);
+    conn.consume(length);
+    head.map(Some)
+}
+
+fn bad_head(error: HeadError) -> Own {
+    match error {
+        HeadError::TooLong | HeadError::TooManyFields => {
+            Own::fault(431, "the head is too long; send fewer or shorter fields")
+        }
+        HeadError::Version => Own::fault(505, "only HTTP/1.1 is served; ask with HTTP/1.1"),
+        HeadError::Host => Own::fault(400, "exactly one host field is needed; send one"),
+        HeadError::Length => Own::fault(400, "the length of the body is ambiguous; send one"),
+        HeadError::LineEnding | HeadError::Syntax | HeadError::Path => {
+            Own::fault(400, "the head is malformed; send it as RFC 9112 has it")
+        }
+    }
+}
+
+/// Finds what serves a request; the fingerprint is still to come.
+fn route(
+    state: &State,
+    router: &Router,
+    head: &RequestHead,
+    started: Instant,
+) -> Result<Task, Own> {
+    let host = head.fields.only("host").unwrap_or_default();
+    let host = std::str::from_utf8(host).unwrap_or_default();
+    let path = head.path.split('?').next().unwrap_or_default();
+    let index = router.find(host, path);
+    let index = index.ok_or(Own::fault(404, "no route has this host and path"))?;
+    let route = &router.rules().routes[index];
+    let service = router.next_part(index).cloned();
+    let service = service.ok_or(Own::fault(404, "the route leads to no service"))?;
+    let waits = number(head, state.conf.headers.deadline_ms).map(Duration::from_millis);
+    let waits = waits.map_or(route.timeout, |waits| waits.saturating_sub(WAY));
+    Ok(Task {
+        key: key(state, router, &service, head)?,
+        service,
+        kind: route.kind,
+        objective: route.objective,
+        max_attempts: route.max_attempts,
+        started,
+        limit: started + waits.min(route.timeout),
+        fingerprint: 0,
+    })
+}
+
+fn key(
+    state: &State,
+    router: &Router,
+    service: &ServiceId,
+    head: &RequestHead,
+) -> Result<Option<u16>, Own> {
+    let rule = router.rules().services.get(service);
+    if !rule.is_some_and(|rule| rule.keyed) {
+        return Ok(None);
+    }
+    let key = number(head, state.conf.headers.key).and_then(|key| u16::try_from(key).ok());
+    let key = key.ok_or(Own::fault(400, "the request carries no key; send one"))?;
+    state.count_key(service, key);
+    Ok(Some(key))
+}
+
+fn number(head: &RequestHead, name: &str) -> Option<u64> {
+    let text = std::str::from_utf8(head.fields.only(name)?).ok()?;
+    text.trim().parse().ok()
+}
+
+/// Reads the whole body; an error without an answer means that the caller is gone.
+async fn read_body(
+    state: &State,
+    conn: &mut Conn,
+    head: &RequestHead,
+    limits: &Limits,
+    limit: Instant,
+) -> Result<Vec<u8>, Option<Own>> {
+    const TOO_LONG: Own = Own {
+        status: 413,
+        text: "the body is too long; send a shorter one",
+        retry_after: None,
+    };
+    let most = limits.body_bytes.min(state.conf.memory / BODY_MEMORY_PART);
+    if matches!(head.framing, Framing::Length(length) if length > most) {
+        return Err(Some(TOO_LONG));
+    }
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = Vec::new();
+    if head.expects && !decoder.is_done() {
+        let (_, mut write, _) = conn.split();
+        write.write_all(CONTINUE).await.map_err(|_| None)?;
+    }
+    loop {
+        while !decoder.is_done() && !conn.data().is_empty() {
+            let piece = decoder.decode(conn.data());
+            let malformed = Own::fault(400, "the body is malformed; send it as RFC 9112 has it");
+            let piece = piece.map_err(|_| Some(malformed))?;
+            body.extend_from_slice(&conn.data()[piece.skip..piece.used()]);
+            conn.consume(piece.used());
+        }
+        if decoder.is_done() {
+            return Ok(body);
+        }
+        if body.len() as u64 > most {
+            return Err(Some(TOO_LONG));
+        }
+        let filled = timeout_at(limit.into(), conn.fill()).await;
+        let late = Own::fault(408, "the body did not come in time; send it again");
+        if !matches!(filled.map_err(|_| Some(late))?, Ok(1..)) {
+            return Err(None);
+        }
+    }
+}
+
+async fn refuse(
+    state: &State,
+    conn: &mut Conn,
+    own: Own,
+    head: Option<&RequestHead>,
+    close: bool,
+) -> After {
+    state.log.tell(Event::RequestRefused, |line| {
+        let id = head.and_then(|head| head.fields.only(state.conf.headers.request_id));
+        line.text("id", &String::from_utf8_lossy(id.unwrap_or_default()));
+        line.number("status", own.status.into());
+        line.text("why", own.text);
+        line.number("rules", state.rules_version());
+    });
+    send(conn, &own.encode(close), close).await
+}
+
+async fn send(conn: &mut Conn, out: &[u8], close: bool) -> After {
+    let (_, mut write, _) = conn.split();
+    match timeout(WRITE_LIMIT, write.write_all(out)).await {
+        Ok(Ok(())) if close => After::Close,
+        Ok(Ok(())) => After::Keep,
+        _ => After::Break,
+    }
+}
+
+/// Passes a long answer on.
+async fn stream(
+    state: &State,
+    conn: &mut Conn,
+    mut out: Vec<u8>,
+    mut rest: Box<Rest>,
+    chunked: bool,
+    close: bool,
+) -> After {
+    loop {
+        if send(conn, &out, false).await == After::Break {
+            return After::Break;
+        }
+        out.clear();
+        let next = tokio::select! {
+            biased;
+            next = rest.next() => next,
+            () = gone(conn) => return After::Break,
+        };
+        match next {
+            Ok(Some(body)) => respond::piece(&mut out, &body, chunked),
+            Ok(None) => break,
+            // The caller must not take what it has for the whole answer.
+            Err(_) => return After::Break,
+        }
+    }
+    rest.finish(&state.pool);
+    if chunked && send(conn, LAST_CHUNK, false).await == After::Break {
+        return After::Break;
+    }
+    if close { After::Close } else { After::Keep }
+}
+
+fn fingerprint(head: &RequestHead, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(head.method.as_bytes());
+    hasher.update(b" ");
+    hasher.update(head.path.as_bytes());
+    hasher.update(b"\n");
+    hasher.update(body);
+    hasher.digest()
+}
--- /dev/null
+++ b/src/node/state.rs
@@ -0,0 +1,239 @@
+//! What one node knows, shared by its traffic and its control tasks. All of it runs on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::ids::BootId;
+use crate::ids::DataCentre;
+use crate::ids::ServiceId;
+use crate::ids::VmId;
+use crate::node::allowance::Allowance;
+use crate::node::allowance::AllowanceBound;
+use crate::node::counters::Counters;
+use crate::node::fleet::Fleet;
+use crate::node::keys::view::KeyView;
+use crate::node::log::Log;
+use crate::node::proxy::headers::HeaderNames;
+use crate::node::proxy::pool::Pool;
+use crate::node::rules::Router;
+use crate::node::rules::Rules;
+use crate::route::Crashes;
+
+/// Part of a target's connections that the nodes use together; the rest is for health checks and
+/// for nodes that are counted late.
+const CONNECTION_PART: f64 = 0.8;
+
+/// What a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct NodeConf {
+    /// The node's name.
+    pub name: VmId,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// Header fields that it shares with callers and targets.
+    pub headers: HeaderNames,
+    /// The bound on repeats.
+    pub allowance: AllowanceBound,
+    /// The longest hold that targets accept.
+    pub hold_max: Duration,
+    /// The time from the signal to stop to the forced end.
+    pub grace: Duration,
+    /// Descriptors that the process may have open for sockets.
+    pub max_sockets: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: u64,
+}
+
+/// How far a graceful shutdown has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Callers are served.
+    Serving,
+    /// The node says that it is not ready; callers that still come are served.
+    Leaving,
+    /// No new connections are taken and idle ones are closed.
+    Closing,
+    /// What still runs is cut.
+    Ended,
+}
+
+/// The state of a node.
+#[derive(Debug)]
+pub struct State {
+    /// What the node was told.
+    pub conf: NodeConf,
+    /// The process.
+    pub boot: BootId,
+    /// The rules in force.
+    router: RefCell<Option<Rc<Router>>>,
+    /// The targets.
+    pub fleet: RefCell<Fleet>,
+    /// Idle connections to targets.
+    pub pool: Pool,
+    /// Owners of keys by service.
+    pub views: RefCell<BTreeMap<ServiceId, KeyView>>,
+    /// Requests by key since the last report.
+    pub heat: RefCell<BTreeMap<ServiceId, BTreeMap<u16, u16>>>,
+    /// Requests that crash targets.
+    pub(crate) crashes: Crashes,
+    /// Rung when a request may have become possible: a slot is free, or keys have an owner.
+    pub changed: Notify,
+    /// How far a graceful shutdown has come.
+    stage: Cell<Stage>,
+    /// Rung when the stage changed.
+    pub turned: Notify,
+    /// Nodes that serve, this one included.
+    pub nodes: Cell<usize>,
+    /// Requests that are being served.
+    pub in_flight: Cell<usize>,
+    /// Counts for operators.
+    pub counters: Counters,
+    /// The log.
+    pub log: Log,
+    allowances: RefCell<BTreeMap<ServiceId, Allowance>>,
+}
+
+impl State {
+    /// Starts without rules or targets.
+    pub fn new(conf: NodeConf, log: Log) -> Self {
+        Self {
+            conf,
+            boot: BootId(rand::random()),
+            router: RefCell::default(),
+            fleet: RefCell::default(),
+            pool: Pool::default(),
+            views: RefCell::default(),
+            heat: RefCell::default(),
+            crashes: Crashes::default(),
+            changed: Notify::new(),
+            stage: Cell::new(Stage::Serving),
+            turned: Notify::new(),
+            nodes: Cell::new(1),
+            in_flight: Cell::new(0),
+            counters: Counters::default(),
+            log,
+            allowances: RefCell::default(),
+        }
+    }
+
+    /// Returns the stage of the graceful shutdown.
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// Goes on to a later stage of the graceful shutdown.
+    pub fn turn(&self, stage: Stage) {
+        self.stage.set(self.stage.get().max(stage));
+        self.turned.notify_waiters();
+    }
+
+    /// Returns the rules in force.
+    pub fn router(&self) -> Option<Rc<Router>> {
+        self.router.borrow().clone()
+    }
+
+    /// Returns the version in force; 0 when there is none.
+    pub fn rules_version(&self) -> u64 {
+        let router = self.router.borrow();
+        router.as_ref().map_or(0, |router| router.rules().version)
+    }
+
+    /// Puts rules in force, unless they are older than those that are.
+    pub fn put_in_force(&self, rules: Rules) -> bool {
+        if self.rules_version() >= rules.version {
+            return false;
+        }
+        *self.router.borrow_mut() = Some(Rc::new(Router::new(rules)));
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Returns whether the node can route requests.
+    pub fn is_ready(&self) -> bool {
+        let equipped = self.router.borrow().is_some() && self.fleet.borrow().is_known();
+        equipped && self.stage.get() == Stage::Serving
+    }
+
+    /// Counts the first send of a request.
+    pub fn count_first(&self, service: &ServiceId, now: Instant) {
+        self.with_allowance(service, |allowance| allowance.first(now));
+    }
+
+    /// Takes leave to send a request again.
+    pub fn may_repeat(&self, service: &ServiceId, now: Instant) -> bool {
+        let nodes = self.nodes.get();
+        self.with_allowance(service, |allowance| allowance.repeat(nodes, now))
+    }
+
+    /// Returns how many connections this node may have to one target of a service.
+    pub fn max_connections(&self, service: &ServiceId) -> u32 {
+        let router = self.router.borrow();
+        let rule = router
+            .as_ref()
+            .and_then(|router| router.rules().services.get(service));
+        let all = rule.map_or(u32::MAX, |rule| rule.max_connections);
+        let share = f64::from(all) * CONNECTION_PART / self.nodes.get().max(1) as f64;
+        (share as u32).max(1)
+    }
+
+    /// Counts a request for a key.
+    pub fn count_key(&self, service: &ServiceId, key: u16) {
+        let mut heat = self.heat.borrow_mut();
+        let counts = match heat.get_mut(service) {
+            Some(counts) => counts,
+            None => heat.entry(service.clone()).or_default(),
+        };
+        let count = counts.entry(key).or_insert(0);
+        *count = count.saturating_add(1);
+    }
+
+    fn with_allowance<T>(&self, service: &ServiceId, work: impl FnOnce(&mut Allowance) -> T) -> T {
+        let mut allowances = self.allowances.borrow_mut();
+        if let Some(allowance) = allowances.get_mut(service) {
+            return work(allowance);
+        }
+        let fresh = Allowance::new(self.conf.allowance);
+        work(allowances.entry(service.clone()).or_insert(fresh))
+    }
+}
+
+/// A clock that also counts the time in which the machine was suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    start: Instant,
+    boot_at_start: Duration,
+}
+
+impl BootClock {
+    /// Starts the clock.
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            boot_at_start: boot_time(),
+        }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Instant {
+        self.start + boot_time().saturating_sub(self.boot_at_start)
+    }
+}
+
+fn boot_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
--- a/src/route/crash.rs
+++ b/src/route/crash.rs
@@ -33,6 +33,8 @@
 pub const CRASH_SETTLING: Duration = Duration::from_millis(50);
 
 const MAX_FACTS: usize = 512;
+/// Facts of about 80 bytes that fit a packet.
+const RECENT_FACTS: usize = 12;
 const CRASHES_TO_QUARANTINE: usize = 2;
 const CRASHES_TO_TELL_TWINS: usize = 3;
 
@@ -174,6 +176,14 @@
         }
     }
 
+    /// Returns the newest facts, few enough for a datagram.
+    pub(crate) fn recent(&self, now: Instant) -> CrashReport {
+        let mut report = self.report(now);
+        let surplus = report.facts.len().saturating_sub(RECENT_FACTS);
+        report.facts.drain(..surplus);
+        report
+    }
+
     /// Returns a count that rises with every fact that is new.
     pub(crate) fn learned(&self) -> u64 {
         self.learned.load(Ordering::Relaxed)
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -29,6 +29,7 @@
 pub use crash::CrashReport;
 pub(crate) use crash::Crashes;
 pub use crash::QUARANTINE;
+pub(crate) use crash::Verdict;
 pub use hot::ServiceLoads;
 pub use lane::Lane;
 pub use load::LOAD_LIFE;
--- a/src/traffic/answer.rs
+++ b/src/traffic/answer.rs
@@ -26,6 +26,8 @@
         reader.consume(length);
         match head.status {
             101 => return None,
+            // A crashed target's connection ends like such a body.
+            _ if head.framing == Framing::UntilClose => return None,
             100..=199 => {}
             _ => return Some(head),
         }
--- a/src/traffic/body.rs
+++ b/src/traffic/body.rs
@@ -15,6 +15,8 @@
     Length(u64),
     /// The body comes in chunks and ends with an empty one.
     Chunked,
+    /// The body ends with the connection.
+    UntilClose,
 }
 
 /// Why a chunked body is refused.
@@ -55,6 +57,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
+    Open,
     Fixed { left: u64 },
     Size { value: u64, digits: usize },
     Extension { value: u64, length: usize },
@@ -79,6 +82,7 @@
             Framing::Empty | Framing::Length(0) => State::Done,
             Framing::Length(left) => State::Fixed { left },
             Framing::Chunked => CHUNK_START,
+            Framing::UntilClose => State::Open,
         };
         Self { state }
     }
@@ -96,6 +100,7 @@
             let available = (input.len() - skip) as u64;
             let data = match self.state {
                 State::Done => return Ok(Piece { skip, data: 0 }),
+                State::Open => available,
                 State::Fixed { left } | State::Data { left } => left.min(available),
                 _ => 0,
             };
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -56,6 +56,42 @@
     out.extend_from_slice(b"\r\n");
 }
 
+/// Writes the head that a target gets, but for the framing and the fields in `skip`, and without
+/// the empty line at its end.
+pub fn plain_request_head(out: &mut Vec<u8>, head: &RequestHead, skip: &[&str]) {
+    put(
+        out,
+        format_args!("{} {} HTTP/1.1\r\n", head.method, head.path),
+    );
+    for (name, value) in head.fields.iter() {
+        let skipped = skip.iter().any(|skip| name.eq_ignore_ascii_case(skip));
+        if !skipped && !is_hop(&head.fields, name) {
+            put_field(out, name, value);
+        }
+    }
+}
+
+/// Writes the head that a caller gets, but for the framing and the empty line at its end.
+pub fn plain_answer_head(out: &mut Vec<u8>, head: &AnswerHead) {
+    put(
+        out,
+        format_args!("HTTP/1.1 {} {}\r\n", head.status, head.reason),
+    );
+    for (name, value) in head.fields.iter() {
+        if !is_hop(&head.fields, name) {
+            put_field(out, name, value);
+        }
+    }
+}
+
+/// Writes the framing of a whole body, if there is to be one, as the last field of a head.
+pub fn whole_body(out: &mut Vec<u8>, head: &AnswerHead, length: usize) {
+    match head.framing {
+        Framing::Empty => put_announced(out, head),
+        _ => put_framing(out, Framing::Length(length as u64)),
+    }
+}
+
 /// Writes the head that a caller gets.
 pub fn answer_head(out: &mut Vec<u8>, head: &AnswerHead, close: bool) {
     put(
@@ -90,9 +126,10 @@
     out.extend_from_slice(b"\r\n");
 }
 
-fn put_framing(out: &mut Vec<u8>, framing: Framing) {
+/// Writes the field that tells how a body ends.
+pub fn put_framing(out: &mut Vec<u8>, framing: Framing) {
     match framing {
-        Framing::Empty => {}
+        Framing::Empty | Framing::UntilClose => {}
         Framing::Length(length) => put(out, format_args!("content-length: {length}\r\n")),
         Framing::Chunked => out.extend_from_slice(b"transfer-encoding: chunked\r\n"),
     }
--- a/src/traffic/head.rs
+++ b/src/traffic/head.rs
@@ -225,9 +225,7 @@
     let framing = if bodiless {
         Framing::Empty
     } else {
-        // Without a length only the end of the connection ends the body, and a crashed target's
-        // connection ends the same way.
-        delimited.ok_or(HeadError::Length)?
+        delimited.unwrap_or(Framing::UntilClose)
     };
     if minor == 0 && framing == Framing::Chunked {
         return Err(HeadError::Length);
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -13,7 +13,7 @@
 pub mod entry;
 mod exchange;
 pub mod follow;
-mod forward;
+pub(crate) mod forward;
 pub mod head;
 pub mod limits;
 pub mod pool;
