Give a lost target one key before it gets more

Cause: a target that answers no orders got a share of the keys again after each pause, and lost it again: 12.5 % of the keys without an owner in tests/node_keys.rs::a_target_that_nobody_reaches_keeps_its_keys_until_its_hold_has_run_out. A target that joined without any load got nothing, since the busiest owner was the idle one itself (a_joining_target_gets_keys).

Ruled out: a longer pause alone, which only makes it rarer.

Change: a lost target is tried with one key; the busiest owner is another than the idlest. tests/node_keys.rs runs leaders, targets and a table on a virtual clock; no_key_is_held_twice mixes the faults at random.

--- a/src/node/control/group.rs
+++ b/src/node/control/group.rs
@@ -691,6 +691,7 @@
         address: target.entry.address,
         capacity: f64::from(target.entry.slots.max(1)) * speed,
         leaving: target.leaving.get(),
+        trial: false,
     }
 }
 
--- a/src/node/keys/leader.rs
+++ b/src/node/keys/leader.rs
@@ -41,6 +41,9 @@
 const MISSES_TO_LOSE: u32 = 3;
 /// Orders in a row that found nobody listening after which a target counts as lost.
 const REFUSED_TO_LOSE: u32 = 2;
+/// How long a lost target gets no keys, doubled with each further loss.
+const LOST_PAUSE: Duration = Duration::from_millis(4_000);
+const LOST_DOUBLINGS: u32 = 3;
 /// How long a leader may renew grants while the table does not confirm its lease.
 pub const RIGHT: Duration = Duration::from_millis(20_000);
 /// How long a new leader waits for owners that are not listed: entries that lapsed in an outage of
@@ -162,7 +165,15 @@
     taken: Instant,
     former_bound: Option<Instant>,
     balanced: Instant,
-    lost: Vec<(Holder, Instant)>,
+    lost: Vec<Lost>,
+}
+
+/// A target that did not answer orders.
+#[derive(Debug)]
+struct Lost {
+    holder: Holder,
+    times: u32,
+    until: Instant,
 }
 
 impl Leader {
@@ -252,7 +263,8 @@
         if !self.has_right(now) {
             return actions;
         }
-        self.lost.retain(|(_, until)| now < *until);
+        self.lost
+            .retain(|lost| now < lost.until + LOST_PAUSE * 2u32.pow(LOST_DOUBLINGS));
         if self.spans.is_empty() {
             self.start(candidates, now);
         }
@@ -265,7 +277,7 @@
         }
         if now.saturating_duration_since(self.balanced) >= BALANCE_PERIOD {
             self.balanced = now;
-            self.balance(candidates, heat);
+            self.balance(candidates, heat, now);
             self.merge(candidates.len(), now);
         }
         self.announce(places, &mut actions);
@@ -409,9 +421,9 @@
         }
         let span = &self.spans[at];
         match span.stage {
-            Stage::Vacant => self.move_to_idlest(at, candidates, heat),
+            Stage::Vacant => self.move_to_idlest(at, candidates, heat, now),
             Stage::Granting | Stage::Held if self.must_move(at, candidates, now) => {
-                self.move_to_idlest(at, candidates, heat);
+                self.move_to_idlest(at, candidates, heat, now);
             }
             _ => {}
         }
@@ -449,27 +461,57 @@
         leaves || span.misses >= MISSES_TO_LOSE || span.refused >= REFUSED_TO_LOSE
     }
 
-    fn move_to_idlest(&mut self, at: usize, candidates: &[Candidate], heat: &Heat) {
+    fn move_to_idlest(&mut self, at: usize, candidates: &[Candidate], heat: &Heat, now: Instant) {
         let owner = self.spans[at].owner.clone();
-        let lost = |holder: &Holder| self.lost.iter().any(|(lost, _)| lost == holder);
-        let others = candidates
-            .iter()
-            .filter(|c| Some(&c.holder) != owner.as_ref() && !lost(&c.holder));
-        let others: Vec<_> = others.cloned().collect();
+        let sound = self.sound(candidates, now);
+        let others = sound
+            .into_iter()
+            .filter(|c| Some(&c.holder) != owner.as_ref());
+        let others: Vec<_> = others.collect();
         let next = plan::idlest(&others, &self.shares(), heat).map(|c| c.holder.clone());
         let Some(next) = next else {
             return;
         };
         let span = &self.spans[at];
-        if span.misses >= MISSES_TO_LOSE || span.refused >= REFUSED_TO_LOSE {
-            if let Some(owner) = owner {
-                let until = span.bound.max(self.confirmed) + self.longest_hold();
-                self.lost.push((owner, until));
-            }
+        let is_lost = span.misses >= MISSES_TO_LOSE || span.refused >= REFUSED_TO_LOSE;
+        if let Some(owner) = owner.filter(|_| is_lost) {
+            self.lose(owner, now);
         }
         self.name(at, next);
     }
 
+    /// Returns the candidates but for those that were lost lately; ones lost some time ago are to
+    /// be tried.
+    fn sound(&self, candidates: &[Candidate], now: Instant) -> Vec<Candidate> {
+        let record = |holder: &Holder| self.lost.iter().find(|lost| lost.holder == *holder);
+        let waits = |c: &&Candidate| record(&c.holder).is_some_and(|lost| now < lost.until);
+        let sound = candidates.iter().filter(|c| !waits(c));
+        sound
+            .map(|candidate| Candidate {
+                trial: record(&candidate.holder).is_some(),
+                ..candidate.clone()
+            })
+            .collect()
+    }
+
+    /// Gives a target no keys for a while, longer each time.
+    fn lose(&mut self, holder: Holder, now: Instant) {
+        let held = self.lost.iter_mut().find(|lost| lost.holder == holder);
+        match held {
+            // Each of its ranges tells of the same loss.
+            Some(lost) if now < lost.until => {}
+            Some(lost) => {
+                lost.times = (lost.times + 1).min(LOST_DOUBLINGS);
+                lost.until = now + LOST_PAUSE * 2u32.pow(lost.times);
+            }
+            None => self.lost.push(Lost {
+                holder,
+                times: 0,
+                until: now + LOST_PAUSE,
+            }),
+        }
+    }
+
     /// Begins to move a span: its next owner goes into the map.
     fn name(&mut self, at: usize, next: Holder) {
         if self.wanted == self.writing.unwrap_or(self.written) {
@@ -527,6 +569,8 @@
         span.due = now + ORDER_PAUSE;
         match end {
             OrderEnd::Done(_) => {
+                self.lost
+                    .retain(|lost| span.owner.as_ref() != Some(&lost.holder));
                 if span.stage == Stage::Granting {
                     span.stage = Stage::Held;
                     span.handover = None;
@@ -586,13 +630,8 @@
     }
 
     /// Begins moves from busy owners to idle ones.
-    fn balance(&mut self, candidates: &[Candidate], heat: &Heat) {
-        let lost = |holder: &Holder| self.lost.iter().any(|(lost, _)| lost == holder);
-        let sound: Vec<_> = candidates
-            .iter()
-            .filter(|c| !lost(&c.holder))
-            .cloned()
-            .collect();
+    fn balance(&mut self, candidates: &[Candidate], heat: &Heat, now: Instant) {
+        let sound = self.sound(candidates, now);
         for _ in 0..MOST_MOVES {
             let moving = self.spans.iter().filter(|span| span.next.is_some());
             if moving.count() >= MOST_MOVES {
--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -24,6 +24,8 @@
     pub capacity: f64,
     /// Whether it is to lose its keys.
     pub leaving: bool,
+    /// Whether it did not answer lately, so that it is tried with one key first.
+    pub trial: bool,
 }
 
 /// Keys to move, and where to.
@@ -53,7 +55,7 @@
     heat: &Heat,
 ) -> Option<&'a Candidate> {
     let loads = Loads::new(candidates, shares, heat);
-    let open = candidates.iter().filter(|candidate| !candidate.leaving);
+    let open = candidates.iter().filter(|candidate| candidate.is_open());
     open.min_by(|a, b| {
         let by_load = loads.relative(a).total_cmp(&loads.relative(b));
         let keys = |candidate: &Candidate| loads.keys.get(&candidate.holder).copied();
@@ -63,7 +65,7 @@
 
 /// Returns equal shares of all keys, one a candidate.
 pub fn even(candidates: &[Candidate]) -> Vec<(KeyRange, Holder)> {
-    let open: Vec<_> = candidates.iter().filter(|c| !c.leaving).collect();
+    let open: Vec<_> = candidates.iter().filter(|c| c.is_open()).collect();
     let count = open.len() as u32;
     let all = KeyRange::ALL.len();
     let start = |at: u32| (u64::from(all) * u64::from(at) / u64::from(count)) as u32;
@@ -81,17 +83,26 @@
 /// Returns the next move that evens the load, if one is worth it.
 pub fn next_move(candidates: &[Candidate], shares: &[Share<'_>], heat: &Heat) -> Option<Move> {
     let loads = Loads::new(candidates, shares, heat);
-    let open = || candidates.iter().filter(|candidate| !candidate.leaving);
-    let empty = open().find(|candidate| !loads.keys.contains_key(&candidate.holder));
+    let open = || candidates.iter().filter(|candidate| candidate.is_open());
+    let is_empty = |candidate: &&Candidate| !loads.keys.contains_key(&candidate.holder);
+    let tried = candidates.iter().filter(|c| c.trial && !c.leaving);
+    if let Some(tried) = tried.clone().find(is_empty) {
+        let range = last_key(shares)?;
+        let to = tried.holder.clone();
+        return Some(Move { range, to });
+    }
+    let empty = open().find(is_empty);
     let by_load = |a: &&Candidate, b: &&Candidate| loads.relative(a).total_cmp(&loads.relative(b));
     let cold = match empty {
         Some(empty) => empty,
         None => open().min_by(by_load)?,
     };
-    let hot = open().max_by(by_load)?;
-    if hot.holder == cold.holder {
-        return None;
-    }
+    let by_keys = |a: &&Candidate, b: &&Candidate| {
+        let keys = |candidate: &Candidate| loads.keys.get(&candidate.holder).copied();
+        by_load(a, b).then_with(|| keys(a).cmp(&keys(b)))
+    };
+    let others = open().filter(|candidate| candidate.holder != cold.holder);
+    let hot = others.max_by(by_keys)?;
     let mean = loads.mean(open());
     let difference = loads.relative(hot) - loads.relative(cold);
     if empty.is_none() && (loads.relative(hot) < HOT_RATIO * mean || difference < LEAST_DIFFERENCE)
@@ -111,6 +122,20 @@
     Some(Move { range, to })
 }
 
+impl Candidate {
+    /// Returns whether it may get any keys.
+    fn is_open(&self) -> bool {
+        !self.leaving && !self.trial
+    }
+}
+
+/// Returns one key that can be spared.
+fn last_key(shares: &[Share<'_>]) -> Option<KeyRange> {
+    let mut free = shares.iter().filter(|share| share.free);
+    let last = free.find(|share| share.range.len() > 1)?.range.last;
+    Some(KeyRange { first: last, last })
+}
+
 fn half_of_widest<'a>(shares: impl Iterator<Item = &'a Share<'a>>) -> Option<KeyRange> {
     let free = shares.filter(|share| share.free);
     let widest = free.max_by_key(|share| share.range.len())?.range;
--- /dev/null
+++ b/tests/support/keys_world.rs
@@ -0,0 +1,661 @@
+//! Leaders, targets and a table on a virtual clock, for tests of the ownership of key ranges.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberryloft::ids::BootId;
+use gooseberryloft::ids::ServiceId;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::ids::VmId;
+use gooseberryloft::node::keys::election::Election;
+use gooseberryloft::node::keys::election::Lease;
+use gooseberryloft::node::keys::heat::Heat;
+use gooseberryloft::node::keys::leader::Action;
+use gooseberryloft::node::keys::leader::Command;
+use gooseberryloft::node::keys::leader::Leader;
+use gooseberryloft::node::keys::leader::Order;
+use gooseberryloft::node::keys::leader::OrderEnd;
+use gooseberryloft::node::keys::map::Holder;
+use gooseberryloft::node::keys::map::KeyMap;
+use gooseberryloft::node::keys::map::KeyRange;
+use gooseberryloft::node::keys::plan::Candidate;
+
+/// The step of the virtual clock.
+pub const STEP: Duration = Duration::from_millis(25);
+/// The way of an order or of its answer.
+const WAY: Duration = Duration::from_millis(5);
+/// How often a leader asks the table whether it still holds the lease.
+const CONFIRM_PERIOD: Duration = Duration::from_secs(3);
+/// How long a target runs work on keys that it is to release.
+const WORK: Duration = Duration::from_millis(200);
+
+/// A deterministic source of chance.
+#[derive(Clone, Debug)]
+pub struct Chance(u64);
+
+impl Chance {
+    /// Starts from a seed.
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(2).wrapping_add(1))
+    }
+
+    /// Returns a number below `most`.
+    pub fn below(&mut self, most: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) % most
+    }
+
+    /// Returns true in so many of a hundred cases.
+    pub fn percent(&mut self, part: u64) -> bool {
+        self.below(100) < part
+    }
+}
+
+/// A target's hold.
+#[derive(Clone, Debug)]
+struct Held {
+    range: KeyRange,
+    fence: u64,
+    until: Instant,
+}
+
+/// A target's process.
+#[derive(Debug)]
+pub struct FakeTarget {
+    /// Whether it runs.
+    pub up: bool,
+    /// Whether it is listed.
+    pub listed: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    life: u64,
+    holds: Vec<Held>,
+    seen: Vec<(KeyRange, u64)>,
+}
+
+/// A node that may lead.
+pub struct FakeNode {
+    /// Whether it runs.
+    pub running: bool,
+    /// Whether it reaches the table.
+    pub reaches_table: bool,
+    /// Targets that it does not reach.
+    pub cut_off: Vec<usize>,
+    boot: u64,
+    election: Election,
+    leading: Option<Leading>,
+    heat: Heat,
+}
+
+struct Leading {
+    leader: Leader,
+    lease: Lease,
+    lease_revision: u64,
+    map_revision: u64,
+    checked: Instant,
+}
+
+struct Flying {
+    node: usize,
+    boot: u64,
+    order: Order,
+    target: usize,
+    life: u64,
+    arrives: Instant,
+    /// When it takes effect, if later than it arrives; its time counts from the arrival.
+    applied: Instant,
+    answered: bool,
+}
+
+struct Answer {
+    node: usize,
+    boot: u64,
+    order: Order,
+    end: OrderEnd,
+    at: Instant,
+}
+
+/// The faults that strike orders, in percent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Orders that never arrive.
+    pub lost: u64,
+    /// Orders whose answers never arrive.
+    pub unanswered: u64,
+    /// Orders that get no answer and are carried out 2 to 12 seconds later.
+    pub late: u64,
+    /// Writes of the table whose answers never arrive.
+    pub writes_lost: u64,
+}
+
+/// The whole world.
+pub struct World {
+    /// The present.
+    pub now: Instant,
+    /// The targets.
+    pub targets: Vec<FakeTarget>,
+    /// The nodes.
+    pub nodes: Vec<FakeNode>,
+    /// The faults of orders and writes.
+    pub faults: Faults,
+    /// Whether the table answers anybody.
+    pub table_up: bool,
+    chance: Chance,
+    start: Instant,
+    lease: Option<(u64, Lease)>,
+    map: Option<(u64, KeyMap)>,
+    revision: u64,
+    flying: Vec<Flying>,
+    answers: Vec<Answer>,
+    lives: u64,
+    fences: BTreeMap<u64, usize>,
+    /// What went wrong.
+    pub broken: Vec<String>,
+}
+
+fn holder(index: usize, life: u64) -> Holder {
+    Holder {
+        id: TargetId::from(format!("t{index}")),
+        life,
+    }
+}
+
+fn overlap(a: KeyRange, b: KeyRange) -> bool {
+    a.first <= b.last && b.first <= a.last
+}
+
+impl World {
+    /// Starts with so many targets and nodes.
+    pub fn new(targets: usize, nodes: usize, seed: u64) -> Self {
+        let now = Instant::now() + Duration::from_secs(1_000);
+        let target = |life: usize| FakeTarget {
+            up: true,
+            listed: true,
+            leaving: false,
+            life: life as u64 + 1,
+            holds: Vec::new(),
+            seen: Vec::new(),
+        };
+        let node = |boot: usize| FakeNode {
+            running: true,
+            reaches_table: true,
+            cut_off: Vec::new(),
+            boot: boot as u64 + 1,
+            election: Election::new(ServiceId::from("search"), now),
+            leading: None,
+            heat: Heat::new(now),
+        };
+        Self {
+            now,
+            start: now,
+            targets: (0..targets).map(target).collect(),
+            nodes: (0..nodes).map(node).collect(),
+            faults: Faults::default(),
+            table_up: true,
+            chance: Chance::new(seed),
+            lease: None,
+            map: None,
+            revision: 0,
+            flying: Vec::new(),
+            answers: Vec::new(),
+            lives: 1_000,
+            fences: BTreeMap::new(),
+            broken: Vec::new(),
+        }
+    }
+
+    /// Returns the time since the start.
+    pub fn passed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Runs for a while.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Returns the node that leads, by the table.
+    pub fn leader(&self) -> Option<usize> {
+        let (_, lease) = self.lease.as_ref()?;
+        let leads = |node: &FakeNode| node.running && node.boot == lease.boot.0;
+        self.nodes
+            .iter()
+            .position(|node| leads(node) && node.leading.is_some())
+    }
+
+    /// Returns the part of the keys that some running target holds.
+    pub fn held_part(&self) -> f64 {
+        let held = |target: &FakeTarget| {
+            let live = target.holds.iter().filter(|held| held.until > self.now);
+            live.map(|held| held.range.len()).sum::<u32>()
+        };
+        let up = self.targets.iter().filter(|target| target.up);
+        f64::from(up.map(held).sum::<u32>()) / f64::from(KeyRange::ALL.len())
+    }
+
+    /// Returns the keys that a target holds.
+    pub fn held_by(&self, index: usize) -> Vec<KeyRange> {
+        let live = self.targets[index].holds.iter();
+        let live = live.filter(|held| held.until > self.now);
+        live.map(|held| held.range).collect()
+    }
+
+    /// Ends a target's process.
+    pub fn crash(&mut self, index: usize) {
+        self.targets[index].up = false;
+        self.targets[index].holds.clear();
+    }
+
+    /// Starts a target's process anew, under the same name.
+    pub fn restart(&mut self, index: usize) {
+        self.lives += 1;
+        let target = &mut self.targets[index];
+        target.up = true;
+        target.listed = true;
+        target.leaving = false;
+        target.life = self.lives;
+        target.holds.clear();
+        target.seen.clear();
+    }
+
+    /// Ends a node's process and starts another.
+    pub fn restart_node(&mut self, index: usize) {
+        self.lives += 1;
+        let node = &mut self.nodes[index];
+        node.boot = self.lives;
+        node.election = Election::new(ServiceId::from("search"), self.now);
+        node.leading = None;
+        node.running = true;
+    }
+
+    /// Counts requests for a key at every node.
+    pub fn heat(&mut self, key: u16, requests: u32) {
+        for node in &mut self.nodes {
+            node.heat.add(key, requests);
+        }
+    }
+
+    /// Goes on by one step.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.deliver_orders();
+        self.deliver_answers();
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].running {
+                self.step_node(node);
+            }
+        }
+        self.tell_peers();
+        self.check();
+    }
+
+    fn table_answers(&self, node: usize) -> bool {
+        self.table_up && self.nodes[node].reaches_table
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let listed = self.targets.iter().enumerate();
+        let listed = listed.filter(|(_, target)| target.listed);
+        listed
+            .map(|(index, target)| Candidate {
+                holder: holder(index, target.life),
+                address: SocketAddr::from(([127, 0, 0, 1], index as u16 + 1)),
+                capacity: 4.0,
+                leaving: target.leaving,
+                trial: false,
+            })
+            .collect()
+    }
+
+    fn step_node(&mut self, node: usize) {
+        let now = self.now;
+        self.nodes[node].heat.decay(now);
+        if self.nodes[node].leading.is_some() {
+            return self.lead(node);
+        }
+        if self.nodes[node].election.should_campaign(node as u32, now) {
+            self.campaign(node);
+        }
+    }
+
+    fn campaign(&mut self, node: usize) {
+        let now = self.now;
+        if !self.table_answers(node) {
+            return self.nodes[node].election.postpone(now);
+        }
+        let name = VmId::from(format!("n{node}"));
+        let held = self.lease.as_ref().map(|(_, lease)| lease.clone());
+        let fake = &mut self.nodes[node];
+        if let Some(held) = &held
+            && held.term > fake.election.term()
+            && held.boot.0 != fake.boot
+        {
+            return fake.election.read(held, now);
+        }
+        let boot = BootId(fake.boot);
+        let lease = fake.election.next_lease(held.as_ref(), &name, boot);
+        self.revision += 1;
+        self.lease = Some((self.revision, lease.clone()));
+        if self.chance.percent(self.faults.writes_lost) {
+            return self.nodes[node].election.postpone(now);
+        }
+        let map = self.map.as_ref();
+        let mut leader = Leader::new(
+            lease.term,
+            map.map(|(_, map)| map),
+            Duration::from_secs(10),
+            now,
+        );
+        leader.confirmed(now);
+        let fake = &mut self.nodes[node];
+        fake.election.heard(lease.term, &name, boot, now);
+        fake.leading = Some(Leading {
+            leader,
+            lease,
+            lease_revision: self.revision,
+            map_revision: map.map_or(0, |(revision, _)| *revision),
+            checked: now,
+        });
+    }
+
+    fn lead(&mut self, node: usize) {
+        let now = self.now;
+        let candidates = self.candidates();
+        let fake = &mut self.nodes[node];
+        let Some(leading) = &mut fake.leading else {
+            return;
+        };
+        let name = VmId::from(format!("n{node}"));
+        let election = &fake.election;
+        let doubted = &leading.lease.doubted;
+        if doubted
+            .iter()
+            .all(|former| election.has_ended(former, &name))
+        {
+            leading.leader.former_ended(now);
+        }
+        let mut actions = leading.leader.tick(now, &candidates, &fake.heat);
+        if now - leading.checked >= CONFIRM_PERIOD {
+            actions.push(Action::CheckLease);
+        }
+        self.act(node, actions);
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Write(map, _) => self.write(node, map),
+                Action::Send(order) => self.send(node, order),
+                Action::Announce(..) => {}
+                Action::CheckLease => self.check_lease(node),
+            }
+        }
+    }
+
+    fn check_lease(&mut self, node: usize) {
+        let now = self.now;
+        let answers = self.table_answers(node);
+        let revision = self.lease.as_ref().map(|(revision, _)| *revision);
+        let fake = &mut self.nodes[node];
+        let Some(leading) = &mut fake.leading else {
+            return;
+        };
+        leading.checked = now;
+        if !answers {
+            return;
+        }
+        if revision == Some(leading.lease_revision) {
+            leading.leader.confirmed(now);
+            return;
+        }
+        self.step_down(node);
+    }
+
+    fn step_down(&mut self, node: usize) {
+        let fake = &mut self.nodes[node];
+        if let Some(leading) = fake.leading.take() {
+            fake.election.ended(leading.leader.term(), self.now);
+        }
+    }
+
+    fn write(&mut self, node: usize, map: KeyMap) {
+        let answers = self.table_answers(node);
+        let lost = self.chance.percent(self.faults.writes_lost);
+        let lease = self.lease.as_ref().map(|(revision, _)| *revision);
+        let held = self.map.as_ref().map_or(0, |(revision, _)| *revision);
+        let Some(leading) = &mut self.nodes[node].leading else {
+            return;
+        };
+        let fits = lease == Some(leading.lease_revision) && held == leading.map_revision;
+        if !answers {
+            return leading.leader.write_ended(false);
+        }
+        if !fits {
+            leading.leader.write_ended(false);
+            leading.map_revision = held;
+            return self.check_lease(node);
+        }
+        self.revision += 1;
+        self.map = Some((self.revision, map));
+        leading.map_revision = self.revision;
+        // A write whose answer is lost is found by reading the row, unless that fails too.
+        leading.leader.write_ended(!lost);
+    }
+
+    fn send(&mut self, node: usize, order: Order) {
+        let target = usize::from(order.address.port()) - 1;
+        let boot = self.nodes[node].boot;
+        let end = |end: OrderEnd, after: Duration, now: Instant| Answer {
+            node,
+            boot,
+            order: order.clone(),
+            end,
+            at: now + after,
+        };
+        let limit = Duration::from_millis(400);
+        if !self.targets[target].up {
+            self.answers.push(end(OrderEnd::NotSent, WAY, self.now));
+            return;
+        }
+        let cut = self.nodes[node].cut_off.contains(&target);
+        if cut || self.chance.percent(self.faults.lost) {
+            self.answers.push(end(OrderEnd::Unknown, limit, self.now));
+            return;
+        }
+        let late = self.chance.percent(self.faults.late);
+        let unanswered = late || self.chance.percent(self.faults.unanswered);
+        if unanswered {
+            self.answers.push(end(OrderEnd::Unknown, limit, self.now));
+        }
+        let arrives = self.now + WAY;
+        let wait = match late {
+            true => Duration::from_millis(2_000 + self.chance.below(10_000)),
+            false => Duration::ZERO,
+        };
+        self.flying.push(Flying {
+            node,
+            boot,
+            life: self.targets[target].life,
+            order,
+            target,
+            arrives,
+            applied: arrives + wait,
+            answered: !unanswered,
+        });
+    }
+
+    fn deliver_orders(&mut self) {
+        let now = self.now;
+        let (due, waiting) = std::mem::take(&mut self.flying)
+            .into_iter()
+            .partition(|flying| flying.applied <= now);
+        self.flying = waiting;
+        let due: Vec<Flying> = due;
+        for flying in due {
+            self.apply(&flying);
+        }
+    }
+
+    fn apply(&mut self, flying: &Flying) {
+        let target = &mut self.targets[flying.target];
+        if !target.up || target.life != flying.life {
+            return;
+        }
+        let (range, fence) = (flying.order.range, flying.order.fence.0);
+        let seen = target.seen.iter().filter(|(seen, _)| overlap(*seen, range));
+        let highest = seen.map(|(_, fence)| *fence).max().unwrap_or(0);
+        let mut after = WAY;
+        let end = match &flying.order.command {
+            Command::Grant { .. } if fence < highest => OrderEnd::Outdated,
+            Command::Grant { hold, .. } => {
+                target.take(range);
+                target.seen.push((range, fence));
+                // The target's clock is 2 % slow.
+                let until = flying.arrives + hold.mul_f64(1.02);
+                target.holds.push(Held {
+                    range,
+                    fence,
+                    until,
+                });
+                OrderEnd::Done(None)
+            }
+            Command::Release => {
+                if fence >= highest {
+                    target.take(range);
+                    target.seen.push((range, fence));
+                }
+                after += WORK;
+                OrderEnd::Done(Some("state".to_owned()))
+            }
+        };
+        if let (Command::Grant { .. }, OrderEnd::Done(_)) = (&flying.order.command, &end) {
+            let other = self.fences.insert(fence, flying.target);
+            if other.is_some_and(|other| other != flying.target) {
+                self.broken
+                    .push(format!("fence {fence} belongs to two targets"));
+            }
+        }
+        if flying.answered {
+            self.answers.push(Answer {
+                node: flying.node,
+                boot: flying.boot,
+                order: flying.order.clone(),
+                end,
+                at: self.now + after,
+            });
+        }
+    }
+
+    fn deliver_answers(&mut self) {
+        let now = self.now;
+        let (due, waiting) = std::mem::take(&mut self.answers)
+            .into_iter()
+            .partition(|answer| answer.at <= now);
+        self.answers = waiting;
+        let due: Vec<Answer> = due;
+        for answer in due {
+            let fake = &mut self.nodes[answer.node];
+            if !fake.running || fake.boot != answer.boot {
+                continue;
+            }
+            let Some(leading) = &mut fake.leading else {
+                continue;
+            };
+            let actions = leading.leader.order_ended(answer.order.id, answer.end, now);
+            self.act(answer.node, actions);
+        }
+    }
+
+    /// Leaders tell all others of themselves.
+    fn tell_peers(&mut self) {
+        let now = self.now;
+        let told: Vec<(usize, u64, u64, bool)> = self
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, node)| node.running)
+            .map(|(index, node)| {
+                let term = node.election.term();
+                (index, node.boot, term, node.leading.is_some())
+            })
+            .collect();
+        for (index, boot, term, leads) in told {
+            let name = VmId::from(format!("n{index}"));
+            for other in 0..self.nodes.len() {
+                if other == index || !self.nodes[other].running {
+                    continue;
+                }
+                self.nodes[other].election.runs(&name, BootId(boot), now);
+                let led = self.nodes[other].leading.as_ref();
+                if led.is_some_and(|leading| leading.leader.term() < term) {
+                    self.step_down(other);
+                }
+                if leads {
+                    let election = &mut self.nodes[other].election;
+                    election.heard(term, &name, BootId(boot), now);
+                }
+            }
+        }
+    }
+
+    /// Checks that no key is held twice.
+    fn check(&mut self) {
+        let now = self.now;
+        let mut held: Vec<(usize, &Held)> = Vec::new();
+        for (index, target) in self.targets.iter().enumerate() {
+            let live = target.holds.iter().filter(|held| held.until > now);
+            held.extend(live.filter(|_| target.up).map(|held| (index, held)));
+        }
+        for (at, (one, a)) in held.iter().enumerate() {
+            for (other, b) in &held[at + 1..] {
+                if one != other && overlap(a.range, b.range) {
+                    self.broken.push(format!(
+                        "{:?}: t{one} holds {:?} at fence {} and t{other} {:?} at {}",
+                        now - self.start,
+                        a.range,
+                        a.fence,
+                        b.range,
+                        b.fence
+                    ));
+                }
+            }
+        }
+    }
+}
+
+impl FakeTarget {
+    /// Takes a range out of what the target holds.
+    fn take(&mut self, range: KeyRange) {
+        let mut kept = Vec::new();
+        for held in self.holds.drain(..) {
+            if !overlap(held.range, range) {
+                kept.push(held);
+                continue;
+            }
+            if held.range.first < range.first {
+                let last = range.first - 1;
+                let range = KeyRange { last, ..held.range };
+                kept.push(Held {
+                    range,
+                    ..held.clone()
+                });
+            }
+            if held.range.last > range.last {
+                let first = range.last + 1;
+                let range = KeyRange {
+                    first,
+                    ..held.range
+                };
+                kept.push(Held { range, ..held });
+            }
+        }
+        self.holds = kept;
+    }
+}
