Read the list of targets once a data centre

Ruled out: a longer period for all (targets that leave must get no work after 2 s); one reader for all data centres (bytes between them are priced).

Change: the first node of a data centre reads at a fixed pace and tells a digest, the others read when theirs differs or nobody tells.

--- a/src/node/control/follow.rs
+++ b/src/node/control/follow.rs
@@ -13,13 +13,15 @@
 use crate::node::edge::Platform;
 use crate::node::edge::TargetsReading;
 use crate::node::fleet::FleetChange;
+use crate::node::pulse::ListMark;
 use crate::node::state::Stage;
 use crate::node::state::State;
 
-/// How long one call waits for new rules; a connection that went silent is found this late.
-const RULES_WAIT: Duration = Duration::from_millis(3_000);
-/// How often the list of targets is read: targets that leave must get no work 2 s later.
-const TARGETS_PERIOD: Duration = Duration::from_millis(700);
+/// How long one call of the reader of a data centre waits for new rules; a connection that went
+/// silent is found this late.
+const READER_WAIT: Duration = Duration::from_millis(2_000);
+/// The same for other nodes, which hear of new rules from the reader.
+const OTHERS_WAIT: Duration = Duration::from_millis(10_000);
 /// Pause after a call that failed, doubled each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 const PAUSE_DOUBLINGS: u32 = 3;
@@ -65,8 +67,12 @@
     let mut watch = Watch::new("rules");
     let mut cursor: Option<Cursor> = None;
     loop {
+        let wait = match state.is_reader.get() {
+            true => READER_WAIT,
+            false => OTHERS_WAIT,
+        };
         let reading = tokio::select! {
-            reading = platform.rules(cursor, RULES_WAIT) => reading,
+            reading = platform.rules(cursor, wait) => reading,
             // The call may wait on a connection that has gone silent.
             () = hint.notified() => {
                 cursor = None;
@@ -83,7 +89,11 @@
                 }
             }
             Err(EdgeError::HistoryDropped) => cursor = None,
-            Err(error) => tokio::time::sleep(watch.failed(&state, &error)).await,
+            Err(error) => {
+                // A short call finds the end of an outage sooner than one that waits.
+                cursor = None;
+                tokio::time::sleep(watch.failed(&state, &error)).await;
+            }
         }
     }
 }
@@ -105,29 +115,38 @@
     let mut watch = Watch::new("targets");
     let mut cursor: Option<Cursor> = None;
     while state.stage() < Stage::Ended {
-        let begun = Instant::now();
+        wait_for_turn(&state).await;
         let reading = platform.targets(cursor).await;
         state.counters.add(Counter::TableCalls);
         let now = Instant::now();
-        let pause = match reading {
+        match reading {
             Ok((next, reading)) => {
                 watch.answered(&state);
                 cursor = Some(next);
                 take_targets(&state, reading, now);
-                TARGETS_PERIOD.saturating_sub(begun.elapsed())
-            }
-            Err(EdgeError::HistoryDropped) => {
-                cursor = None;
-                continue;
+                let mark = ListMark(next, state.fleet.borrow().digest());
+                state.reading.borrow_mut().read(mark, now);
             }
+            Err(EdgeError::HistoryDropped) => cursor = None,
             Err(error) => {
                 state.fleet.borrow_mut().list_failed(now);
-                watch.failed(&state, &error)
+                tokio::time::sleep(watch.failed(&state, &error)).await;
             }
-        };
+        }
         let expired = state.fleet.borrow_mut().expire(now);
         tell_changes(&state, &expired);
-        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Waits until this node has to read the list.
+async fn wait_for_turn(state: &State) {
+    loop {
+        let hint = state.list_hint.notified();
+        let due = state.reading.borrow().due(state.is_reader.get());
+        tokio::select! {
+            () = tokio::time::sleep_until(due.into()) => return,
+            () = hint => {}
+        }
     }
 }
 
--- a/src/node/control/peers.rs
+++ b/src/node/control/peers.rs
@@ -22,6 +22,7 @@
 use crate::node::control::rows;
 use crate::node::control::rows::NodeRow;
 use crate::node::pulse::Datagram;
+use crate::node::pulse::ListMark;
 use crate::node::pulse::MAX_DATAGRAM;
 use crate::node::pulse::Message;
 use crate::node::pulse::Pulse;
@@ -42,6 +43,8 @@
 const HEAT_PERIODS: u64 = 3;
 /// A node that is silent for this long takes no requests, as far as known.
 const LIVE_SPAN: Duration = Duration::from_millis(3_500);
+/// A near node that is silent for this long reads no list for the others.
+const FRESH_SPAN: Duration = Duration::from_millis(700);
 /// A node that is silent for this long is forgotten until its row is read again.
 const FORGET_SPAN: Duration = Duration::from_secs(12);
 /// Keys told in one datagram.
@@ -145,6 +148,7 @@
             self.periods.set(period);
             let now = Instant::now();
             self.forget_silent(now);
+            self.choose_reader(now);
             self.send_pulses(period, now);
             if period.is_multiple_of(HEAT_PERIODS) {
                 self.send_heat();
@@ -236,6 +240,7 @@
         self.learn(node, &row, now);
         self.take_loads(node, pulse.loads, now);
         self.compare_rules(pulse.rules, now);
+        self.compare_list(node, pulse.list, now);
         for term in pulse.terms {
             let leads = term.leads;
             self.tell(term.service, || GroupMessage::Peer {
@@ -299,6 +304,30 @@
         }
     }
 
+    /// Takes what a node of this data centre has read of the list of targets.
+    fn compare_list(&self, node: &VmId, mark: ListMark, now: Instant) {
+        let peers = self.peers.borrow();
+        let own = &self.state.conf.data_centre;
+        let is_near = peers.get(node).is_some_and(|peer| peer.data_centre == *own);
+        if is_near {
+            self.state.reading.borrow_mut().heard(mark, now);
+            self.state.list_hint.notify_waiters();
+        }
+    }
+
+    /// The first live node of a data centre, by name, reads the list for the others.
+    fn choose_reader(&self, now: Instant) {
+        let conf = &self.state.conf;
+        let peers = self.peers.borrow();
+        let is_before = |(name, peer): (&VmId, &Peer)| {
+            *name < conf.name && peer.data_centre == conf.data_centre && peer.is_fresh(now)
+        };
+        let is_reader = !peers.iter().any(is_before);
+        if self.state.is_reader.replace(is_reader) != is_reader {
+            self.state.list_hint.notify_waiters();
+        }
+    }
+
     fn tell(&self, tag: Tag, message: impl FnOnce() -> GroupMessage) {
         let groups = self.groups.borrow();
         let group = groups
@@ -344,6 +373,7 @@
         Pulse {
             data_centre: self.state.conf.data_centre.clone(),
             rules: self.state.rules_version(),
+            list: self.state.reading.borrow().mark(),
             terms: terms.collect(),
             loads,
         }
@@ -420,6 +450,12 @@
         self.heard.unwrap_or(self.known)
     }
 
+    /// Returns whether a node of the same data centre was heard in its last few periods.
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|at| now.saturating_duration_since(at) < FRESH_SPAN)
+    }
+
     fn is_live(&self, now: Instant) -> bool {
         self.heard
             .is_some_and(|at| now.saturating_duration_since(at) < LIVE_SPAN)
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -3,6 +3,8 @@
 use std::future::Future;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use thiserror::Error;
 
 use crate::node::fleet::Listing;
@@ -12,7 +14,7 @@
 use crate::node::rules::Rules;
 
 /// How far a reader has come in the platform's history of changes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Cursor(pub u64);
 
 /// What changed in the list of targets.
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
@@ -207,6 +209,7 @@
     lapsed: BTreeMap<TargetId, Instant>,
     trouble: Option<Instant>,
     known: bool,
+    digest: u64,
 }
 
 impl Fleet {
@@ -228,6 +231,11 @@
             .find(|target| target.entry.id == *id)
     }
 
+    /// Returns a digest of what is listed; nodes with the same list have the same.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Returns every target.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Target>> {
         self.services.values().flatten()
@@ -262,6 +270,9 @@
             };
             changes.extend(change);
         }
+        if !changes.is_empty() {
+            self.digest = self.digest_now();
+        }
         changes
     }
 
@@ -281,6 +292,19 @@
         over.into_iter().map(drop_one).collect()
     }
 
+    /// The order of the targets does not count.
+    fn digest_now(&self) -> u64 {
+        let listed = self
+            .iter()
+            .filter(|t| !self.lapsed.contains_key(&t.entry.id));
+        listed.fold(0, |digest, target| {
+            let entry = &target.entry;
+            let leaving = target.leaving.get();
+            let text = format!("{}/{}/{}/{leaving}", entry.id, entry.life, entry.address);
+            digest ^ xxh3_64(text.as_bytes())
+        })
+    }
+
     fn present(&mut self, entry: TargetEntry, now: Instant) -> Option<(TargetId, FleetChange)> {
         let id = entry.id.clone();
         self.lapsed.remove(&id);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! One process a VM that does everything: it serves callers, follows the platform, and leads
 //! services when it holds their lease. All of it runs on one thread.
 //!
-//! [`rules`], [`fleet`], [`pick`], [`allowance`] and [`keys`] decide and do no input or output;
+//! [`rules`], [`fleet`], [`reading`], [`pick`], [`allowance`] and [`keys`] decide and do no input or output;
 //! [`proxy`] carries requests, [`control`] carries everything else.
 
 pub mod allowance;
@@ -15,5 +15,6 @@
 pub mod pick;
 pub mod proxy;
 pub mod pulse;
+pub mod reading;
 pub mod rules;
 pub mod state;
--- a/src/node/pulse.rs
+++ b/src/node/pulse.rs
@@ -11,6 +11,7 @@
 use crate::ids::DataCentre;
 use crate::ids::TargetId;
 use crate::ids::VmId;
+use crate::node::edge::Cursor;
 use crate::node::keys::view::Place;
 use crate::node::keys::view::Sequence;
 use crate::route::CrashReport;
@@ -70,6 +71,9 @@
     /// The version of the rules in force there.
     #[serde(rename = "r")]
     pub rules: u64,
+    /// The list of targets that it has read.
+    #[serde(rename = "i")]
+    pub list: ListMark,
     /// The services that it knows a leader of, with the term.
     #[serde(rename = "l")]
     pub terms: Vec<TermOf>,
@@ -78,6 +82,15 @@
     pub loads: Vec<(Tag, u16)>,
 }
 
+/// The list of targets as a node has read it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListMark(
+    /// How far it has read.
+    pub Cursor,
+    /// The digest of the list.
+    pub u64,
+);
+
 /// What a node knows of one service's leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TermOf {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -22,6 +22,7 @@
 use crate::node::log::Log;
 use crate::node::proxy::headers::HeaderNames;
 use crate::node::proxy::pool::Pool;
+use crate::node::reading::Reading;
 use crate::node::rules::Router;
 use crate::node::rules::Rules;
 use crate::route::Crashes;
@@ -75,6 +76,12 @@
     router: RefCell<Option<Rc<Router>>>,
     /// The targets.
     pub fleet: RefCell<Fleet>,
+    /// When the targets are read next.
+    pub reading: RefCell<Reading>,
+    /// Whether this node reads for its data centre.
+    pub is_reader: Cell<bool>,
+    /// Rung when the targets may have to be read.
+    pub list_hint: Notify,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Owners of keys by service.
@@ -108,6 +115,9 @@
             boot: BootId(rand::random()),
             router: RefCell::default(),
             fleet: RefCell::default(),
+            reading: RefCell::new(Reading::new(Instant::now())),
+            is_reader: Cell::new(true),
+            list_hint: Notify::new(),
             pool: Pool::default(),
             views: RefCell::default(),
             heat: RefCell::default(),
