--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -256,7 +256,7 @@
     accepting.abort();
     state.turn(Stage::Closing);
     let end = begun + grace.saturating_sub(GRACE_MARGIN);
-    while state.in_flight.get() > 0 {
+    while state.callers.get() > 0 {
         let turned = state.turned.notified();
         let late = tokio::time::timeout_at(end.into(), turned).await.is_err();
         if late {
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -1,5 +1,6 @@
 //! Finds targets for a request: the first, and others when one refuses, fails or stays silent.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -110,7 +111,7 @@
 
 /// One request's way through its attempts.
 struct Dispatch<'a> {
-    state: &'a State,
+    state: &'a Rc<State>,
     task: &'a Task,
     request: &'a Request,
     tried: Vec<TargetId>,
@@ -148,7 +149,7 @@
 }
 
 /// Runs a request until there is an answer for its caller.
-pub async fn dispatch(state: &State, task: &Task, request: &Request) -> Outcome {
+pub async fn dispatch(state: &Rc<State>, task: &Task, request: &Request) -> Outcome {
     if let Verdict::Quarantined = state.crashes.verdict(task.fingerprint, Instant::now()) {
         return Outcome::Refused(Refusal::Quarantined);
     }
@@ -287,7 +288,7 @@
         if self.task.key.is_none() {
             self.tried.push(target.entry.id.clone());
         }
-        let (state, request, task) = (self.state, self.request, self.task);
+        let (state, request, task): (&'a State, _, _) = (self.state, self.request, self.task);
         let means = Means {
             pool: &state.pool,
             names: &state.conf.headers,
@@ -394,9 +395,7 @@
                 self.waiting_since = now;
                 target.failed(now);
                 self.lost = Some(why);
-                let (service, id) = (&self.task.service, &target.entry.id);
-                let fingerprint = self.task.fingerprint;
-                self.state.crashes.crashed(fingerprint, service, id, now);
+                look_for_crash(self.state, target, self.task.fingerprint);
                 self.tell(target, why, 0);
                 let again = self.task.kind.is_idempotent() && self.may_run_again();
                 (!again && alone).then(|| self.give_up(Refusal::Lost))
@@ -460,3 +459,22 @@
         });
     }
 }
+
+/// Finds out whether a target that broke a connection has crashed: then nobody listens there.
+fn look_for_crash(state: &Rc<State>, target: &Rc<Target>, fingerprint: u64) {
+    let (state, target) = (state.clone(), target.clone());
+    tokio::task::spawn_local(async move {
+        let now = Instant::now();
+        match state.pool.open(&target).await {
+            Ok(held) => state.pool.put(held, None, now),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                target.unreachable(now);
+                let entry = &target.entry;
+                let (service, id) = (&entry.service, &entry.id);
+                state.crashes.crashed(fingerprint, service, id, now);
+            }
+            // Not known: the network may be at fault as well.
+            Err(_) => {}
+        }
+    });
+}
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -46,6 +46,9 @@
 const WAY: Duration = Duration::from_millis(15);
 /// Bytes of further requests that are read ahead while one is served.
 const MOST_AHEAD: usize = 32 << 10;
+/// How long a connection that was accepted late in a graceful shutdown waits for its first
+/// request, which is on its way.
+const FIRST_PATIENCE: Duration = Duration::from_millis(400);
 /// How long the end of a connection waits for the caller's.
 const LINGER: Duration = Duration::from_millis(500);
 /// How long a caller may take no bytes of an answer.
@@ -75,6 +78,22 @@
 impl Drop for Serving<'_> {
     fn drop(&mut self) {
         self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Counts a caller's connection as open.
+struct Open<'a>(&'a State);
+
+impl<'a> Open<'a> {
+    fn new(state: &'a State) -> Self {
+        state.callers.set(state.callers.get() + 1);
+        Self(state)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.callers.set(self.0.callers.get() - 1);
         if self.0.stage() > Stage::Serving {
             self.0.turned.notify_waiters();
         }
@@ -86,7 +105,10 @@
     let Ok(mut conn) = Conn::new(stream) else {
         return;
     };
-    while wait(&state, &mut conn).await {
+    let _open = Open::new(&state);
+    let mut patience = FIRST_PATIENCE;
+    while wait(&state, &mut conn, patience).await {
+        patience = Duration::ZERO;
         let serving = Serving::new(&state);
         let after = serve_one(&state, &mut conn).await;
         drop(serving);
@@ -100,15 +122,20 @@
 }
 
 /// Waits for a request; returns false when the connection is to end.
-async fn wait(state: &State, conn: &mut Conn) -> bool {
+///
+/// Once the node closes, `patience` is how long the request may still take to come.
+async fn wait(state: &State, conn: &mut Conn, patience: Duration) -> bool {
     if !conn.data().is_empty() {
         return true;
     }
     let idle = limits(state).idle_time;
-    let deadline = Instant::now() + idle;
+    let mut deadline = Instant::now() + idle;
     loop {
         let turned = state.turned.notified();
         if state.stage() >= Stage::Closing {
+            deadline = deadline.min(Instant::now() + patience);
+        }
+        if Instant::now() >= deadline {
             return false;
         }
         tokio::select! {
@@ -139,7 +166,7 @@
     router.map_or(FIRST_LIMITS, |router| router.rules().limits.clone())
 }
 
-async fn serve_one(state: &State, conn: &mut Conn) -> After {
+async fn serve_one(state: &Rc<State>, conn: &mut Conn) -> After {
     let started = Instant::now();
     let limits = limits(state);
     let reading = read_head(conn, &limits);
@@ -184,15 +211,22 @@
     run(state, conn, &task, &request, close).await
 }
 
-async fn run(state: &State, conn: &mut Conn, task: &Task, request: &Request, close: bool) -> After {
+async fn run(
+    state: &Rc<State>,
+    conn: &mut Conn,
+    task: &Task,
+    request: &Request,
+    close: bool,
+) -> After {
     let outcome = tokio::select! {
         biased;
-        outcome = dispatch(state, task, request) => outcome,
+        // First, since a request that was read late may have lost its caller meanwhile.
         () = gone(conn) => {
             ended(state, task, "caller-gone");
             state.counters.add(Counter::CallersGone);
             return After::Break;
         }
+        outcome = dispatch(state, task, request) => outcome,
     };
     let close = close || state.stage() > Stage::Serving;
     match outcome {
