--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -8,9 +8,9 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use keys_world::Chance;
-use keys_world::Faults;
-use keys_world::World;
+use crate::keys_world::Chance;
+use crate::keys_world::Faults;
+use crate::keys_world::World;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
