Spread hot keys past one that is busy alone, and read less

Change: the plan goes on to the next busiest, leaves the busiest out of the mean, and moves a lone key to a much faster owner, by speeds that all nodes tell; room at a target follows from its speed and the objective; announcements wait for those they overtook and fit a packet; a stored map is taken by what was announced before it was read; the reader of a data centre waits for changes, and others confirm by the age of its news.

--- a/src/node/control/follow.rs
+++ b/src/node/control/follow.rs
@@ -13,7 +13,7 @@
 use crate::node::edge::Platform;
 use crate::node::edge::TargetsReading;
 use crate::node::fleet::FleetChange;
-use crate::node::pulse::ListMark;
+use crate::node::reading;
 use crate::node::state::Stage;
 use crate::node::state::State;
 
@@ -21,7 +21,7 @@
 /// silent is found this late.
 const READER_WAIT: Duration = Duration::from_millis(2_000);
 /// The same for other nodes, which hear of new rules from the reader.
-const OTHERS_WAIT: Duration = Duration::from_millis(10_000);
+const OTHERS_WAIT: Duration = Duration::from_millis(20_000);
 /// Pause after a call that failed, doubled each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 const PAUSE_DOUBLINGS: u32 = 3;
@@ -116,7 +116,11 @@
     let mut cursor: Option<Cursor> = None;
     while state.stage() < Stage::Ended {
         wait_for_turn(&state).await;
-        let reading = platform.targets(cursor).await;
+        let wait = match state.is_reader.get() {
+            true => reading::READER_WAIT,
+            false => Duration::ZERO,
+        };
+        let reading = platform.targets(cursor, wait).await;
         state.counters.add(Counter::TableCalls);
         let now = Instant::now();
         match reading {
@@ -124,8 +128,8 @@
                 watch.answered(&state);
                 cursor = Some(next);
                 take_targets(&state, reading, now);
-                let mark = ListMark(next, state.fleet.borrow().digest());
-                state.reading.borrow_mut().read(mark, now);
+                let digest = state.fleet.borrow().digest();
+                state.reading.borrow_mut().read(next, digest, now);
             }
             Err(EdgeError::HistoryDropped) => cursor = None,
             Err(error) => {
--- a/src/node/control/group.rs
+++ b/src/node/control/group.rs
@@ -15,7 +15,6 @@
 use crate::ids::VmId;
 use crate::node::control::peers::Peers;
 use crate::node::control::rows;
-use crate::node::control::rows::MapRow;
 use crate::node::counters::Counter;
 use crate::node::edge::Platform;
 use crate::node::fleet::Target;
@@ -36,6 +35,7 @@
 use crate::node::keys::view::Sequence;
 use crate::node::pulse::Message;
 use crate::node::pulse::Tag;
+use crate::node::pulse::target_tag;
 use crate::node::state::BootClock;
 use crate::node::state::Stage;
 use crate::node::state::State;
@@ -52,10 +52,13 @@
 const FOLLOWER_TICK: Duration = Duration::from_millis(150);
 /// How often a leader has the table confirm its lease; well within its right.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(3_000);
-/// Pause between two tries to read a map that is behind.
-const MAP_PAUSE: Duration = Duration::from_millis(300);
+/// How long announcements may be missing before the stored map is read, and the pause between two
+/// tries: the missing ones are mostly just overtaken.
+const MAP_PATIENCE: Duration = Duration::from_millis(400);
 /// Pause after a write of the map failed.
 const WRITE_PAUSE: Duration = Duration::from_millis(150);
+/// Weight of the newest sample of a target's speed; each is an average already.
+const SPEED_WEIGHT: f64 = 0.2;
 /// The speed of a target counts between these, relative to the mean.
 const SLOWEST: f64 = 0.5;
 const FASTEST: f64 = 1.6;
@@ -76,8 +79,8 @@
         /// Its own last term, if it gives no more orders in it.
         ended: Option<u64>,
     },
-    /// Requests by key.
-    Heat(Vec<(u16, u16)>),
+    /// Requests by key, and the milliseconds that targets take.
+    Heat(Vec<(u16, u16)>, Vec<(Tag, u16)>),
     /// An announcement of the leader.
     Moved(Sequence, Vec<Place>),
     /// The end of an order.
@@ -86,8 +89,8 @@
     Written(Result<bool, ()>),
     /// What the lease row holds, read by a call that began then; `None` when it was not read.
     Lease(Option<Row>, Instant),
-    /// The stored map.
-    Map(Option<MapRow>),
+    /// The stored map, by a read that began after this was announced.
+    Map(Option<KeyMap>, Sequence),
     /// The node is to lead no more.
     Resign,
 }
@@ -146,9 +149,13 @@
     election: Election,
     leading: Option<Leading>,
     heat: Heat,
+    /// The milliseconds that targets take, as all nodes tell.
+    speeds: BTreeMap<Tag, f64>,
     handle: GroupHandle,
     /// The newest announcement of the leader that this node has heard of.
     seen: Sequence,
+    /// Since when announcements are missing.
+    behind: Option<Instant>,
     map_asked: Option<Instant>,
     map_started: bool,
 }
@@ -182,8 +189,10 @@
         election: Election::new(service.clone(), now),
         leading: None,
         heat: Heat::new(now),
+        speeds: BTreeMap::new(),
         handle: handle.clone(),
         seen: Sequence::default(),
+        behind: None,
         map_asked: None,
         map_started: false,
     };
@@ -223,9 +232,13 @@
                 leads,
                 ended,
             } => self.heard(&node, boot, (term, leads, ended), now),
-            GroupMessage::Heat(counts) => {
-                let add = |(key, count): (u16, u16)| self.heat.add(key, count.into());
-                counts.into_iter().for_each(add);
+            GroupMessage::Heat(counts, speeds) => {
+                for (key, count) in counts {
+                    self.heat.add(key, count.into());
+                }
+                for (target, ms) in speeds {
+                    self.learn_speed(target, ms);
+                }
             }
             GroupMessage::Moved(sequence, places) => self.moved(sequence, &places),
             GroupMessage::Ended(id, end) => {
@@ -237,7 +250,7 @@
             }
             GroupMessage::Written(written) => self.written(written),
             GroupMessage::Lease(row, begun) => self.lease_read(row, begun, now),
-            GroupMessage::Map(row) => self.map_read(row),
+            GroupMessage::Map(map, seen) => self.map_read(map, seen),
             GroupMessage::Resign => self.step_down("the node stops", now),
         }
     }
@@ -276,33 +289,46 @@
 
     /// Reads the map when the leader has announced more than this node knows.
     fn follow(&mut self, now: Instant) {
-        let held = self.sequence();
-        let behind = self.seen > held || !self.map_started;
-        let asked = self.map_asked;
-        let waits = asked.is_some_and(|at| now.saturating_duration_since(at) < MAP_PAUSE);
-        if !behind || waits {
+        // Without a leader's announcement the stored map is the only word on owners.
+        let behind = self.seen > self.sequence() || !self.map_started;
+        if !behind {
+            self.behind = None;
+            return;
+        }
+        let since = *self.behind.get_or_insert(now);
+        if now.saturating_duration_since(since) < MAP_PATIENCE {
+            return;
+        }
+        if self
+            .map_asked
+            .is_some_and(|at| now.saturating_duration_since(at) < MAP_PATIENCE)
+        {
             return;
         }
         self.map_asked = Some(now);
         let (table, key, handle) = (self.table.clone(), self.map_key(), self.handle.clone());
-        self.state.counters.add(Counter::TableCalls);
+        let (state, seen) = (self.state.clone(), self.seen);
         tokio::task::spawn_local(async move {
-            if let Ok(row) = table.get(&key).await {
-                let map = row.and_then(|row| rows::read::<MapRow>(&row.value));
-                handle.post(GroupMessage::Map(map));
+            state.counters.add(Counter::TableCalls);
+            match table.get(&key).await {
+                Ok(row) => {
+                    let map = row.and_then(|row| rows::read::<KeyMap>(&row.value));
+                    handle.post(GroupMessage::Map(map, seen));
+                }
+                // Tried again while announcements are missing.
+                Err(_) => state.counters.add(Counter::TableFailures),
             }
         });
     }
 
-    fn map_read(&mut self, row: Option<MapRow>) {
+    fn map_read(&mut self, map: Option<KeyMap>, seen: Sequence) {
         self.map_started = true;
-        let Some(row) = row else {
+        let Some(map) = map else {
             return;
         };
-        let seen = self.seen;
         let mut views = self.state.views.borrow_mut();
         let view = views.entry(self.service.clone()).or_default();
-        view.load(&row.map, row.sequence, seen);
+        view.load(&map, seen);
         drop(views);
         self.state.changed.notify_waiters();
     }
@@ -342,6 +368,7 @@
         let mut views = self.state.views.borrow_mut();
         let view = views.entry(self.service.clone()).or_default();
         let applied = view.apply(sequence, places);
+        self.map_started |= view.is_known();
         drop(views);
         if applied {
             self.state.changed.notify_waiters();
@@ -420,10 +447,9 @@
         let now = self.clock.now();
         let map = stored
             .as_ref()
-            .and_then(|row| rows::read::<MapRow>(&row.value));
-        let held = map.as_ref().map(|row| &row.map);
+            .and_then(|row| rows::read::<KeyMap>(&row.value));
         let hold_max = self.state.conf.hold_max;
-        let mut leader = Leader::new(lease.term, held, hold_max, now);
+        let mut leader = Leader::new(lease.term, map.as_ref(), hold_max, now);
         leader.confirmed(begun);
         let (ranges, _) = leader.ranges();
         self.state.log.tell(Event::GroupTaken, |line| {
@@ -434,10 +460,8 @@
         });
         let (node, boot) = (&self.state.conf.name, self.state.boot);
         self.election.heard(lease.term, node, boot, now);
-        if let Some(row) = map {
-            self.seen = leader.sequence();
-            self.map_read(Some(row));
-        }
+        self.seen = leader.sequence();
+        self.map_read(map, self.seen);
         self.leading = Some(Leading {
             leader,
             lease,
@@ -482,7 +506,7 @@
     fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Write(map, sequence) => self.write(map, sequence),
+                Action::Write(map) => self.write(&map),
                 Action::Send(order) => self.order(order),
                 Action::Announce(sequence, places) => self.announce(sequence, places),
                 Action::CheckLease => self.check_lease(),
@@ -505,16 +529,16 @@
         }
         let mut views = self.state.views.borrow_mut();
         let view = views.entry(self.service.clone()).or_default();
-        if !view.apply(sequence, &places) {
+        if !view.is_known() || view.sequence().term != sequence.term {
             let map = self.leading.as_ref().map(|leading| leading.leader.map());
             let map: KeyMap = map.unwrap_or_default();
             let before = Sequence {
                 number: sequence.number - 1,
                 ..sequence
             };
-            view.load(&map, before, before);
-            view.apply(sequence, &places);
+            view.load(&map, before);
         }
+        view.apply(sequence, &places);
         drop(views);
         self.state.changed.notify_waiters();
         let tag = Tag::of(self.service.as_str());
@@ -547,7 +571,7 @@
         });
     }
 
-    fn write(&self, map: KeyMap, sequence: Sequence) {
+    fn write(&self, map: &KeyMap) {
         let Some(leading) = &self.leading else {
             return;
         };
@@ -562,11 +586,10 @@
                 revision: revision.get(),
             },
         ];
-        let row = MapRow { map, sequence };
         let tx = Transaction {
             id: WriteId(rand::random()),
             conditions,
-            mutations: vec![rows::put(self.map_key(), &row)],
+            mutations: vec![rows::put(self.map_key(), map)],
         };
         let (table, key, handle) = (self.table.clone(), self.map_key(), self.handle.clone());
         let state = self.state.clone();
@@ -639,14 +662,21 @@
         self.step_down("the lease is another node's", now);
     }
 
+    fn learn_speed(&mut self, target: Tag, ms: u16) {
+        let sample = f64::from(ms.max(1));
+        let held = self.speeds.entry(target).or_insert(sample);
+        *held += (sample - *held) * SPEED_WEIGHT;
+    }
+
     fn candidates(&self) -> Vec<Candidate> {
         let fleet = self.state.fleet.borrow();
         let targets = fleet.of(&self.service);
-        let known: Vec<f64> = targets.iter().filter_map(|t| t.latency()).collect();
+        let speed = |target: &Rc<Target>| self.speeds.get(&target_tag(&target.entry.id)).copied();
+        let known: Vec<f64> = targets.iter().filter_map(speed).collect();
         let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
         targets
             .iter()
-            .map(|target| candidate(target, mean))
+            .map(|target| candidate(target, speed(target).map(|ms| mean / ms)))
             .collect()
     }
 
@@ -678,11 +708,9 @@
     }
 }
 
-fn candidate(target: &Target, mean: f64) -> Candidate {
-    let speed = match target.latency() {
-        Some(latency) => (mean / latency).clamp(SLOWEST, FASTEST),
-        None => 1.0,
-    };
+/// Returns a target as one that may own keys; `speed` is relative to the mean, if known.
+fn candidate(target: &Target, speed: Option<f64>) -> Candidate {
+    let speed = speed.map_or(1.0, |speed| speed.clamp(SLOWEST, FASTEST));
     Candidate {
         holder: Holder {
             id: target.entry.id.clone(),
--- a/src/node/control/peers.rs
+++ b/src/node/control/peers.rs
@@ -48,7 +48,9 @@
 /// A node that is silent for this long is forgotten until its row is read again.
 const FORGET_SPAN: Duration = Duration::from_secs(12);
 /// Keys told in one datagram.
-const KEYS_A_DATAGRAM: usize = 200;
+const KEYS_A_DATAGRAM: usize = 120;
+/// Targets whose speed is told in one datagram.
+const SPEEDS_A_DATAGRAM: usize = 40;
 /// How long another node's rules may be newer before this one asks again for them.
 const RULES_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -124,6 +126,12 @@
         live.chain([self.state.conf.name.clone()]).collect()
     }
 
+    /// Returns whether every known node was heard lately, and any is known.
+    pub fn all_heard(&self, now: Instant) -> bool {
+        let peers = self.peers.borrow();
+        !peers.is_empty() && peers.values().all(|peer| peer.is_live(now))
+    }
+
     /// Receives until the process ends.
     pub async fn receive(self: Rc<Self>) {
         let mut bytes = vec![0; 2 * MAX_DATAGRAM];
@@ -223,7 +231,9 @@
         }
         match message {
             Message::Pulse(pulse) => self.take_pulse(&node, boot, pulse, from, now),
-            Message::Heat(tag, counts) => self.tell(tag, || GroupMessage::Heat(counts)),
+            Message::Heat(tag, counts, speeds) => {
+                self.tell(tag, || GroupMessage::Heat(counts, speeds));
+            }
             Message::Moved(tag, sequence, places) => {
                 self.tell(tag, || GroupMessage::Moved(sequence, places));
             }
@@ -356,7 +366,15 @@
     }
 
     fn count(&self) {
-        self.state.nodes.set(self.peers.borrow().len() + 1);
+        let peers = self.peers.borrow();
+        self.state.nodes.set(peers.len() + 1);
+        let own = [&self.state.conf.data_centre];
+        let all: BTreeSet<_> = peers
+            .values()
+            .map(|peer| &peer.data_centre)
+            .chain(own)
+            .collect();
+        self.state.data_centres.set(all.len());
     }
 
     fn pulse(&self, loads: Vec<(Tag, u16)>) -> Pulse {
@@ -373,7 +391,7 @@
         Pulse {
             data_centre: self.state.conf.data_centre.clone(),
             rules: self.state.rules_version(),
-            list: self.state.reading.borrow().mark(),
+            list: self.state.reading.borrow().mark(Instant::now()),
             terms: terms.collect(),
             loads,
         }
@@ -410,7 +428,7 @@
         loads.collect()
     }
 
-    /// Tells the leaders how busy keys are.
+    /// Tells the leaders how busy keys are, and how fast targets.
     fn send_heat(&self) {
         let heat = std::mem::take(&mut *self.state.heat.borrow_mut());
         for (service, counts) in heat {
@@ -419,9 +437,10 @@
                 continue;
             };
             let counts: Vec<(u16, u16)> = counts.into_iter().collect();
+            let speeds = self.speeds(&service);
             let known = group.shown();
             if known.leads.is_some() {
-                group.post(GroupMessage::Heat(counts));
+                group.post(GroupMessage::Heat(counts, speeds));
                 continue;
             }
             let peers = self.peers.borrow();
@@ -429,13 +448,25 @@
                 continue;
             };
             let tag = Tag::of(service.as_str());
+            let mut told = speeds.chunks(SPEEDS_A_DATAGRAM);
             for part in counts.chunks(KEYS_A_DATAGRAM) {
-                let bytes = self.datagram(Message::Heat(tag, part.to_vec()));
+                let speeds = told.next().unwrap_or_default().to_vec();
+                let bytes = self.datagram(Message::Heat(tag, part.to_vec(), speeds));
                 self.post(leader.address, &bytes);
             }
         }
     }
 
+    /// Returns the milliseconds that targets take, where they have changed.
+    fn speeds(&self, service: &ServiceId) -> Vec<(Tag, u16)> {
+        let fleet = self.state.fleet.borrow();
+        let fresh = fleet.of(service).iter().filter_map(|target| {
+            let ms = (target.fresh_work()? * 1e3).min(f64::from(u16::MAX));
+            Some((target_tag(&target.entry.id), ms as u16))
+        });
+        fresh.collect()
+    }
+
     fn send_crashes(&self, now: Instant) {
         let learned = self.state.crashes.learned();
         if learned == self.crashes_told.replace(learned) {
--- a/src/node/control/rows.rs
+++ b/src/node/control/rows.rs
@@ -12,8 +12,6 @@
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::VmId;
-use crate::node::keys::map::KeyMap;
-use crate::node::keys::view::Sequence;
 use crate::platform::Mutation;
 
 /// The start of the keys of the rows of nodes.
@@ -30,15 +28,6 @@
     pub data_centre: DataCentre,
 }
 
-/// The owners of a service's keys.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MapRow {
-    /// The map.
-    pub map: KeyMap,
-    /// The newest announcement that it includes.
-    pub sequence: Sequence,
-}
-
 /// Returns the key of a node's row.
 pub fn node_key(node: &VmId) -> String {
     format!("{NODE_PREFIX}{node}")
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -57,7 +57,7 @@
 /// Pause between two tries to write the node's row, doubled each time.
 const ROW_PAUSE: Duration = Duration::from_millis(200);
 const ROW_DOUBLINGS: u32 = 4;
-/// How often the rows of nodes are read while some are silent or unknown.
+/// How often the rows of nodes are read while some of them are silent.
 const ROWS_PERIOD: Duration = Duration::from_secs(20);
 /// How long a question on the ready address may take.
 const READY_LIMIT: Duration = Duration::from_secs(2);
@@ -217,11 +217,17 @@
         tries += 1;
         tokio::time::sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
     }
+    let mut known = false;
     while state.stage() < Stage::Ended {
+        if known && peers.all_heard(Instant::now()) {
+            tokio::time::sleep(ROWS_PERIOD).await;
+            continue;
+        }
         state.counters.add(Counter::TableCalls);
         let pause = match table.scan(rows::NODE_PREFIX).await {
             Ok(listed) => {
                 peers.learn_rows(&listed, Instant::now());
+                known = true;
                 ROWS_PERIOD
             }
             Err(error) => {
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -46,10 +46,11 @@
         wait: Duration,
     ) -> impl Future<Output = Result<(Cursor, Option<Rules>), EdgeError>>;
 
-    /// Reads the targets, or what changed since the cursor.
+    /// Waits for changes of the targets after the cursor; without a cursor, reads them all.
     fn targets(
         &self,
         after: Option<Cursor>,
+        wait: Duration,
     ) -> impl Future<Output = Result<(Cursor, TargetsReading), EdgeError>>;
 
     /// Sends an order to a target.
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -12,6 +12,7 @@
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::node::pulse::ListDigest;
 
 /// How long a target that vanished in an outage of the list stays in use after the outage;
 /// live targets are listed again within about two seconds.
@@ -66,6 +67,10 @@
     pub connections: Cell<u32>,
     /// Moving average of the time to answer, in seconds; 0 when not known.
     latency: Cell<f64>,
+    /// The same for requests that found a free slot, as far as known.
+    work: Cell<f64>,
+    /// Whether `work` has changed since it was last told.
+    work_told: Cell<bool>,
     failures: Cell<u32>,
     /// Moving average of the part of requests that failed, 0 to 1.
     failing: Cell<f64>,
@@ -83,6 +88,8 @@
             peer_load: Cell::new(0),
             connections: Cell::new(0),
             latency: Cell::new(0.0),
+            work: Cell::new(0.0),
+            work_told: Cell::new(true),
             failures: Cell::new(0),
             failing: Cell::new(0.0),
             shut_until: Cell::new(None),
@@ -103,6 +110,18 @@
         (latency > 0.0).then_some(latency)
     }
 
+    /// Returns the moving average of the time to answer without waiting for a slot, in seconds.
+    pub fn work(&self) -> Option<f64> {
+        let work = self.work.get();
+        (work > 0.0).then_some(work)
+    }
+
+    /// Returns that time if it has changed since the last call.
+    pub fn fresh_work(&self) -> Option<f64> {
+        let told = self.work_told.replace(true);
+        self.work().filter(|_| !told)
+    }
+
     /// Returns the part of the latest requests that failed, 0 to 1.
     pub fn failing(&self) -> f64 {
         self.failing.get()
@@ -123,15 +142,13 @@
         self.heard.get()
     }
 
-    /// Records an answer that took this long.
-    pub fn answered(&self, took: Duration, now: Instant) {
-        let sample = took.as_secs_f64();
-        let held = self.latency.get();
-        let next = match held {
-            0.0 => sample,
-            _ => held + (sample - held) * EWMA_WEIGHT,
-        };
-        self.latency.set(next);
+    /// Records an answer that took this long; `waited` tells whether all slots were busy.
+    pub fn answered(&self, took: Duration, waited: bool, now: Instant) {
+        average(&self.latency, took);
+        if !waited {
+            average(&self.work, took);
+            self.work_told.set(false);
+        }
         self.failures.set(0);
         self.sample_failing(0.0);
         self.shut_until.set(None);
@@ -178,6 +195,15 @@
     }
 }
 
+/// Moves an average towards a sample.
+fn average(held: &Cell<f64>, sample: Duration) {
+    let (old, sample) = (held.get(), sample.as_secs_f64());
+    held.set(match old {
+        0.0 => sample,
+        _ => old + (sample - old) * EWMA_WEIGHT,
+    });
+}
+
 /// A target or its end, as the list tells it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Listing {
@@ -209,7 +235,7 @@
     lapsed: BTreeMap<TargetId, Instant>,
     trouble: Option<Instant>,
     known: bool,
-    digest: u64,
+    digest: ListDigest,
 }
 
 impl Fleet {
@@ -232,7 +258,7 @@
     }
 
     /// Returns a digest of what is listed; nodes with the same list have the same.
-    pub fn digest(&self) -> u64 {
+    pub fn digest(&self) -> ListDigest {
         self.digest
     }
 
@@ -293,16 +319,23 @@
     }
 
     /// The order of the targets does not count.
-    fn digest_now(&self) -> u64 {
+    fn digest_now(&self) -> ListDigest {
+        let mut digest = ListDigest::default();
         let listed = self
             .iter()
             .filter(|t| !self.lapsed.contains_key(&t.entry.id));
-        listed.fold(0, |digest, target| {
+        for target in listed {
             let entry = &target.entry;
-            let leaving = target.leaving.get();
-            let text = format!("{}/{}/{}/{leaving}", entry.id, entry.life, entry.address);
-            digest ^ xxh3_64(text.as_bytes())
-        })
+            let text = format!("{}/{}/{}", entry.id, entry.life, entry.address);
+            let hash = xxh3_64(text.as_bytes()) as u32;
+            digest.all ^= hash;
+            if target.leaving.get() {
+                digest.leaving ^= hash;
+            } else {
+                digest.staying += 1;
+            }
+        }
+        digest
     }
 
     fn present(&mut self, entry: TargetEntry, now: Instant) -> Option<(TargetId, FleetChange)> {
--- a/src/node/keys/heat.rs
+++ b/src/node/keys/heat.rs
@@ -51,6 +51,13 @@
             .sum()
     }
 
+    /// Returns the busiest key of a range.
+    pub fn busiest(&self, range: KeyRange) -> Option<u16> {
+        let counts = self.counts.range(range.first..=range.last);
+        let busiest = counts.max_by(|a, b| a.1.total_cmp(b.1))?;
+        Some(*busiest.0)
+    }
+
     /// Returns the last key of the shortest start of a range that has at least this count, if
     /// something is left behind it.
     pub fn cut(&self, range: KeyRange, count: f64) -> Option<u16> {
--- a/src/node/keys/leader.rs
+++ b/src/node/keys/leader.rs
@@ -46,6 +46,8 @@
 const LOST_DOUBLINGS: u32 = 3;
 /// How long a leader may renew grants while the table does not confirm its lease.
 pub const RIGHT: Duration = Duration::from_millis(20_000);
+/// Most places in one announcement, so that it fits a packet.
+const MOST_PLACES: usize = 16;
 /// How long a new leader waits for owners that are not listed: entries that lapsed in an outage of
 /// the table are back within about two seconds.
 const LIST_SETTLING: Duration = Duration::from_millis(2_200);
@@ -108,7 +110,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Write the map, under the condition that the lease is unchanged.
-    Write(KeyMap, Sequence),
+    Write(KeyMap),
     /// Send an order.
     Send(Order),
     /// Tell all nodes where keys are.
@@ -283,7 +285,7 @@
         self.announce(places, &mut actions);
         if self.writing.is_none() && self.written < self.wanted {
             self.writing = Some(self.wanted);
-            actions.push(Action::Write(self.map(), self.sequence()));
+            actions.push(Action::Write(self.map()));
         }
         actions
     }
@@ -607,9 +609,9 @@
     }
 
     fn announce(&mut self, places: Vec<Place>, actions: &mut Vec<Action>) {
-        if !places.is_empty() {
+        for part in places.chunks(MOST_PLACES) {
             self.announced += 1;
-            actions.push(Action::Announce(self.sequence(), places));
+            actions.push(Action::Announce(self.sequence(), part.to_vec()));
         }
     }
 
--- a/src/node/keys/map.rs
+++ b/src/node/keys/map.rs
@@ -21,8 +21,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct KeyRange {
     /// The first key.
+    #[serde(rename = "f")]
     pub first: u16,
     /// The last key.
+    #[serde(rename = "l")]
     pub last: u16,
 }
 
--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -10,6 +10,10 @@
 const HOT_RATIO: f64 = 1.3;
 /// And at least this many counted requests more than the idlest, per unit of capacity.
 const LEAST_DIFFERENCE: f64 = 3.0;
+/// One in so many owners, the busiest, is left out of the mean.
+const BUSIEST_PART: usize = 12;
+/// A key that is too busy for its owner moves to one that has this many times the capacity.
+const FASTER: f64 = 1.3;
 /// A piece may carry this many times the load wanted before another cut is tried.
 const PIECE_TOLERANCE: f64 = 1.4;
 
@@ -101,25 +105,56 @@
         let keys = |candidate: &Candidate| loads.keys.get(&candidate.holder).copied();
         by_load(a, b).then_with(|| keys(a).cmp(&keys(b)))
     };
-    let others = open().filter(|candidate| candidate.holder != cold.holder);
-    let hot = others.max_by(by_keys)?;
-    let mean = loads.mean(open());
-    let difference = loads.relative(hot) - loads.relative(cold);
-    if empty.is_none() && (loads.relative(hot) < HOT_RATIO * mean || difference < LEAST_DIFFERENCE)
+    let mut others: Vec<_> = open().filter(|c| c.holder != cold.holder).collect();
+    others.sort_by(|a, b| by_keys(b, a));
+    let to = cold.holder.clone();
+    if let Some(_) = empty
+        && let Some(range) = others.first().and_then(|hot| half_of_widest(shares, hot))
+        && loads.relative(others[0]) <= 0.0
     {
-        return None;
+        return Some(Move { range, to });
     }
-    let over = (loads.relative(hot) - mean) * hot.capacity;
-    let room = (mean - loads.relative(cold)) * cold.capacity;
-    let wanted = over.min(room).max(0.0);
-    let most = difference * hot.capacity.min(cold.capacity);
-    let mine = shares.iter().filter(|share| *share.owner == hot.holder);
-    let range = match empty {
-        Some(_) if wanted <= 0.0 || loads.relative(hot) <= 0.0 => half_of_widest(mine)?,
-        _ => piece(mine, heat, wanted, most)?,
+    let mean = loads.mean(open());
+    let is_hot = |hot: &&&Candidate| {
+        let difference = loads.relative(hot) - loads.relative(cold);
+        loads.relative(hot) >= HOT_RATIO * mean && difference >= LEAST_DIFFERENCE
     };
-    let to = cold.holder.clone();
-    Some(Move { range, to })
+    // The busiest may have nothing to give: a key that is busy alone stays where it is.
+    let hot = others
+        .iter()
+        .take_while(|hot| empty.is_some() || is_hot(hot));
+    let pieces = hot.filter_map(|hot| piece(shares, heat, hot, cold, &loads, mean));
+    if let Some(range) = pieces.into_iter().next() {
+        return Some(Move { range, to });
+    }
+    let hottest = others.first()?;
+    if empty.is_some() {
+        let range = half_of_widest(shares, hottest)?;
+        return Some(Move { range, to });
+    }
+    lone_key(shares, heat, hottest, &others).filter(|_| is_hot(&hottest))
+}
+
+/// Returns the move of a key that is too busy for its owner to a much faster one, if there is one.
+fn lone_key(
+    shares: &[Share<'_>],
+    heat: &Heat,
+    hot: &Candidate,
+    others: &[&Candidate],
+) -> Option<Move> {
+    let own = shares.iter().filter(|share| *share.owner == hot.holder);
+    let free = own.filter(|share| share.free);
+    let load = |share: &&Share<'_>| heat.of(share.range);
+    let busiest = free.max_by(|a, b| load(a).total_cmp(&load(b)))?;
+    let key = heat.busiest(busiest.range)?;
+    let by_speed = |a: &&&Candidate, b: &&&Candidate| a.capacity.total_cmp(&b.capacity);
+    let fastest = others.iter().max_by(by_speed)?;
+    let range = KeyRange {
+        first: key,
+        last: key,
+    };
+    let to = fastest.holder.clone();
+    (fastest.capacity >= FASTER * hot.capacity).then_some(Move { range, to })
 }
 
 impl Candidate {
@@ -136,22 +171,31 @@
     Some(KeyRange { first: last, last })
 }
 
-fn half_of_widest<'a>(shares: impl Iterator<Item = &'a Share<'a>>) -> Option<KeyRange> {
-    let free = shares.filter(|share| share.free);
+fn half_of_widest(shares: &[Share<'_>], owner: &Candidate) -> Option<KeyRange> {
+    let own = shares.iter().filter(|share| *share.owner == owner.holder);
+    let free = own.filter(|share| share.free && share.range.len() > 1);
     let widest = free.max_by_key(|share| share.range.len())?.range;
     let first = widest.first + ((widest.len() / 2) as u16);
     Some(KeyRange { first, ..widest })
 }
 
-/// Returns the piece whose load comes closest to what is wanted; none above `most`, since that
-/// would only exchange the two owners.
-fn piece<'a>(
-    shares: impl Iterator<Item = &'a Share<'a>>,
+/// Returns the piece of a busy owner's keys whose load comes closest to what should go to an idle
+/// one; none that would only exchange the two.
+fn piece(
+    shares: &[Share<'_>],
     heat: &Heat,
-    wanted: f64,
-    most: f64,
+    hot: &Candidate,
+    cold: &Candidate,
+    loads: &Loads<'_>,
+    mean: f64,
 ) -> Option<KeyRange> {
-    let pieces = shares
+    let (most_loaded, least_loaded) = (loads.relative(hot), loads.relative(cold));
+    let over = (most_loaded - mean) * hot.capacity;
+    let room = (mean - least_loaded) * cold.capacity;
+    let wanted = over.min(room).max(0.0);
+    let most = (most_loaded - least_loaded) * hot.capacity.min(cold.capacity);
+    let own = shares.iter().filter(|share| *share.owner == hot.holder);
+    let pieces = own
         .filter(|share| share.free)
         .flat_map(|share| pieces_of(share.range, heat, wanted));
     let weighed = pieces.map(|range| (heat.of(range), range));
@@ -196,10 +240,14 @@
         load.unwrap_or_default() / candidate.capacity
     }
 
+    /// Returns the mean load, the few busiest left out: a key that is busy alone cannot be spread.
     fn mean<'b>(&self, candidates: impl Iterator<Item = &'b Candidate>) -> f64 {
+        let mut all: Vec<_> = candidates.collect();
+        all.sort_by(|a, b| self.relative(b).total_cmp(&self.relative(a)));
+        let left_out = (all.len() / BUSIEST_PART).max(1).min(all.len() - 1);
         let (mut load, mut capacity) = (0.0, 0.0);
-        for candidate in candidates {
-            load += self.load.get(&candidate.holder).copied().unwrap_or(0.0);
+        for candidate in &all[left_out..] {
+            load += self.relative(candidate) * candidate.capacity;
             capacity += candidate.capacity;
         }
         load / capacity
--- a/src/node/keys/view.rs
+++ b/src/node/keys/view.rs
@@ -1,11 +1,14 @@
 //! What a node believes of the owners of a service's keys.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::ids::TargetId;
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::map::KeyRange;
+use crate::node::keys::map::Ownership;
 
 /// Numbers what a leader announces; a later term's come after.
 #[derive(
@@ -22,18 +25,26 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Place {
     /// The keys.
+    #[serde(rename = "r")]
     pub range: KeyRange,
     /// The target that owns them, or will.
+    #[serde(rename = "o")]
     pub owner: Option<TargetId>,
     /// Whether the owner does not hold the keys yet.
+    #[serde(rename = "p")]
     pub pending: bool,
 }
 
+/// Announcements that may wait for earlier ones: datagrams overtake each other.
+const MOST_WAITING: usize = 32;
+
 /// The places of all keys.
 #[derive(Debug, Default)]
 pub struct KeyView {
     sequence: Sequence,
     places: Vec<Place>,
+    /// Announcements that came before an earlier one.
+    waiting: BTreeMap<Sequence, Vec<Place>>,
 }
 
 impl KeyView {
@@ -53,36 +64,51 @@
         self.places.get(at)
     }
 
-    /// Takes a stored map that was read after the leader had announced `seen`; an older one is
-    /// ignored.
-    pub fn load(&mut self, map: &KeyMap, stored: Sequence, seen: Sequence) -> bool {
-        if stored < self.sequence || !map.is_whole() {
+    /// Takes the stored map, by a read that began after `seen` was announced; returns whether the
+    /// view changed. What is announced was stored before, so the map holds all of it.
+    pub fn load(&mut self, map: &KeyMap, seen: Sequence) -> bool {
+        let overtaken = seen < self.sequence || map.version.term < self.sequence.term;
+        if overtaken || !map.is_whole() {
             return false;
         }
-        let place = |part: &crate::node::keys::map::Ownership| Place {
+        let place = |part: &Ownership| Place {
             range: part.range,
             owner: part.owner.as_ref().map(|owner| owner.id.clone()),
             pending: false,
         };
         self.places = map.ranges.iter().map(place).collect();
-        self.sequence = stored.max(seen);
+        self.sequence = seen;
+        self.apply_waiting();
         true
     }
 
-    /// Takes an announcement; returns false when one before it is missing.
+    /// Takes an announcement; returns whether the view changed. One that comes before its
+    /// forerunner waits for it.
     pub fn apply(&mut self, sequence: Sequence, places: &[Place]) -> bool {
-        if sequence <= self.sequence {
-            return true;
-        }
-        let next = sequence.term == self.sequence.term
-            && sequence.number == self.sequence.number + 1
-            && self.is_known();
-        if !next {
+        if sequence <= self.sequence || self.waiting.len() >= MOST_WAITING {
             return false;
         }
-        self.sequence = sequence;
-        places.iter().for_each(|place| self.put(place));
-        true
+        self.waiting.insert(sequence, places.to_vec());
+        self.apply_waiting()
+    }
+
+    fn apply_waiting(&mut self) -> bool {
+        let held = self.sequence;
+        self.waiting.retain(|sequence, _| *sequence > held);
+        let mut changed = false;
+        while self.is_known() {
+            let next = Sequence {
+                number: self.sequence.number + 1,
+                ..self.sequence
+            };
+            let Some(places) = self.waiting.remove(&next) else {
+                break;
+            };
+            self.sequence = next;
+            places.iter().for_each(|place| self.put(place));
+            changed = true;
+        }
+        changed
     }
 
     fn put(&mut self, new: &Place) {
--- a/src/node/pick.rs
+++ b/src/node/pick.rs
@@ -1,6 +1,7 @@
 //! Which target of a service takes a request.
 
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::DataCentre;
@@ -23,8 +24,13 @@
 const COLD_FACTOR: f64 = 2.0;
 /// Random part of the cost, so that nodes with the same view do not all choose alike.
 const JITTER: f64 = 0.1;
-/// Requests in flight at a target over its slots; more would wait too long there.
-const MOST_LOAD: f64 = 1.5;
+/// Part of the objective in which a target should answer the last request that it takes.
+const ROOM_PART: f64 = 0.7;
+/// Requests in flight at a target over its slots, at least and at most, and when its speed is not
+/// known; more than that would wait too long there.
+const LEAST_LOAD: f64 = 1.0;
+const MOST_LOAD: f64 = 3.0;
+const USUAL_LOAD: f64 = 1.5;
 
 /// What the choice depends on besides the targets.
 #[derive(Debug)]
@@ -35,6 +41,8 @@
     pub data_centre: &'a DataCentre,
     /// What may be repeated.
     pub kind: Kind,
+    /// The time within which an answer has its full value.
+    pub objective: Duration,
     /// Targets that the request was sent to before.
     pub tried: &'a [TargetId],
     /// Most connections of this node to one target.
@@ -64,16 +72,25 @@
     targets.iter().any(|target| !target.leaving.get())
 }
 
-/// Returns whether a target has room for one more request.
-pub fn has_room(target: &Target) -> bool {
-    f64::from(target.load()) < f64::from(target.entry.slots.max(1)) * MOST_LOAD
+/// Returns whether a target has room for one more request; `sharers` is the number of data centres
+/// whose requests it takes and that do not know each other's.
+pub fn has_room(target: &Target, objective: Duration, sharers: usize) -> bool {
+    let load = match target.work() {
+        Some(work) => {
+            let rounds = ROOM_PART * objective.as_secs_f64() / work;
+            rounds.clamp(LEAST_LOAD, MOST_LOAD)
+        }
+        None => USUAL_LOAD,
+    };
+    let room = f64::from(target.entry.slots.max(1)) * load / sharers.max(1) as f64;
+    target.load() < room.ceil() as u32
 }
 
 fn is_fit(target: &Target, choice: &Choice<'_>) -> bool {
     !target.leaving.get()
         && !choice.tried.contains(&target.entry.id)
         && target.in_flight.get() < choice.max_connections
-        && has_room(target)
+        && has_room(target, choice.objective, 1)
 }
 
 fn cost(target: &Target, choice: &Choice<'_>, mean: f64) -> f64 {
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -107,7 +107,16 @@
     }
 }
 
-type Running<'a> = FuturesUnordered<LocalBoxFuture<'a, (Rc<Target>, Instant, AttemptEnd)>>;
+/// An attempt that has ended.
+struct Ended {
+    target: Rc<Target>,
+    since: Instant,
+    /// Whether all slots of the target were busy when it was sent.
+    waited: bool,
+    end: AttemptEnd,
+}
+
+type Running<'a> = FuturesUnordered<LocalBoxFuture<'a, Ended>>;
 
 /// One request's way through its attempts.
 struct Dispatch<'a> {
@@ -206,8 +215,8 @@
             let until = self.next_look(&running, now);
             tokio::select! {
                 biased;
-                Some((target, since, end)) = running.next() => {
-                    if let Some(outcome) = self.ended(&target, since, end, running.is_empty()) {
+                Some(ended) = running.next() => {
+                    if let Some(outcome) = self.ended(ended, running.is_empty()) {
                         return outcome;
                     }
                 }
@@ -237,6 +246,7 @@
             now,
             data_centre: &self.state.conf.data_centre,
             kind: self.task.kind,
+            objective: self.task.objective,
             tried: &self.tried,
             max_connections: self.state.max_connections(&self.task.service),
         };
@@ -259,7 +269,8 @@
             return Err(Refusal::NoOwner);
         }
         let most = self.state.max_connections(&self.task.service);
-        if !pick::has_room(owner) || owner.in_flight.get() >= most {
+        let sharers = self.state.data_centres.get();
+        if !pick::has_room(owner, self.task.objective, sharers) || owner.in_flight.get() >= most {
             return Err(Refusal::Busy);
         }
         Ok(owner.clone())
@@ -296,9 +307,15 @@
             limit: task.limit,
         };
         let attempt = async move {
+            let waited = target.load() >= target.entry.slots;
             let in_flight = InFlight::new(state, target);
             let end = attempt(means, request, &in_flight.target).await;
-            (in_flight.target.clone(), now, end)
+            Ended {
+                target: in_flight.target.clone(),
+                since: now,
+                waited,
+                end,
+            }
         };
         running.push(attempt.boxed_local());
     }
@@ -345,18 +362,19 @@
     }
 
     /// Takes the end of an attempt; returns what the caller gets, if it is settled.
-    fn ended(
-        &mut self,
-        target: &Rc<Target>,
-        since: Instant,
-        end: AttemptEnd,
-        alone: bool,
-    ) -> Option<Outcome> {
+    fn ended(&mut self, ended: Ended, alone: bool) -> Option<Outcome> {
+        let Ended {
+            target,
+            since,
+            waited,
+            end,
+        } = ended;
+        let target = &target;
         let now = Instant::now();
         let took = now.saturating_duration_since(since);
         match end {
             AttemptEnd::Answered(answer) if answer.head.status < SERVER_ERROR => {
-                target.answered(took, now);
+                target.answered(took, waited, now);
                 self.state.crashes.answered(self.task.fingerprint, now);
                 Some(Outcome::Answer(answer))
             }
@@ -371,7 +389,7 @@
                 alone.then_some(Outcome::Answer(answer))
             }
             AttemptEnd::Streaming(answer, rest) => {
-                target.answered(took, now);
+                target.answered(took, waited, now);
                 self.state.crashes.answered(self.task.fingerprint, now);
                 Some(Outcome::Stream(answer, rest))
             }
--- a/src/node/pulse.rs
+++ b/src/node/pulse.rs
@@ -51,9 +51,10 @@
     /// It lives.
     #[serde(rename = "p")]
     Pulse(Pulse),
-    /// How many requests keys got since the last such message.
+    /// How many requests keys of a service got since the last such message, and how many
+    /// milliseconds its targets take.
     #[serde(rename = "h")]
-    Heat(Tag, Vec<(u16, u16)>),
+    Heat(Tag, Vec<(u16, u16)>, Vec<(Tag, u16)>),
     /// Where keys are from now on.
     #[serde(rename = "k")]
     Moved(Tag, Sequence, Vec<Place>),
@@ -84,12 +85,31 @@
 
 /// The list of targets as a node has read it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListMark(
+pub struct ListMark {
     /// How far it has read.
-    pub Cursor,
-    /// The digest of the list.
-    pub u64,
-);
+    #[serde(rename = "c")]
+    pub cursor: Cursor,
+    /// The list.
+    #[serde(rename = "d")]
+    pub digest: ListDigest,
+    /// How long ago that was, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u16,
+}
+
+/// A digest of a list of targets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListDigest {
+    /// Of all targets.
+    #[serde(rename = "a")]
+    pub all: u32,
+    /// Of those that are leaving.
+    #[serde(rename = "l")]
+    pub leaving: u32,
+    /// The number of targets that are not leaving.
+    #[serde(rename = "n")]
+    pub staying: u32,
+}
 
 /// What a node knows of one service's leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -98,6 +98,8 @@
     pub turned: Notify,
     /// Nodes that serve, this one included.
     pub nodes: Cell<usize>,
+    /// Data centres with nodes, this one included.
+    pub data_centres: Cell<usize>,
     /// Callers' connections that are open.
     pub callers: Cell<usize>,
     /// Requests that are being served.
@@ -128,6 +130,7 @@
             stage: Cell::new(Stage::Serving),
             turned: Notify::new(),
             nodes: Cell::new(1),
+            data_centres: Cell::new(1),
             callers: Cell::new(0),
             in_flight: Cell::new(0),
             counters: Counters::default(),
--- a/tests/support/keys_world.rs
+++ b/tests/support/keys_world.rs
@@ -391,7 +391,7 @@
     fn act(&mut self, node: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Write(map, _) => self.write(node, map),
+                Action::Write(map) => self.write(node, map),
                 Action::Send(order) => self.send(node, order),
                 Action::Announce(..) => {}
                 Action::CheckLease => self.check_lease(node),
