Pace the renewals of a leader, and let the strongest node lead

Ruled out: a longer hold for all, which lets keys of a crash wait longer on small sites too.

Change: renewals are paced to 200 a second and the hold follows; cold ranges go to their neighbours' owners and are joined from two a owner on; ranks put strong nodes first; nodes of one data centre tell each other less often when they are many; targets that vanished in an outage end 1.9 s after the last failure. tests/node_fleet.rs.

--- a/src/node/control/follow.rs
+++ b/src/node/control/follow.rs
@@ -24,7 +24,7 @@
 const OTHERS_WAIT: Duration = Duration::from_millis(20_000);
 /// Pause after a call that failed, doubled each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
-const PAUSE_DOUBLINGS: u32 = 3;
+const PAUSE_DOUBLINGS: u32 = 2;
 
 /// Tells whether a dependency answers, and logs when that changes.
 #[derive(Debug)]
@@ -137,11 +137,15 @@
                 tokio::time::sleep(watch.failed(&state, &error)).await;
             }
         }
-        let expired = state.fleet.borrow_mut().expire(now);
-        tell_changes(&state, &expired);
     }
 }
 
+/// Drops the targets that an outage of the list has cost.
+pub fn expire_targets(state: &State) {
+    let expired = state.fleet.borrow_mut().expire(Instant::now());
+    tell_changes(state, &expired);
+}
+
 /// Waits until this node has to read the list.
 async fn wait_for_turn(state: &State) {
     loop {
--- a/src/node/control/group.rs
+++ b/src/node/control/group.rs
@@ -266,8 +266,7 @@
             return;
         }
         self.follow(now);
-        let live = self.peers.live(Instant::now());
-        let rank = self.election.rank(&self.state.conf.name, live.iter());
+        let rank = self.peers.rank(&self.election, Instant::now());
         let eligible = self.state.stage() == Stage::Serving;
         if eligible && self.election.should_campaign(rank, now) {
             self.campaign().await;
--- a/src/node/control/peers.rs
+++ b/src/node/control/peers.rs
@@ -21,6 +21,8 @@
 use crate::node::control::group::GroupMessage;
 use crate::node::control::rows;
 use crate::node::control::rows::NodeRow;
+use crate::node::keys::election::Election;
+use crate::node::keys::election::Strength;
 use crate::node::pulse::Datagram;
 use crate::node::pulse::ListMark;
 use crate::node::pulse::MAX_DATAGRAM;
@@ -33,18 +35,21 @@
 use crate::node::state::State;
 use crate::platform::Row;
 
-/// How often nodes of one data centre tell each other how busy targets are.
+/// How often nodes of one data centre tell each other how busy targets are: at least, and for each
+/// of them, so that many nodes do not spend their time on it; at most, since loads grow old.
 const NEAR_PERIOD: Duration = Duration::from_millis(150);
+const PERIOD_A_NODE: Duration = Duration::from_millis(15);
+const LONGEST_PERIOD: Duration = Duration::from_millis(300);
 /// Every how many periods the others hear of a node: bytes between data centres are paid for.
-const FAR_PERIODS: u64 = 7;
+const FAR_PERIODS: u64 = 6;
 /// Every how many periods they hear of one that leads a service.
 const LEADER_PERIODS: u64 = 1;
 /// Every how many periods requests by key are told to the leader.
-const HEAT_PERIODS: u64 = 3;
+const HEAT_PERIODS: u64 = 2;
 /// A node that is silent for this long takes no requests, as far as known.
 const LIVE_SPAN: Duration = Duration::from_millis(3_500);
 /// A near node that is silent for this long reads no list for the others.
-const FRESH_SPAN: Duration = Duration::from_millis(700);
+const FRESH_SPAN: Duration = Duration::from_millis(1_000);
 /// A node that is silent for this long is forgotten until its row is read again.
 const FORGET_SPAN: Duration = Duration::from_secs(12);
 /// Keys told in one datagram.
@@ -60,6 +65,7 @@
     address: SocketAddr,
     boot: BootId,
     data_centre: DataCentre,
+    strength: Strength,
     known: Instant,
     heard: Option<Instant>,
     loads: Vec<(Tag, u16)>,
@@ -118,12 +124,13 @@
         self.count();
     }
 
-    /// Returns the live nodes, this one included.
-    pub fn live(&self, now: Instant) -> BTreeSet<VmId> {
+    /// Returns the rank of this node in an election.
+    pub fn rank(&self, election: &Election, now: Instant) -> u32 {
         let peers = self.peers.borrow();
         let live = peers.iter().filter(|(_, peer)| peer.is_live(now));
-        let live = live.map(|(name, _)| name.clone());
-        live.chain([self.state.conf.name.clone()]).collect()
+        let conf = &self.state.conf;
+        let live = live.map(|(name, peer)| (name, peer.strength));
+        election.rank((&conf.name, conf.strength), live)
     }
 
     /// Returns whether every known node was heard lately, and any is known.
@@ -151,7 +158,7 @@
     /// Sends regularly until the process ends.
     pub async fn send(self: Rc<Self>) {
         while self.state.stage() < Stage::Ended {
-            tokio::time::sleep(NEAR_PERIOD).await;
+            tokio::time::sleep(self.period()).await;
             let period = self.periods.get() + 1;
             self.periods.set(period);
             let now = Instant::now();
@@ -166,6 +173,14 @@
         }
     }
 
+    fn period(&self) -> Duration {
+        let own = &self.state.conf.data_centre;
+        let peers = self.peers.borrow();
+        let near = peers.values().filter(|peer| peer.data_centre == *own);
+        let paced = PERIOD_A_NODE * near.count() as u32;
+        paced.clamp(NEAR_PERIOD, LONGEST_PERIOD)
+    }
+
     /// Tells every node at once that this one leads no more.
     pub fn send_farewell(&self) {
         let pulse = Message::Pulse(self.pulse(Vec::new()));
@@ -211,6 +226,7 @@
             address: node.address,
             boot: node.boot,
             data_centre: node.data_centre.clone(),
+            strength: Strength::default(),
             known: now,
             heard: None,
             loads: Vec::new(),
@@ -249,6 +265,9 @@
         };
         self.learn(node, &row, now);
         self.take_loads(node, pulse.loads, now);
+        if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
+            peer.strength = pulse.strength;
+        }
         self.compare_rules(pulse.rules, now);
         self.compare_list(node, pulse.list, now);
         for term in pulse.terms {
@@ -390,6 +409,7 @@
         });
         Pulse {
             data_centre: self.state.conf.data_centre.clone(),
+            strength: self.state.conf.strength,
             rules: self.state.rules_version(),
             list: self.state.reading.borrow().mark(Instant::now()),
             terms: terms.collect(),
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -121,6 +121,7 @@
             () = tokio::time::sleep(CHORE_PERIOD) => {
                 chores += 1;
                 start_groups(&state, &peers, &table, &platform, &mut groups);
+                follow::expire_targets(&state);
                 if chores.is_multiple_of(SWEEP_PERIODS) {
                     state.pool.sweep(Instant::now());
                     reload();
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,9 +15,10 @@
 use crate::ids::TargetId;
 use crate::node::pulse::ListDigest;
 
-/// How long a target that vanished in an outage of the list stays in use after the outage;
-/// live targets are listed again within about two seconds.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// How long after the last failure to read the list a target that vanished meanwhile stays in use:
+/// live targets are listed again within about two seconds, and 3 s after an outage those that are
+/// gone must get no work.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
 /// How long after an outage a removal counts as caused by it.
 const OUTAGE_SHADOW: Duration = Duration::from_millis(3_000);
 /// Weight of the newest sample in moving averages.
@@ -232,7 +234,7 @@
 pub struct Fleet {
     services: BTreeMap<ServiceId, Vec<Rc<Target>>>,
     places: BTreeMap<TargetId, ServiceId>,
-    lapsed: BTreeMap<TargetId, Instant>,
+    lapsed: BTreeSet<TargetId>,
     trouble: Option<Instant>,
     known: bool,
     digest: ListDigest,
@@ -279,7 +281,7 @@
         now: Instant,
     ) -> Vec<(TargetId, FleetChange)> {
         self.known = true;
-        let listed: std::collections::BTreeSet<_> = entries.iter().map(|e| e.id.clone()).collect();
+        let listed: BTreeSet<_> = entries.iter().map(|e| e.id.clone()).collect();
         let absent = self.places.keys().filter(|id| !listed.contains(*id));
         let absent: Vec<_> = absent.cloned().map(Listing::Absent).collect();
         let present = entries.into_iter().map(Listing::Present);
@@ -304,13 +306,11 @@
 
     /// Drops the targets that were not listed again in time after an outage.
     pub fn expire(&mut self, now: Instant) -> Vec<(TargetId, FleetChange)> {
-        let back = self.trouble;
-        let is_over = |at: &Instant| {
-            let since = back.map_or(*at, |back| back.max(*at));
-            now.saturating_duration_since(since) > LAPSE_GRACE
-        };
-        let over = self.lapsed.iter().filter(|(_, at)| is_over(at));
-        let over: Vec<_> = over.map(|(id, _)| id.clone()).collect();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= LAPSE_GRACE;
+        if self.lapsed.is_empty() || self.trouble.is_some_and(is_recent) {
+            return Vec::new();
+        }
+        let over = std::mem::take(&mut self.lapsed);
         let drop_one = |id: TargetId| {
             self.remove(&id);
             (id, FleetChange::Gone)
@@ -321,9 +321,7 @@
     /// The order of the targets does not count.
     fn digest_now(&self) -> ListDigest {
         let mut digest = ListDigest::default();
-        let listed = self
-            .iter()
-            .filter(|t| !self.lapsed.contains_key(&t.entry.id));
+        let listed = self.iter().filter(|t| !self.lapsed.contains(&t.entry.id));
         for target in listed {
             let entry = &target.entry;
             let text = format!("{}/{}/{}", entry.id, entry.life, entry.address);
@@ -362,11 +360,8 @@
             .trouble
             .is_some_and(|at| now.saturating_duration_since(at) <= OUTAGE_SHADOW);
         if in_outage && !held.leaving.get() {
-            if self.lapsed.contains_key(&id) {
-                return None;
-            }
-            self.lapsed.insert(id.clone(), now);
-            return Some((id, FleetChange::Lapsed));
+            let is_new = self.lapsed.insert(id.clone());
+            return is_new.then_some((id, FleetChange::Lapsed));
         }
         self.remove(&id);
         Some((id, FleetChange::Gone))
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -4,6 +4,7 @@
 //! in the order of their ranks, by a write that is conditional on the row they read. The row has
 //! no end: whoever holds it leads until another takes it.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
@@ -161,10 +162,24 @@
     }
 
     /// Returns the rank of a node among the live ones: the number of those that come before it.
-    pub fn rank<'a>(&self, own: &VmId, live: impl Iterator<Item = &'a VmId>) -> u32 {
-        let place = |node: &VmId| xxh3_64(format!("{}/{node}", self.service).as_bytes());
+    /// The strongest come first, since a leader works for all.
+    pub fn rank<'a>(
+        &self,
+        own: (&VmId, Strength),
+        live: impl Iterator<Item = (&'a VmId, Strength)>,
+    ) -> u32 {
+        let place = |(node, strength): (&VmId, Strength)| {
+            let hash = xxh3_64(format!("{}/{node}", self.service).as_bytes());
+            (Reverse(strength), hash)
+        };
         let mine = place(own);
-        live.filter(|node| *node != own && place(node) < mine)
+        live.filter(|other| other.0 != own.0 && place(*other) < mine)
             .count() as u32
     }
 }
+
+/// The processing power of a node, in hundredths of a core.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Strength(pub u16);
--- a/src/node/keys/leader.rs
+++ b/src/node/keys/leader.rs
@@ -23,11 +23,13 @@
 use crate::node::keys::view::Place;
 use crate::node::keys::view::Sequence;
 
-/// How long a grant lasts without renewal, unless the platform allows less. Short, since the keys
-/// of a lost target wait for its end; long enough for a change of leader.
-pub const HOLD: Duration = Duration::from_millis(2_500);
-/// How often a grant is renewed: a third of the hold, so that two renewals may fail.
+/// How often a grant is renewed, unless there are many: the hold is short, since the keys of a lost
+/// target wait for its end, and long enough for a change of leader.
 const RENEW: Duration = Duration::from_millis(800);
+/// Most renewals a second: a tenth of a core at the cost of an order.
+const RENEWALS_PER_SECOND: f64 = 200.0;
+/// A grant lasts this many times the period of its renewal, so that two renewals may fail.
+const HOLD_PERIODS: f64 = 3.1;
 /// How long an order may take; targets answer in milliseconds.
 pub const ORDER_LIMIT: Duration = Duration::from_millis(400);
 /// How long a release may take: the target answers once its work on the keys has ended.
@@ -55,8 +57,12 @@
 const MOST_MOVES: usize = 6;
 /// How often the load is looked at for moves.
 const BALANCE_PERIOD: Duration = Duration::from_millis(500);
-/// Ranges per owner above which neighbours of one owner are merged.
-const RANGES_PER_OWNER: usize = 3;
+/// Requests counted for a range below which it may move just to have fewer ranges.
+const COLD_LOAD: f64 = 2.0;
+/// Most ranges that move at a time for that.
+const MOST_TIDIED: usize = 2;
+/// Ranges per owner above which ranges are joined.
+const RANGES_PER_OWNER: usize = 2;
 
 /// Names an order until its end is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -132,6 +138,8 @@
     bound: Instant,
     order: Option<OrderId>,
     bound_before: Instant,
+    /// The time of the last grant sent.
+    granted: Duration,
     due: Instant,
     misses: u32,
     refused: u32,
@@ -155,7 +163,7 @@
 #[derive(Debug)]
 pub struct Leader {
     term: u64,
-    hold: Duration,
+    hold_max: Duration,
     fences: Fences,
     spans: Vec<Span>,
     written: u64,
@@ -183,10 +191,9 @@
     ///
     /// `now` is when the write of the lease had been confirmed.
     pub fn new(term: u64, map: Option<&KeyMap>, hold_max: Duration, now: Instant) -> Self {
-        let hold = HOLD.min(hold_max);
         let mut leader = Self {
             term,
-            hold,
+            hold_max,
             fences: Fences::new(term),
             spans: Vec::new(),
             written: 0,
@@ -203,7 +210,7 @@
         let Some(map) = map.filter(|map| map.is_whole()) else {
             return leader;
         };
-        let former = now + RIGHT + leader.longest_hold() + ORDER_LIMIT;
+        let former = now + RIGHT + drifted(hold_max) + ORDER_LIMIT;
         leader.former_bound = Some(former);
         for part in &map.ranges {
             let span = leader.resume(part, former, now);
@@ -240,7 +247,7 @@
         let Some(former) = self.former_bound.take() else {
             return;
         };
-        let bound = now + ORDER_LIMIT + self.longest_hold();
+        let bound = now + ORDER_LIMIT + drifted(self.hold_max);
         for span in &mut self.spans {
             if span.bound == former {
                 span.bound = bound;
@@ -280,7 +287,10 @@
         if now.saturating_duration_since(self.balanced) >= BALANCE_PERIOD {
             self.balanced = now;
             self.balance(candidates, heat, now);
-            self.merge(candidates.len(), now);
+            if self.spans.len() > RANGES_PER_OWNER * candidates.len() {
+                self.tidy(heat);
+                self.merge(now);
+            }
         }
         self.announce(places, &mut actions);
         if self.writing.is_none() && self.written < self.wanted {
@@ -333,8 +343,15 @@
         (self.spans.len(), self.spans.iter().filter(open).count())
     }
 
-    fn longest_hold(&self) -> Duration {
-        self.hold.mul_f64(HOLD_DRIFT) + HOLD_SLACK
+    /// Returns how often grants are renewed now.
+    fn renew(&self) -> Duration {
+        let paced = Duration::from_secs_f64(self.spans.len() as f64 / RENEWALS_PER_SECOND);
+        RENEW.max(paced).min(self.hold_max.div_f64(HOLD_PERIODS))
+    }
+
+    /// Returns how long a grant lasts now.
+    fn hold(&self) -> Duration {
+        self.renew().mul_f64(HOLD_PERIODS).min(self.hold_max)
     }
 
     fn resume(&mut self, part: &Ownership, former: Instant, now: Instant) -> Span {
@@ -358,6 +375,7 @@
             bound: former,
             order: None,
             bound_before: former,
+            granted: self.hold_max,
             due: now,
             misses: 0,
             refused: 0,
@@ -378,6 +396,7 @@
                 bound: now,
                 order: None,
                 bound_before: now,
+                granted: self.hold_max,
                 due: now,
                 misses: 0,
                 refused: 0,
@@ -526,7 +545,7 @@
 
     /// Returns the order that a span needs now.
     fn order(&mut self, at: usize, candidates: &[Candidate], now: Instant) -> Option<Order> {
-        let drift = self.longest_hold();
+        let hold = self.hold();
         let span = &mut self.spans[at];
         if span.order.is_some() || now < span.due {
             return None;
@@ -541,9 +560,10 @@
             _ if lost => return None,
             _ => {
                 span.bound_before = span.bound;
-                span.bound = span.bound.max(now + ORDER_LIMIT + drift);
+                span.bound = span.bound.max(now + ORDER_LIMIT + drifted(hold));
+                span.granted = hold;
                 Command::Grant {
-                    hold: self.hold,
+                    hold,
                     handover: span.handover.clone(),
                 }
             }
@@ -562,7 +582,7 @@
     }
 
     fn grant_ended(&mut self, at: usize, end: OrderEnd, now: Instant, places: &mut Vec<Place>) {
-        let drift = self.longest_hold();
+        let renew = self.renew();
         let fence = match end {
             OrderEnd::Outdated => Some(self.fences.draw()),
             _ => None,
@@ -578,15 +598,15 @@
                     span.handover = None;
                     places.extend(place(span));
                 }
-                span.bound = now + drift;
-                span.due = now + RENEW;
+                span.bound = now + drifted(span.granted);
+                span.due = now + renew;
                 span.misses = 0;
                 span.refused = 0;
             }
             OrderEnd::Outdated => {
                 span.bound = span.bound_before;
                 span.fence = fence.unwrap_or(span.fence);
-                span.due = now + RENEW;
+                span.due = now + renew;
             }
             OrderEnd::NotSent => {
                 span.bound = span.bound_before;
@@ -675,11 +695,32 @@
         place
     }
 
-    /// Joins neighbours of one owner when there are many ranges, under a new fence.
-    fn merge(&mut self, owners: usize, now: Instant) {
-        if self.spans.len() <= RANGES_PER_OWNER * owners {
-            return;
+    /// Gives the coldest ranges to the owners of their neighbours, so that they can be joined.
+    fn tidy(&mut self, heat: &Heat) {
+        let is_held = |span: &Span| span.stage == Stage::Held;
+        let fits = |at: &usize| {
+            let (left, span) = (&self.spans[at - 1], &self.spans[*at]);
+            is_held(left) && is_held(span) && left.owner != span.owner
+        };
+        let mut cold: Vec<(f64, usize)> = (1..self.spans.len())
+            .filter(fits)
+            .map(|at| (heat.of(self.spans[at].range), at))
+            .filter(|(load, _)| *load < COLD_LOAD)
+            .collect();
+        cold.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, at) in cold.into_iter().take(MOST_TIDIED) {
+            // The neighbour may be on its way itself by now.
+            if !is_held(&self.spans[at - 1]) {
+                continue;
+            }
+            if let Some(owner) = self.spans[at - 1].owner.clone() {
+                self.name(at, owner);
+            }
         }
+    }
+
+    /// Joins neighbours of one owner, under a new fence.
+    fn merge(&mut self, now: Instant) {
         let mut at = 1;
         while at < self.spans.len() {
             let (left, right) = (&self.spans[at - 1], &self.spans[at]);
@@ -693,6 +734,7 @@
             let left = &mut self.spans[at - 1];
             left.range.last = right.range.last;
             left.bound = left.bound.max(right.bound);
+            left.granted = left.granted.max(right.granted);
             left.fence = fence;
             left.due = now;
             if self.wanted == self.writing.unwrap_or(self.written) {
@@ -715,6 +757,7 @@
             bound: self.bound,
             order: None,
             bound_before: self.bound,
+            granted: self.granted,
             due: self.due,
             misses: self.misses,
             refused: self.refused,
@@ -722,6 +765,11 @@
     }
 }
 
+/// Returns the longest time that a target may count for a hold.
+fn drifted(hold: Duration) -> Duration {
+    hold.mul_f64(HOLD_DRIFT) + HOLD_SLACK
+}
+
 fn place(span: &Span) -> Option<Place> {
     let owner = span.next.as_ref().or(span.owner.as_ref())?;
     Some(Place {
--- a/src/node/pulse.rs
+++ b/src/node/pulse.rs
@@ -12,6 +12,7 @@
 use crate::ids::TargetId;
 use crate::ids::VmId;
 use crate::node::edge::Cursor;
+use crate::node::keys::election::Strength;
 use crate::node::keys::view::Place;
 use crate::node::keys::view::Sequence;
 use crate::route::CrashReport;
@@ -69,6 +70,9 @@
     /// Where the node runs.
     #[serde(rename = "d")]
     pub data_centre: DataCentre,
+    /// Its processing power.
+    #[serde(rename = "s")]
+    pub strength: Strength,
     /// The version of the rules in force there.
     #[serde(rename = "r")]
     pub rules: u64,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -18,6 +18,7 @@
 use crate::node::allowance::AllowanceBound;
 use crate::node::counters::Counters;
 use crate::node::fleet::Fleet;
+use crate::node::keys::election::Strength;
 use crate::node::keys::view::KeyView;
 use crate::node::log::Log;
 use crate::node::proxy::headers::HeaderNames;
@@ -38,6 +39,8 @@
     pub name: VmId,
     /// Where it runs.
     pub data_centre: DataCentre,
+    /// Its processing power.
+    pub strength: Strength,
     /// Header fields that it shares with callers and targets.
     pub headers: HeaderNames,
     /// The bound on repeats.
--- /dev/null
+++ b/tests/node_fleet.rs
@@ -0,0 +1,125 @@
+//! The list of targets: what joins, leaves, vanishes in an outage, and comes back.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+
+use gooseberryloft::ids::DataCentre;
+use gooseberryloft::ids::ServiceId;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::node::fleet::Fleet;
+use gooseberryloft::node::fleet::FleetChange;
+use gooseberryloft::node::fleet::Listing;
+use gooseberryloft::node::fleet::TargetEntry;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn entry(id: &str, life: u64) -> TargetEntry {
+    TargetEntry {
+        id: TargetId::from(id),
+        life,
+        service: ServiceId::from("desk"),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        data_centre: DataCentre::from("a"),
+        slots: 4,
+        draining: false,
+        warm_up: Duration::ZERO,
+    }
+}
+
+fn gone(id: &str) -> Vec<Listing> {
+    vec![Listing::Absent(TargetId::from(id))]
+}
+
+fn fleet(now: Instant) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now);
+    fleet
+}
+
+fn has(fleet: &Fleet, id: &str) -> bool {
+    fleet.get(&TargetId::from(id)).is_some()
+}
+
+#[googletest::test]
+fn a_target_that_is_not_listed_any_more_is_gone_at_once() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let changes = fleet.update(gone("a"), now);
+    expect_that!(
+        changes,
+        elements_are![eq(&(TargetId::from("a"), FleetChange::Gone))]
+    );
+    expect_that!(has(&fleet, "a"), eq(false));
+}
+
+#[googletest::test]
+fn a_target_that_vanished_in_an_outage_stays_until_it_could_be_back() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.list_failed(now);
+    fleet.update(gone("a"), now + MS(500));
+    expect_that!(has(&fleet, "a"), eq(true));
+    fleet.expire(now + MS(1_500));
+    expect_that!(has(&fleet, "a"), eq(true));
+    fleet.expire(now + MS(2_100));
+    expect_that!(has(&fleet, "a"), eq(false));
+}
+
+#[googletest::test]
+fn a_target_read_as_missing_late_after_an_outage_is_gone_within_three_seconds_of_it() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.list_failed(now);
+    fleet.update(gone("a"), now + MS(1_800));
+    fleet.expire(now + MS(2_000));
+    expect_that!(has(&fleet, "a"), eq(false));
+}
+
+#[googletest::test]
+fn a_target_that_comes_back_after_an_outage_stays() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.list_failed(now);
+    fleet.update(gone("a"), now + MS(100));
+    fleet.update(vec![Listing::Present(entry("a", 1))], now + MS(900));
+    fleet.expire(now + MS(5_000));
+    expect_that!(has(&fleet, "a"), eq(true));
+}
+
+#[googletest::test]
+fn a_leaving_target_that_vanishes_in_an_outage_is_gone() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let mut leaving = entry("a", 1);
+    leaving.draining = true;
+    fleet.update(vec![Listing::Present(leaving)], now);
+    fleet.list_failed(now);
+    fleet.update(gone("a"), now + MS(100));
+    expect_that!(has(&fleet, "a"), eq(false));
+}
+
+#[googletest::test]
+fn another_life_is_another_target() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let held = fleet.get(&TargetId::from("a")).expect("a target").clone();
+    held.failed(now);
+    fleet.update(vec![Listing::Present(entry("a", 2))], now);
+    let next = fleet.get(&TargetId::from("a")).expect("a target");
+    expect_that!(next.failing(), eq(0.0));
+    expect_that!(held.leaving.get(), eq(true));
+}
+
+#[googletest::test]
+fn digests_agree_whatever_the_order_and_tell_departures() {
+    let now = Instant::now();
+    let mut one = Fleet::default();
+    let mut two = Fleet::default();
+    one.replace(vec![entry("a", 1), entry("b", 1)], now);
+    two.replace(vec![entry("b", 1), entry("a", 1)], now);
+    expect_that!(one.digest(), eq(two.digest()));
+    two.update(gone("a"), now);
+    expect_that!(two.digest().staying, lt(one.digest().staying));
+}
