Tell changes of the list within a data centre instead of having all read them

Change: the reader tells what changed, and nodes with the same list take it; a node that is refused asks for rules less and less often, since others tell; a node's row that stands is not written again.

--- a/src/node/control/follow.rs
+++ b/src/node/control/follow.rs
@@ -7,12 +7,16 @@
 use tokio::sync::Notify;
 
 use crate::events::Event;
+use crate::ids::TargetId;
+use crate::node::control::peers::Peers;
 use crate::node::counters::Counter;
 use crate::node::edge::Cursor;
 use crate::node::edge::EdgeError;
 use crate::node::edge::Platform;
 use crate::node::edge::TargetsReading;
 use crate::node::fleet::FleetChange;
+use crate::node::fleet::Listing;
+use crate::node::pulse::ListDigest;
 use crate::node::reading;
 use crate::node::state::Stage;
 use crate::node::state::State;
@@ -22,20 +26,29 @@
 const READER_WAIT: Duration = Duration::from_millis(2_000);
 /// The same for other nodes, which hear of new rules from the reader.
 const OTHERS_WAIT: Duration = Duration::from_millis(20_000);
+/// Targets told in one datagram.
+const LISTINGS_A_DATAGRAM: usize = 6;
 /// Pause after a call that failed, doubled each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
-const PAUSE_DOUBLINGS: u32 = 2;
+/// How often it doubles for rules, of which other nodes tell as well, and for targets.
+const RULES_DOUBLINGS: u32 = 4;
+const TARGETS_DOUBLINGS: u32 = 2;
 
 /// Tells whether a dependency answers, and logs when that changes.
 #[derive(Debug)]
 struct Watch {
     what: &'static str,
+    doublings: u32,
     failures: u32,
 }
 
 impl Watch {
-    fn new(what: &'static str) -> Self {
-        Self { what, failures: 0 }
+    fn new(what: &'static str, doublings: u32) -> Self {
+        Self {
+            what,
+            doublings,
+            failures: 0,
+        }
     }
 
     fn answered(&mut self, state: &State) {
@@ -55,7 +68,7 @@
                 line.show("error", error);
             });
         }
-        let doublings = self.failures.min(PAUSE_DOUBLINGS);
+        let doublings = self.failures.min(self.doublings);
         self.failures += 1;
         // Nodes that failed together must not come back together.
         (FIRST_PAUSE * 2u32.pow(doublings)).mul_f64(0.5 + rand::random::<f64>())
@@ -64,7 +77,7 @@
 
 /// Follows the rules until the process ends; `hint` rings when another node has newer ones.
 pub async fn rules(state: Rc<State>, platform: Rc<impl Platform>, hint: Rc<Notify>) {
-    let mut watch = Watch::new("rules");
+    let mut watch = Watch::new("rules", RULES_DOUBLINGS);
     let mut cursor: Option<Cursor> = None;
     loop {
         let wait = match state.is_reader.get() {
@@ -111,8 +124,8 @@
 }
 
 /// Follows the targets until the process ends.
-pub async fn targets(state: Rc<State>, platform: Rc<impl Platform>) {
-    let mut watch = Watch::new("targets");
+pub async fn targets(state: Rc<State>, platform: Rc<impl Platform>, peers: Rc<Peers>) {
+    let mut watch = Watch::new("targets", TARGETS_DOUBLINGS);
     let mut cursor: Option<Cursor> = None;
     while state.stage() < Stage::Ended {
         wait_for_turn(&state).await;
@@ -127,7 +140,7 @@
             Ok((next, reading)) => {
                 watch.answered(&state);
                 cursor = Some(next);
-                take_targets(&state, reading, now);
+                take_targets(&state, &peers, reading, now);
                 let digest = state.fleet.borrow().digest();
                 state.reading.borrow_mut().read(next, digest, now);
             }
@@ -158,20 +171,44 @@
     }
 }
 
-fn take_targets(state: &State, reading: TargetsReading, now: Instant) {
-    let mut fleet = state.fleet.borrow_mut();
-    let changes = match reading {
-        TargetsReading::Whole(entries) => fleet.replace(entries, now),
-        TargetsReading::Changes(listings) => fleet.update(listings, now),
-    };
-    drop(fleet);
-    tell_changes(state, &changes);
+fn take_targets(state: &State, peers: &Peers, reading: TargetsReading, now: Instant) {
+    match reading {
+        TargetsReading::Whole(entries) => {
+            let changes = state.fleet.borrow_mut().replace(entries, now);
+            changed(state, &changes);
+        }
+        TargetsReading::Changes(listings) => {
+            for part in listings.chunks(LISTINGS_A_DATAGRAM) {
+                let before = state.fleet.borrow().digest();
+                let changes = state.fleet.borrow_mut().update(part.to_vec(), now);
+                changed(state, &changes);
+                if !changes.is_empty() && state.is_reader.get() {
+                    peers.send_listings(before, part);
+                }
+            }
+        }
+    }
+}
+
+/// Takes changes that another node has read, if this one's list is as that node's was.
+pub fn take_listings(state: &State, before: ListDigest, listings: Vec<Listing>, now: Instant) {
+    if !state.fleet.borrow().is_known() || state.fleet.borrow().digest() != before {
+        return;
+    }
+    let changes = state.fleet.borrow_mut().update(listings, now);
+    changed(state, &changes);
+    let digest = state.fleet.borrow().digest();
+    state.reading.borrow_mut().told(digest);
+}
+
+fn changed(state: &State, changes: &[(TargetId, FleetChange)]) {
+    tell_changes(state, changes);
     if !changes.is_empty() {
         state.changed.notify_waiters();
     }
 }
 
-fn tell_changes(state: &State, changes: &[(crate::ids::TargetId, FleetChange)]) {
+fn tell_changes(state: &State, changes: &[(TargetId, FleetChange)]) {
     for (id, change) in changes {
         state.log.tell(Event::TargetChanged, |line| {
             line.text("target", id.as_str());
--- a/src/node/control/peers.rs
+++ b/src/node/control/peers.rs
@@ -17,13 +17,16 @@
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::VmId;
+use crate::node::control::follow;
 use crate::node::control::group::GroupHandle;
 use crate::node::control::group::GroupMessage;
 use crate::node::control::rows;
 use crate::node::control::rows::NodeRow;
+use crate::node::fleet::Listing;
 use crate::node::keys::election::Election;
 use crate::node::keys::election::Strength;
 use crate::node::pulse::Datagram;
+use crate::node::pulse::ListDigest;
 use crate::node::pulse::ListMark;
 use crate::node::pulse::MAX_DATAGRAM;
 use crate::node::pulse::Message;
@@ -63,7 +66,8 @@
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
-    boot: BootId,
+    /// Its process, once it was heard.
+    boot: Option<BootId>,
     data_centre: DataCentre,
     strength: Strength,
     known: Instant,
@@ -115,7 +119,7 @@
         for row in listed {
             let name = row.key.trim_start_matches(rows::NODE_PREFIX);
             match rows::read::<NodeRow>(&row.value) {
-                Some(node) => self.learn(&VmId::from(name), &node, now),
+                Some(node) => self.learn(&VmId::from(name), &node, None, now),
                 None => self.state.log.tell(Event::RowMalformed, |line| {
                     line.text("row", &row.key);
                 }),
@@ -190,6 +194,16 @@
         }
     }
 
+    /// Tells the nodes of this data centre what changed in a list that had the digest given.
+    pub fn send_listings(&self, before: ListDigest, listings: &[Listing]) {
+        let own = &self.state.conf.data_centre;
+        let bytes = self.datagram(Message::Listed(before, listings.to_vec()));
+        let peers = self.peers.borrow();
+        for peer in peers.values().filter(|peer| peer.data_centre == *own) {
+            self.post(peer.address, &bytes);
+        }
+    }
+
     /// Tells every node something; twice, since datagrams get lost.
     pub fn broadcast(&self, message: Message) {
         let bytes = self.datagram(message);
@@ -214,17 +228,21 @@
         let _ = self.socket.try_send_to(bytes, to);
     }
 
-    fn learn(&self, name: &VmId, node: &NodeRow, now: Instant) {
+    fn learn(&self, name: &VmId, node: &NodeRow, boot: Option<BootId>, now: Instant) {
         if *name == self.state.conf.name {
             return;
         }
         let mut peers = self.peers.borrow_mut();
-        if peers.get(name).is_some_and(|peer| peer.boot == node.boot) {
+        let is_known = |peer: &Peer| match boot {
+            Some(boot) => peer.boot == Some(boot),
+            None => peer.address == node.address,
+        };
+        if peers.get(name).is_some_and(is_known) {
             return;
         }
         let peer = Peer {
             address: node.address,
-            boot: node.boot,
+            boot,
             data_centre: node.data_centre.clone(),
             strength: Strength::default(),
             known: now,
@@ -254,16 +272,18 @@
                 self.tell(tag, || GroupMessage::Moved(sequence, places));
             }
             Message::Crashes(report) => self.state.crashes.merge(&report, now),
+            Message::Listed(before, listings) => {
+                follow::take_listings(&self.state, before, listings, now);
+            }
         }
     }
 
     fn take_pulse(&self, node: &VmId, boot: BootId, pulse: Pulse, from: SocketAddr, now: Instant) {
         let row = NodeRow {
             address: from,
-            boot,
             data_centre: pulse.data_centre,
         };
-        self.learn(node, &row, now);
+        self.learn(node, &row, Some(boot), now);
         self.take_loads(node, pulse.loads, now);
         if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
             peer.strength = pulse.strength;
--- a/src/node/control/rows.rs
+++ b/src/node/control/rows.rs
@@ -8,7 +8,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::ids::BootId;
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::VmId;
@@ -22,8 +21,6 @@
 pub struct NodeRow {
     /// Where it takes datagrams.
     pub address: SocketAddr,
-    /// Its process.
-    pub boot: BootId,
     /// Where it runs.
     pub data_centre: DataCentre,
 }
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -101,7 +101,11 @@
     });
     let hint = peers.rules_hint.clone();
     spawn(follow::rules(state.clone(), platform.clone(), hint));
-    spawn(follow::targets(state.clone(), platform.clone()));
+    spawn(follow::targets(
+        state.clone(),
+        platform.clone(),
+        peers.clone(),
+    ));
     spawn(peers.clone().receive());
     spawn(peers.clone().send());
     spawn(serve_ready(state.clone(), ready));
@@ -194,52 +198,70 @@
     }
 }
 
-/// Writes the node's row and reads those of the others.
+/// Makes the node known to the others, and learns of them.
 async fn register<T: Table>(state: Rc<State>, table: Rc<T>, peers: Rc<Peers>, address: SocketAddr) {
+    let key = rows::node_key(&state.conf.name);
     let row = NodeRow {
         address,
-        boot: state.boot,
         data_centre: state.conf.data_centre.clone(),
     };
+    // When all start at once, rows that are read before one's own is written may lack others'.
+    if state.conf.first_start {
+        write_row(&state, &*table, &key, &row).await;
+    }
+    let mut tries = 0;
+    while state.stage() < Stage::Ended {
+        state.counters.add(Counter::TableCalls);
+        match table.scan(rows::NODE_PREFIX).await {
+            Ok(listed) => {
+                tries = 0;
+                peers.learn_rows(&listed, Instant::now());
+                let own = listed.iter().find(|listed| listed.key == key);
+                if own.and_then(|own| rows::read(&own.value)).as_ref() != Some(&row) {
+                    write_row(&state, &*table, &key, &row).await;
+                    continue;
+                }
+            }
+            Err(error) => {
+                tell_row_failure(&state, &error);
+                pause(tries).await;
+                tries += 1;
+                continue;
+            }
+        }
+        tokio::time::sleep(ROWS_PERIOD).await;
+        while peers.all_heard(Instant::now()) {
+            tokio::time::sleep(ROWS_PERIOD).await;
+        }
+    }
+}
+
+/// Writes the node's row, however long it takes.
+async fn write_row<T: Table>(state: &State, table: &T, key: &str, row: &NodeRow) {
     let tx = Transaction {
         id: WriteId(rand::random()),
         conditions: Vec::new(),
-        mutations: vec![rows::put(rows::node_key(&state.conf.name), &row)],
+        mutations: vec![rows::put(key.to_owned(), row)],
     };
     let mut tries = 0;
     loop {
         state.counters.add(Counter::TableCalls);
         // A row written twice is the same row.
         match table.commit(&tx).await {
-            Ok(()) => break,
-            Err(error) => tell_row_failure(&state, &error),
+            Ok(()) => return,
+            Err(error) => tell_row_failure(state, &error),
         }
-        let pause = ROW_PAUSE * 2u32.pow(tries.min(ROW_DOUBLINGS));
+        pause(tries).await;
         tries += 1;
-        tokio::time::sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
-    }
-    let mut known = false;
-    while state.stage() < Stage::Ended {
-        if known && peers.all_heard(Instant::now()) {
-            tokio::time::sleep(ROWS_PERIOD).await;
-            continue;
-        }
-        state.counters.add(Counter::TableCalls);
-        let pause = match table.scan(rows::NODE_PREFIX).await {
-            Ok(listed) => {
-                peers.learn_rows(&listed, Instant::now());
-                known = true;
-                ROWS_PERIOD
-            }
-            Err(error) => {
-                tell_row_failure(&state, &error);
-                ROW_PAUSE * 2
-            }
-        };
-        tokio::time::sleep(pause).await;
     }
 }
 
+/// Nodes that failed together must not come back together.
+async fn pause(tries: u32) {
+    let pause = ROW_PAUSE * 2u32.pow(tries.min(ROW_DOUBLINGS));
+    tokio::time::sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+}
+
 fn tell_row_failure(state: &State, error: &crate::platform::TableError) {
     state.counters.add(Counter::TableFailures);
     state.log.tell(Event::TableWriteFailed, |line| {
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::DataCentre;
@@ -34,23 +36,31 @@
 const SHED_PAUSE: Duration = Duration::from_millis(60);
 
 /// What a target says of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Names the target.
+    #[serde(rename = "i")]
     pub id: TargetId,
     /// Tells the target's process from an earlier one of the same id: its start.
+    #[serde(rename = "l")]
     pub life: u64,
     /// The service that it belongs to.
+    #[serde(rename = "s")]
     pub service: ServiceId,
     /// Where it listens.
+    #[serde(rename = "a")]
     pub address: SocketAddr,
     /// Where it runs.
+    #[serde(rename = "d")]
     pub data_centre: DataCentre,
     /// Requests that it works on at a time.
+    #[serde(rename = "n")]
     pub slots: u32,
     /// Whether it is leaving.
+    #[serde(rename = "g")]
     pub draining: bool,
     /// How much longer it is slow after its start.
+    #[serde(rename = "w")]
     pub warm_up: Duration,
 }
 
@@ -207,11 +217,13 @@
 }
 
 /// A target or its end, as the list tells it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Listing {
     /// The target is listed.
+    #[serde(rename = "p")]
     Present(TargetEntry),
     /// The target is not listed any more, or its entry cannot be read.
+    #[serde(rename = "a")]
     Absent(TargetId),
 }
 
--- a/src/node/pulse.rs
+++ b/src/node/pulse.rs
@@ -12,6 +12,7 @@
 use crate::ids::TargetId;
 use crate::ids::VmId;
 use crate::node::edge::Cursor;
+use crate::node::fleet::Listing;
 use crate::node::keys::election::Strength;
 use crate::node::keys::view::Place;
 use crate::node::keys::view::Sequence;
@@ -62,6 +63,9 @@
     /// Requests that crash targets.
     #[serde(rename = "c")]
     Crashes(CrashReport),
+    /// What changed in the list of targets, for nodes whose list has the digest given.
+    #[serde(rename = "l")]
+    Listed(ListDigest, Vec<Listing>),
 }
 
 /// The regular sign of life.
--- a/src/node/reading.rs
+++ b/src/node/reading.rs
@@ -15,10 +15,10 @@
 pub const READER_WAIT: Duration = Duration::from_millis(800);
 /// The reader's pause after a call, so that changes in a row cost one.
 const READER_PAUSE: Duration = Duration::from_millis(100);
-/// Time between two reads of another node: short when targets left, long when some only joined,
-/// which at a start they do one after the other.
-const LEFT_PAUSE: Duration = Duration::from_millis(250);
-const JOINED_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time between two reads of another node that missed what the reader told: short when targets
+/// left, long when some only joined, which at a start they do one after the other.
+const LEFT_PAUSE: Duration = Duration::from_millis(500);
+const JOINED_PAUSE: Duration = Duration::from_millis(1_500);
 /// How old the news of the others may be before they read themselves: more than the reader's wait
 /// and the way, less than the 2 s after which a target that leaves must get no work.
 const PATIENCE: Duration = Duration::from_millis(1_500);
@@ -73,6 +73,12 @@
         self.differs = None;
     }
 
+    /// Records that the list has changed by what another node told.
+    pub fn told(&mut self, digest: ListDigest) {
+        self.digest = digest;
+        self.differs = None;
+    }
+
     /// Records what another node of the data centre has read.
     pub fn heard(&mut self, mark: ListMark, now: Instant) {
         if mark.cursor < self.cursor {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -39,6 +39,8 @@
     pub name: VmId,
     /// Where it runs.
     pub data_centre: DataCentre,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Its processing power.
     pub strength: Strength,
     /// Header fields that it shares with callers and targets.
