Move keys only from owners that are busy, beyond chance

Change: load is the part of what an owner can do; keys move from owners that are busy for 0.45 of it, by 0.2 more than the idlest, and two deviations over the mean.

--- a/src/node/control/group.rs
+++ b/src/node/control/group.rs
@@ -59,6 +59,8 @@
 const WRITE_PAUSE: Duration = Duration::from_millis(150);
 /// Weight of the newest sample of a target's speed; each is an average already.
 const SPEED_WEIGHT: f64 = 0.2;
+/// What targets are taken to need for a request before any has told, in milliseconds.
+const USUAL_MS: f64 = 200.0;
 /// The speed of a target counts between these, relative to the mean.
 const SLOWEST: f64 = 0.5;
 const FASTEST: f64 = 1.6;
@@ -672,10 +674,16 @@
         let targets = fleet.of(&self.service);
         let speed = |target: &Rc<Target>| self.speeds.get(&target_tag(&target.entry.id)).copied();
         let known: Vec<f64> = targets.iter().filter_map(speed).collect();
-        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        let mean = match known.len() {
+            0 => USUAL_MS,
+            count => known.iter().sum::<f64>() / count as f64,
+        };
         targets
             .iter()
-            .map(|target| candidate(target, speed(target).map(|ms| mean / ms)))
+            .map(|target| {
+                let ms = speed(target).unwrap_or(mean);
+                candidate(target, ms.clamp(mean / FASTEST, mean / SLOWEST))
+            })
             .collect()
     }
 
@@ -707,16 +715,15 @@
     }
 }
 
-/// Returns a target as one that may own keys; `speed` is relative to the mean, if known.
-fn candidate(target: &Target, speed: Option<f64>) -> Candidate {
-    let speed = speed.map_or(1.0, |speed| speed.clamp(SLOWEST, FASTEST));
+/// Returns a target that takes this many milliseconds as one that may own keys.
+fn candidate(target: &Target, ms: f64) -> Candidate {
     Candidate {
         holder: Holder {
             id: target.entry.id.clone(),
             life: target.entry.life,
         },
         address: target.entry.address,
-        capacity: f64::from(target.entry.slots.max(1)) * speed,
+        capacity: f64::from(target.entry.slots.max(1)) * 1e3 / ms,
         leaving: target.leaving.get(),
         trial: false,
     }
--- a/src/node/keys/heat.rs
+++ b/src/node/keys/heat.rs
@@ -8,6 +8,8 @@
 
 /// The time in which a count falls to half: short, since busy keys change within seconds.
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Turns a count into requests a second: what decays in a second is what comes in.
+const PER_SECOND: f64 = std::f64::consts::LN_2 / 1.5;
 /// Counts below this are forgotten.
 const LEAST_COUNT: f64 = 0.05;
 
@@ -43,12 +45,15 @@
         });
     }
 
-    /// Returns the count of all keys of a range.
+    /// Returns the requests a second for all keys of a range.
     pub fn of(&self, range: KeyRange) -> f64 {
-        self.counts
-            .range(range.first..=range.last)
-            .map(|(_, count)| count)
-            .sum()
+        let counts = self.counts.range(range.first..=range.last);
+        counts.map(|(_, count)| count).sum::<f64>() * PER_SECOND
+    }
+
+    /// Returns how far a rate may be off by chance, as a standard deviation.
+    pub fn deviation(rate: f64) -> f64 {
+        (rate * PER_SECOND).sqrt()
     }
 
     /// Returns the busiest key of a range.
@@ -58,13 +63,13 @@
         Some(*busiest.0)
     }
 
-    /// Returns the last key of the shortest start of a range that has at least this count, if
+    /// Returns the last key of the shortest start of a range that has at least this rate, if
     /// something is left behind it.
-    pub fn cut(&self, range: KeyRange, count: f64) -> Option<u16> {
+    pub fn cut(&self, range: KeyRange, rate: f64) -> Option<u16> {
         let mut sum = 0.0;
         for (&key, each) in self.counts.range(range.first..=range.last) {
-            sum += each;
-            if sum >= count {
+            sum += each * PER_SECOND;
+            if sum >= rate {
                 return (key < range.last).then_some(key);
             }
         }
--- a/src/node/keys/leader.rs
+++ b/src/node/keys/leader.rs
@@ -57,8 +57,8 @@
 const MOST_MOVES: usize = 6;
 /// How often the load is looked at for moves.
 const BALANCE_PERIOD: Duration = Duration::from_millis(500);
-/// Requests counted for a range below which it may move just to have fewer ranges.
-const COLD_LOAD: f64 = 2.0;
+/// Requests a second for a range below which it may move just to have fewer ranges.
+const COLD_LOAD: f64 = 1.0;
 /// Most ranges that move at a time for that.
 const MOST_TIDIED: usize = 2;
 /// Ranges per owner above which ranges are joined.
--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -8,8 +8,12 @@
 
 /// A move is worth its interruption once the busiest owner has this many times the mean load.
 const HOT_RATIO: f64 = 1.3;
-/// And at least this many counted requests more than the idlest, per unit of capacity.
-const LEAST_DIFFERENCE: f64 = 3.0;
+/// And once it is busy for this part of its capacity: below, requests hardly wait.
+const LEAST_BUSY: f64 = 0.45;
+/// And when it is busier than the idlest by this part.
+const LEAST_DIFFERENCE: f64 = 0.2;
+/// And when its load is over the mean by this many standard deviations of its count.
+const DEVIATIONS: f64 = 2.0;
 /// One in so many owners, the busiest, is left out of the mean.
 const BUSIEST_PART: usize = 12;
 /// A key that is too busy for its owner moves to one that has this many times the capacity.
@@ -24,7 +28,7 @@
     pub holder: Holder,
     /// Where its orders go.
     pub address: std::net::SocketAddr,
-    /// How much it can do, relative to the others; above 0.
+    /// The requests that it can do in a second; above 0.
     pub capacity: f64,
     /// Whether it is to lose its keys.
     pub leaving: bool,
@@ -116,8 +120,11 @@
     }
     let mean = loads.mean(open());
     let is_hot = |hot: &&&Candidate| {
-        let difference = loads.relative(hot) - loads.relative(cold);
-        loads.relative(hot) >= HOT_RATIO * mean && difference >= LEAST_DIFFERENCE
+        let busy = loads.relative(hot);
+        let over = (busy - mean) * hot.capacity;
+        busy >= (HOT_RATIO * mean).max(LEAST_BUSY)
+            && busy - loads.relative(cold) >= LEAST_DIFFERENCE
+            && over >= DEVIATIONS * Heat::deviation(busy * hot.capacity)
     };
     // The busiest may have nothing to give: a key that is busy alone stays where it is.
     let hot = others
