--- a/src/node/control/follow.rs
+++ b/src/node/control/follow.rs
@@ -86,8 +86,9 @@
         };
         let reading = tokio::select! {
             reading = platform.rules(cursor, wait) => reading,
-            // The call may wait on a connection that has gone silent.
-            () = hint.notified() => {
+            // The call may wait on a connection that has gone silent; one that reads the rules
+            // whole answers soon, also where the store is slow.
+            () = hint.notified(), if cursor.is_some() => {
                 cursor = None;
                 continue;
             }
--- a/src/node/control/peers.rs
+++ b/src/node/control/peers.rs
@@ -25,6 +25,7 @@
 use crate::node::fleet::Listing;
 use crate::node::keys::election::Election;
 use crate::node::keys::election::Strength;
+use crate::node::lag::RulesLag;
 use crate::node::pulse::Datagram;
 use crate::node::pulse::ListDigest;
 use crate::node::pulse::ListMark;
@@ -59,8 +60,6 @@
 const KEYS_A_DATAGRAM: usize = 120;
 /// Targets whose speed is told in one datagram.
 const SPEEDS_A_DATAGRAM: usize = 40;
-/// How long another node's rules may be newer before this one asks again for them.
-const RULES_PATIENCE: Duration = Duration::from_millis(400);
 
 /// Another node.
 #[derive(Debug)]
@@ -84,7 +83,7 @@
     groups: RefCell<BTreeMap<ServiceId, GroupHandle>>,
     /// Rings when another node has had newer rules for a while.
     pub rules_hint: Rc<Notify>,
-    behind: Cell<Option<Instant>>,
+    lag: RefCell<RulesLag>,
     crashes_told: Cell<u64>,
     periods: Cell<u64>,
 }
@@ -98,7 +97,7 @@
             peers: RefCell::default(),
             groups: RefCell::default(),
             rules_hint: Rc::default(),
-            behind: Cell::new(None),
+            lag: RefCell::default(),
             crashes_told: Cell::new(0),
             periods: Cell::new(0),
         }
@@ -341,14 +340,8 @@
     }
 
     fn compare_rules(&self, theirs: u64, now: Instant) {
-        if theirs <= self.state.rules_version() {
-            self.behind.set(None);
-            return;
-        }
-        let since = self.behind.get().unwrap_or(now);
-        self.behind.set(Some(since));
-        if now.saturating_duration_since(since) >= RULES_PATIENCE {
-            self.behind.set(Some(now));
+        let own = self.state.rules_version();
+        if self.lag.borrow_mut().heard(theirs, own, now) {
             self.rules_hint.notify_one();
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod http;
 pub mod keys;
+pub mod lag;
 pub mod log;
 pub mod pick;
 pub mod proxy;
