--- a/src/node/allowance.rs
+++ b/src/node/allowance.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Spends by another bound from now on.
+    pub fn set_bound(&mut self, bound: AllowanceBound) {
+        self.bound = bound;
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn first(&mut self, now: Instant) {
         self.step(now).firsts += 1;
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -13,6 +13,7 @@
 use crate::events::Event;
 use crate::ids::ServiceId;
 use crate::node::counters::Counter;
+use crate::node::log::Line;
 use crate::node::proxy::attempt::Request;
 use crate::node::proxy::attempt::Rest;
 use crate::node::proxy::conn::Conn;
@@ -247,8 +248,7 @@
                 line.text("id", &String::from_utf8_lossy(&request.id));
                 line.text("service", task.service.as_str());
                 line.text("why", why);
-                line.number("age_ms", task.started.elapsed().as_millis() as u64);
-                line.number("rules", state.rules_version());
+                tell_inputs(state, task, line);
             });
             let left = task.limit.saturating_duration_since(Instant::now());
             let out = Own::refusal(refusal, left).encode(close);
@@ -257,6 +257,38 @@
     }
 }
 
+/// Adds what a refusal was decided by.
+fn tell_inputs(state: &State, task: &Task, line: &mut Line) {
+    let now = Instant::now();
+    line.number("age_ms", task.started.elapsed().as_millis() as u64);
+    line.number("rules", state.rules_version());
+    let list = state.reading.borrow().mark(now);
+    line.number("list", list.cursor.0);
+    line.number("list_age_ms", list.age_ms.into());
+    let fleet = state.fleet.borrow();
+    let Some(key) = task.key else {
+        let open = fleet.of(&task.service).iter().filter(|t| !t.is_shut(now));
+        line.number("open_targets", open.count() as u64);
+        return;
+    };
+    line.number("key", key.into());
+    let views = state.views.borrow();
+    let Some(view) = views.get(&task.service) else {
+        return;
+    };
+    line.number("term", view.sequence().term);
+    line.number("sequence", view.sequence().number);
+    let Some(place) = view.find(key) else {
+        return;
+    };
+    line.text("held", if place.pending { "no" } else { "yes" });
+    if let Some(owner) = place.owner.as_ref().and_then(|id| fleet.get(id)) {
+        line.text("owner", owner.entry.id.as_str());
+        line.number("load", owner.load().into());
+        line.number("slots", owner.entry.slots.into());
+    }
+}
+
 fn ended(state: &State, task: &Task, outcome: &'static str) {
     state
         .counters
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -32,6 +32,15 @@
 /// for nodes that are counted late.
 const CONNECTION_PART: f64 = 0.8;
 
+/// What a node is told at its start, and again while it runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// The bound on repeats.
+    pub allowance: AllowanceBound,
+    /// The time from the signal to stop to the forced end.
+    pub grace: Duration,
+}
+
 /// What a node is told at its start.
 #[derive(Clone, Debug)]
 pub struct NodeConf {
@@ -45,12 +54,10 @@
     pub strength: Strength,
     /// Header fields that it shares with callers and targets.
     pub headers: HeaderNames,
-    /// The bound on repeats.
-    pub allowance: AllowanceBound,
+    /// What may change while the node runs.
+    pub bounds: Bounds,
     /// The longest hold that targets accept.
     pub hold_max: Duration,
-    /// The time from the signal to stop to the forced end.
-    pub grace: Duration,
     /// Descriptors that the process may have open for sockets.
     pub max_sockets: usize,
     /// Memory that the process may use, in bytes.
@@ -75,6 +82,8 @@
 pub struct State {
     /// What the node was told.
     pub conf: NodeConf,
+    /// The bounds in force.
+    bounds: Cell<Bounds>,
     /// The process.
     pub boot: BootId,
     /// The rules in force.
@@ -120,6 +129,7 @@
     /// Starts without rules or targets.
     pub fn new(conf: NodeConf, log: Log) -> Self {
         Self {
+            bounds: Cell::new(conf.bounds),
             conf,
             boot: BootId(rand::random()),
             router: RefCell::default(),
@@ -144,6 +154,22 @@
         }
     }
 
+    /// Returns the bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Puts other bounds in force; returns whether they differ.
+    pub fn set_bounds(&self, bounds: Bounds) -> bool {
+        if self.bounds.replace(bounds) == bounds {
+            return false;
+        }
+        let mut allowances = self.allowances.borrow_mut();
+        let each = allowances.values_mut();
+        each.for_each(|allowance| allowance.set_bound(bounds.allowance));
+        true
+    }
+
     /// Returns the stage of the graceful shutdown.
     pub fn stage(&self) -> Stage {
         self.stage.get()
@@ -220,7 +246,7 @@
         if let Some(allowance) = allowances.get_mut(service) {
             return work(allowance);
         }
-        let fresh = Allowance::new(self.conf.allowance);
+        let fresh = Allowance::new(self.bounds().allowance);
         work(allowances.entry(service.clone()).or_insert(fresh))
     }
 }
