Split the leader, the group, the peers and the serving of callers by duty

Change: files of their own for orders, spans, moves and balance of a leader; for campaigns and orders of a group; for what peers send; for reading a caller's request. No line of logic changed.

--- /dev/null
+++ b/src/node/control/group/lead.rs
@@ -0,0 +1,256 @@
+//! What a leader does with the decisions of [`Leader`](crate::node::keys::leader::Leader).
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::clock::Clock;
+use crate::events::Event;
+use crate::node::control::group::Group;
+use crate::node::control::group::GroupMessage;
+use crate::node::control::rows;
+use crate::node::counters::Counter;
+use crate::node::edge::Platform;
+use crate::node::fleet::Target;
+use crate::node::keys::election::Lease;
+use crate::node::keys::leader::Action;
+use crate::node::keys::leader::Command;
+use crate::node::keys::leader::Order;
+use crate::node::keys::leader::OrderEnd;
+use crate::node::keys::map::Holder;
+use crate::node::keys::map::KeyMap;
+use crate::node::keys::plan::Candidate;
+use crate::node::keys::view::Place;
+use crate::node::keys::view::Sequence;
+use crate::node::pulse::Message;
+use crate::node::pulse::Tag;
+use crate::node::pulse::target_tag;
+use crate::platform::Condition;
+use crate::platform::Row;
+use crate::platform::Table;
+use crate::platform::Transaction;
+use crate::platform::WriteId;
+
+/// How often a leader has the table confirm its lease; well within its right.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(3_000);
+/// Pause after a write of the map failed.
+const WRITE_PAUSE: Duration = Duration::from_millis(150);
+/// Weight of the newest sample of a target's speed; each is an average already.
+const SPEED_WEIGHT: f64 = 0.2;
+/// What targets are taken to need for a request before any has told, in milliseconds.
+const USUAL_MS: f64 = 200.0;
+/// The speed of a target counts between these, relative to the mean.
+const SLOWEST: f64 = 0.5;
+const FASTEST: f64 = 1.6;
+
+impl<T: Table + 'static, P: Platform> Group<T, P> {
+    pub(super) fn lead(&mut self, now: Instant) {
+        let candidates = self.candidates();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let mut actions = leading.leader.tick(now, &candidates, &self.heat);
+        let due = now.saturating_duration_since(leading.checked) >= CONFIRM_PERIOD;
+        if due {
+            actions.push(Action::CheckLease);
+        }
+        self.act(actions);
+    }
+
+    pub(super) fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Write(map) => self.write(&map),
+                Action::Send(order) => self.order(order),
+                Action::Announce(sequence, places) => self.announce(sequence, places),
+                Action::CheckLease => self.check_lease(),
+            }
+        }
+    }
+
+    pub(super) fn announce(&mut self, sequence: Sequence, places: Vec<Place>) {
+        self.state.counters.add(Counter::MovesAnnounced);
+        for place in &places {
+            self.state.log.tell(Event::KeysMoved, |line| {
+                line.text("service", self.service.as_str());
+                line.number("first", place.range.first.into());
+                line.number("last", place.range.last.into());
+                line.text("owner", place.owner.as_ref().map_or("", |id| id.as_str()));
+                line.text("held", if place.pending { "no" } else { "yes" });
+                line.number("term", sequence.term);
+                line.number("sequence", sequence.number);
+            });
+        }
+        let mut views = self.state.views.borrow_mut();
+        let view = views.entry(self.service.clone()).or_default();
+        if !view.is_known() || view.sequence().term != sequence.term {
+            let map = self.leading.as_ref().map(|leading| leading.leader.map());
+            let map: KeyMap = map.unwrap_or_default();
+            let before = Sequence {
+                number: sequence.number - 1,
+                ..sequence
+            };
+            view.load(&map, before);
+        }
+        view.apply(sequence, &places);
+        drop(views);
+        self.state.changed.notify_waiters();
+        let tag = Tag::of(self.service.as_str());
+        self.peers.broadcast(Message::Moved(tag, sequence, places));
+    }
+
+    pub(super) fn order(&self, order: Order) {
+        self.state.counters.add(Counter::Orders);
+        let (platform, handle) = (self.platform.clone(), self.handle.clone());
+        let (state, service) = (self.state.clone(), self.service.clone());
+        tokio::task::spawn_local(async move {
+            let end = platform.order(&order).await;
+            if !matches!(end, OrderEnd::Done(_)) {
+                state.counters.add(Counter::OrderFailures);
+                state.log.tell(Event::OrderFailed, |line| {
+                    line.text("service", service.as_str());
+                    line.text("target", order.to.id.as_str());
+                    line.number("first", order.range.first.into());
+                    line.number("last", order.range.last.into());
+                    line.number("fence", order.fence.0);
+                    let command = match order.command {
+                        Command::Grant { .. } => "grant",
+                        Command::Release => "release",
+                    };
+                    line.text("order", command);
+                    line.text("end", &format!("{end:?}"));
+                });
+            }
+            handle.post(GroupMessage::Ended(order.id, end));
+        });
+    }
+
+    pub(super) fn write(&self, map: &KeyMap) {
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let revision = leading.map_revision.clone();
+        let conditions = vec![
+            Condition {
+                key: self.lease_key(),
+                revision: leading.lease_revision,
+            },
+            Condition {
+                key: self.map_key(),
+                revision: revision.get(),
+            },
+        ];
+        let tx = Transaction {
+            id: WriteId(rand::random()),
+            conditions,
+            mutations: vec![rows::put(self.map_key(), map)],
+        };
+        let (table, key, handle) = (self.table.clone(), self.map_key(), self.handle.clone());
+        let state = self.state.clone();
+        tokio::task::spawn_local(async move {
+            state.counters.add(Counter::TableCalls);
+            let failed = table.commit(&tx).await.err();
+            if let Some(error) = &failed {
+                state.counters.add(Counter::TableFailures);
+                state.log.tell(Event::TableWriteFailed, |line| {
+                    line.text("row", &key);
+                    line.show("error", error);
+                });
+                tokio::time::sleep(WRITE_PAUSE).await;
+            }
+            state.counters.add(Counter::TableCalls);
+            let written = match table.get(&key).await {
+                Ok(row) => {
+                    revision.set(row.as_ref().map_or(0, |row| row.revision));
+                    Ok(row.is_some_and(|row| row.writer == tx.id))
+                }
+                Err(_) => Err(()),
+            };
+            handle.post(GroupMessage::Written(written));
+        });
+    }
+
+    pub(super) fn written(&mut self, written: Result<bool, ()>) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.leader.write_ended(written == Ok(true));
+        if written == Ok(false) {
+            self.check_lease();
+        }
+    }
+
+    pub(super) fn check_lease(&mut self) {
+        let key = self.lease_key();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if std::mem::replace(&mut leading.checking, true) {
+            return;
+        }
+        leading.checked = self.clock.now();
+        let (table, handle) = (self.table.clone(), self.handle.clone());
+        let (state, begun) = (self.state.clone(), leading.checked);
+        tokio::task::spawn_local(async move {
+            state.counters.add(Counter::TableCalls);
+            let row = table.get(&key).await;
+            handle.post(GroupMessage::Lease(row.ok().flatten(), begun));
+        });
+    }
+
+    pub(super) fn lease_read(&mut self, row: Option<Row>, begun: Instant, now: Instant) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.checking = false;
+        let Some(row) = row else {
+            return;
+        };
+        if row.revision == leading.lease_revision {
+            leading.leader.confirmed(begun);
+            return;
+        }
+        if let Some(lease) = rows::read::<Lease>(&row.value) {
+            self.election.read(&lease, now);
+        }
+        self.step_down("the lease is another node's", now);
+    }
+
+    pub(super) fn learn_speed(&mut self, target: Tag, ms: u16) {
+        let sample = f64::from(ms.max(1));
+        let held = self.speeds.entry(target).or_insert(sample);
+        *held += (sample - *held) * SPEED_WEIGHT;
+    }
+
+    pub(super) fn candidates(&self) -> Vec<Candidate> {
+        let fleet = self.state.fleet.borrow();
+        let targets = fleet.of(&self.service);
+        let speed = |target: &Rc<Target>| self.speeds.get(&target_tag(&target.entry.id)).copied();
+        let known: Vec<f64> = targets.iter().filter_map(speed).collect();
+        let mean = match known.len() {
+            0 => USUAL_MS,
+            count => known.iter().sum::<f64>() / count as f64,
+        };
+        targets
+            .iter()
+            .map(|target| {
+                let ms = speed(target).unwrap_or(mean);
+                candidate(target, ms.clamp(mean / FASTEST, mean / SLOWEST))
+            })
+            .collect()
+    }
+}
+
+/// Returns a target that takes this many milliseconds as one that may own keys.
+fn candidate(target: &Target, ms: f64) -> Candidate {
+    Candidate {
+        holder: Holder {
+            id: target.entry.id.clone(),
+            life: target.entry.life,
+        },
+        address: target.entry.address,
+        capacity: f64::from(target.entry.slots.max(1)) * 1e3 / ms,
+        leaving: target.leaving.get(),
+        trial: false,
+    }
+}
