Know a dead leader from the process that runs on its node

Change: the holder of a lease counts as dead when another process was heard from its node; a node that has just started waits 0.35 s. tests/node_election.rs.

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -40,11 +40,13 @@
             .is_some_and(|held| held.term > self.election.term());
         if let Some(held) = &lease
             && newer
-            && held.boot != self.state.boot
         {
-            // Its holder has only just taken it, and may not have told yet.
-            self.election.read(held, now);
-            return;
+            if !self.has_died(held) {
+                // Its holder has only just taken it, and may not have told yet.
+                self.election.read(held, now);
+                return;
+            }
+            self.election.ended(held.term, now);
         }
         let revision = row.map_or(0, |row| row.revision);
         let next = self
@@ -56,6 +58,16 @@
         }
     }
 
+    /// Returns whether the process that holds a lease is known to have ended: another one runs on
+    /// its node.
+    fn has_died(&self, held: &Lease) -> bool {
+        let running = match held.node == self.state.conf.name {
+            true => Some(self.state.boot),
+            false => self.peers.boot_of(&held.node),
+        };
+        running.is_some_and(|boot| boot != held.boot)
+    }
+
     /// Writes the lease; returns its revision if the write took effect.
     pub(super) async fn take_lease(&self, next: &Lease, revision: u64) -> Option<u64> {
         let key = self.lease_key();
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -19,6 +19,9 @@
 
 /// A leader that is silent for this long is taken for lost; it tells of itself every 150 ms.
 const SILENCE: Duration = Duration::from_millis(650);
+/// The same for a node that has just started: a leader tells of itself every 300 ms at least, and
+/// the lease row is looked at before it is taken.
+const FIRST_SILENCE: Duration = Duration::from_millis(350);
 /// How much longer each further rank waits, so that one try ends before the next begins.
 const RANK_STEP: Duration = Duration::from_millis(250);
 /// Ranks beyond this wait no longer: by then the table decides.
@@ -73,7 +76,7 @@
             service,
             term: 0,
             leader: None,
-            heard: now,
+            heard: now.checked_sub(SILENCE - FIRST_SILENCE).unwrap_or(now),
             retry: now,
             ended: BTreeSet::new(),
         }
--- /dev/null
+++ b/tests/node_election.rs
@@ -0,0 +1,101 @@
+//! Who tries to take a lease, when, and what a new leader knows of earlier ones.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+
+use gooseberryloft::ids::BootId;
+use gooseberryloft::ids::ServiceId;
+use gooseberryloft::ids::VmId;
+use gooseberryloft::node::keys::election::Election;
+use gooseberryloft::node::keys::election::Lease;
+use gooseberryloft::node::keys::election::Strength;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn start() -> Instant {
+    Instant::now() + Duration::from_secs(100)
+}
+
+fn lease(term: u64, node: &str, boot: u64) -> Lease {
+    Lease {
+        term,
+        node: VmId::from(node),
+        boot: BootId(boot),
+        doubted: Vec::new(),
+    }
+}
+
+#[googletest::test]
+fn a_silent_leader_is_replaced_in_the_order_of_ranks() {
+    let now = start();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    election.heard(3, &VmId::from("a"), BootId(1), now);
+    expect_that!(election.should_campaign(0, now + MS(600)), eq(false));
+    expect_that!(election.should_campaign(0, now + MS(660)), eq(true));
+    expect_that!(election.should_campaign(1, now + MS(660)), eq(false));
+    expect_that!(election.should_campaign(1, now + MS(910)), eq(true));
+}
+
+#[googletest::test]
+fn a_leader_that_stopped_is_replaced_at_once() {
+    let now = start();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    election.heard(3, &VmId::from("a"), BootId(1), now);
+    election.ended(3, now + MS(10));
+    expect_that!(election.should_campaign(0, now + MS(11)), eq(true));
+}
+
+#[googletest::test]
+fn another_process_on_its_node_ends_a_leader() {
+    let now = start();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    election.heard(3, &VmId::from("a"), BootId(1), now);
+    election.runs(&VmId::from("a"), BootId(2), now + MS(10));
+    expect_that!(election.should_campaign(0, now + MS(11)), eq(true));
+    let next = election.next_lease(Some(&lease(3, "a", 1)), &VmId::from("b"), BootId(9));
+    expect_that!(next.term, eq(4));
+    expect_that!(next.doubted, is_empty());
+}
+
+#[googletest::test]
+fn a_lease_names_the_earlier_leaders_that_may_still_act() {
+    let now = start();
+    let election = Election::new(ServiceId::from("search"), now);
+    let first = election.next_lease(Some(&lease(3, "a", 1)), &VmId::from("b"), BootId(9));
+    expect_that!(first.doubted.len(), eq(1));
+    let second = election.next_lease(Some(&first), &VmId::from("c"), BootId(8));
+    let terms: Vec<u64> = second.doubted.iter().map(|former| former.term).collect();
+    expect_that!(terms, elements_are![eq(&3), eq(&4)]);
+}
+
+#[googletest::test]
+fn an_earlier_term_is_not_believed() {
+    let now = start();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    election.heard(5, &VmId::from("a"), BootId(1), now);
+    expect_that!(
+        election.heard(4, &VmId::from("b"), BootId(2), now),
+        eq(false)
+    );
+    expect_that!(election.term(), eq(5));
+}
+
+#[googletest::test]
+fn the_strongest_come_first_and_all_ranks_differ() {
+    let election = Election::new(ServiceId::from("search"), start());
+    let names: Vec<VmId> = ["a", "b", "c", "d"].map(VmId::from).to_vec();
+    let strength = |at: usize| Strength(if at == 2 { 50 } else { 10 });
+    let all = || {
+        names
+            .iter()
+            .enumerate()
+            .map(|(at, name)| (name, strength(at)))
+    };
+    let ranks: Vec<u32> = all().map(|own| election.rank(own, all())).collect();
+    expect_that!(ranks[2], eq(0));
+    let mut sorted = ranks.clone();
+    sorted.sort_unstable();
+    expect_that!(sorted, elements_are![eq(&0), eq(&1), eq(&2), eq(&3)]);
+}
