--- a/src/node/control/follow.rs
+++ b/src/node/control/follow.rs
@@ -18,6 +18,7 @@
 use crate::node::fleet::Listing;
 use crate::node::pulse::ListDigest;
 use crate::node::reading;
+use crate::node::rules::Rules;
 use crate::node::state::Stage;
 use crate::node::state::State;
 
@@ -112,7 +113,7 @@
     }
 }
 
-fn take_rules(state: &State, rules: crate::node::rules::Rules) {
+fn take_rules(state: &State, rules: Rules) {
     let (version, before) = (rules.version, state.rules_version());
     let routes = rules.routes.len() as u64;
     if state.put_in_force(rules) {
--- a/src/node/log.rs
+++ b/src/node/log.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::fmt::Write;
 use std::time::Instant;
@@ -27,7 +28,7 @@
 pub struct Log {
     node: String,
     waiting: RefCell<Vec<u8>>,
-    rates: RefCell<std::collections::BTreeMap<u16, (Instant, u32)>>,
+    rates: RefCell<BTreeMap<u16, (Instant, u32)>>,
     dropped: Cell<u64>,
 }
 
--- a/src/node/pick.rs
+++ b/src/node/pick.rs
@@ -22,6 +22,8 @@
 const FAILING_COST: f64 = 8.0;
 /// Slowness of a target that has just started.
 const COLD_FACTOR: f64 = 2.0;
+/// Slowness of a target that has answered nothing yet: below the mean, so that it is tried.
+const UNKNOWN_SPEED: f64 = 0.6;
 /// Random part of the cost, so that nodes with the same view do not all choose alike.
 const JITTER: f64 = 0.1;
 /// Part of the objective in which a target should answer the last request that it takes.
@@ -100,7 +102,8 @@
     let busy = (load / slots).min(1.0);
     let mut speed = match target.latency() {
         Some(latency) if mean > 0.0 => latency / mean,
-        _ => 1.0,
+        Some(_) => 1.0,
+        None => UNKNOWN_SPEED,
     };
     if target.is_cold(choice.now) {
         speed *= COLD_FACTOR;
--- /dev/null
+++ b/tests/node_pick.rs
@@ -0,0 +1,94 @@
+//! Which target takes a request.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+
+use gooseberryloft::ids::DataCentre;
+use gooseberryloft::ids::ServiceId;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::node::fleet::Fleet;
+use gooseberryloft::node::fleet::Target;
+use gooseberryloft::node::fleet::TargetEntry;
+use gooseberryloft::node::pick::Choice;
+use gooseberryloft::node::pick::choose;
+use gooseberryloft::node::rules::Kind;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn fleet(places: &[(&str, &str)]) -> Fleet {
+    let entry = |(id, place): &(&str, &str)| TargetEntry {
+        id: TargetId::from(*id),
+        life: 1,
+        service: ServiceId::from("desk"),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        data_centre: DataCentre::from(*place),
+        slots: 2,
+        draining: false,
+        warm_up: Duration::ZERO,
+    };
+    let mut fleet = Fleet::default();
+    fleet.replace(places.iter().map(entry).collect(), Instant::now());
+    fleet
+}
+
+fn targets(fleet: &Fleet) -> &[Rc<Target>] {
+    fleet.of(&ServiceId::from("desk"))
+}
+
+fn pick(fleet: &Fleet, kind: Kind, tried: &[TargetId]) -> Option<String> {
+    let home = DataCentre::from("a");
+    let choice = Choice {
+        now: Instant::now(),
+        data_centre: &home,
+        kind,
+        objective: MS(600),
+        tried,
+        max_connections: 10,
+    };
+    let chosen = choose(targets(fleet), &choice, || 0.0)?;
+    Some(chosen.entry.id.as_str().to_owned())
+}
+
+#[googletest::test]
+fn a_target_that_has_answered_nothing_yet_is_tried() {
+    let fleet = fleet(&[("old", "a"), ("new", "a")]);
+    targets(&fleet)[0].answered(MS(100), false, Instant::now());
+    expect_that!(pick(&fleet, Kind::Safe, &[]), some(eq("new")));
+}
+
+#[googletest::test]
+fn large_answers_stay_near_while_there_is_room() {
+    let fleet = fleet(&[("near", "a"), ("far", "b")]);
+    targets(&fleet)[0].in_flight.set(2);
+    expect_that!(pick(&fleet, Kind::Download, &[]), some(eq("near")));
+    expect_that!(pick(&fleet, Kind::Safe, &[]), some(eq("far")));
+}
+
+#[googletest::test]
+fn a_target_is_not_asked_twice() {
+    let fleet = fleet(&[("one", "a"), ("two", "a")]);
+    let tried = [TargetId::from("one")];
+    expect_that!(pick(&fleet, Kind::Safe, &tried), some(eq("two")));
+    let both = [TargetId::from("one"), TargetId::from("two")];
+    expect_that!(pick(&fleet, Kind::Safe, &both), none());
+}
+
+#[googletest::test]
+fn work_that_must_not_repeat_avoids_targets_that_just_failed() {
+    let fleet = fleet(&[("one", "a")]);
+    let target = &targets(&fleet)[0];
+    target.failed(Instant::now());
+    target.failed(Instant::now());
+    expect_that!(pick(&fleet, Kind::Unsafe, &[]), none());
+    expect_that!(pick(&fleet, Kind::Safe, &[]), some(eq("one")));
+}
+
+#[googletest::test]
+fn a_full_target_takes_nothing() {
+    let fleet = fleet(&[("one", "a")]);
+    targets(&fleet)[0].peer_load.set(3);
+    expect_that!(pick(&fleet, Kind::Safe, &[]), none());
+}
