--- a/src/node/proxy/mod.rs
+++ b/src/node/proxy/mod.rs
@@ -1,6 +1,6 @@
 //! Callers' requests in, targets' answers out.
 //!
-//! [`serve`] keeps a caller's connection and [`request`] reads what comes on it, [`dispatch`] finds targets for it, [`attempt`] sends it to one, and
+//! [`serve`] keeps a caller's connection and `request` reads what comes on it, [`dispatch`] finds targets for it, [`attempt`] sends it to one, and
 //! [`respond`] writes what the caller gets.
 
 pub mod attempt;
