Take a leader for dead only by a process that knows its term

Cause, found while reading: a process heard from the leader's node before a restart differs from the one that leads now, and counted as its successor; the new leader would then have been taken for dead, and its grants not waited for.

Change: only a process that knows of the leader's term ends it; of its own node a process knows for certain.

Measured: tests/node_election.rs::an_earlier_process_that_is_heard_late_ends_no_leader fails on the former rule by its signature and holds now; tests/node_keys.rs passes.

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -38,15 +38,14 @@
         let newer = lease
             .as_ref()
             .is_some_and(|held| held.term > self.election.term());
+        // An earlier process of this node has ended for certain.
         if let Some(held) = &lease
             && newer
+            && held.node != self.state.conf.name
         {
-            if !self.has_died(held) {
-                // Its holder has only just taken it, and may not have told yet.
-                self.election.read(held, now);
-                return;
-            }
-            self.election.ended(held.term, now);
+            // Its holder has only just taken it, and may not have told yet.
+            self.election.read(held, now);
+            return;
         }
         let revision = row.map_or(0, |row| row.revision);
         let next = self
@@ -58,16 +57,6 @@
         }
     }
 
-    /// Returns whether the process that holds a lease is known to have ended: another one runs on
-    /// its node.
-    fn has_died(&self, held: &Lease) -> bool {
-        let running = match held.node == self.state.conf.name {
-            true => Some(self.state.boot),
-            false => self.peers.boot_of(&held.node),
-        };
-        running.is_some_and(|boot| boot != held.boot)
-    }
-
     /// Writes the lease; returns its revision if the write took effect.
     pub(super) async fn take_lease(&self, next: &Lease, revision: u64) -> Option<u64> {
         let key = self.lease_key();
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -315,7 +315,7 @@
         (term, leads, ended): (u64, Option<u64>, Option<u64>),
         now: Instant,
     ) {
-        self.election.runs(node, boot, now);
+        self.election.runs(node, boot, term, now);
         if let Some(ended) = ended {
             self.election.ended(ended, now);
         }
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -110,11 +110,6 @@
         self.count();
     }
 
-    /// Returns the process that was last heard from a node.
-    pub fn boot_of(&self, node: &VmId) -> Option<BootId> {
-        self.peers.borrow().get(node)?.boot
-    }
-
     /// Returns the rank of this node in an election.
     pub fn rank(&self, election: &Election, now: Instant) -> u32 {
         let peers = self.peers.borrow();
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -120,10 +120,14 @@
         }
     }
 
-    /// Records that a process runs on a node, which ends all others there.
-    pub fn runs(&mut self, node: &VmId, boot: BootId, now: Instant) {
+    /// Records that a process that knows of a term runs on a node.
+    ///
+    /// Processes of one node follow each other. One that knows of the term of another came after
+    /// it, so the other has ended; one that does not may have been heard late.
+    pub fn runs(&mut self, node: &VmId, boot: BootId, term: u64, now: Instant) {
         let other = |(name, held): &(VmId, BootId)| name == node && *held != boot;
-        if self.leader.as_ref().is_some_and(other) && !self.ended.contains(&self.term) {
+        let is_later = term >= self.term && self.leader.as_ref().is_some_and(other);
+        if is_later && !self.ended.contains(&self.term) {
             self.ended(self.term, now);
         }
     }
--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -52,13 +52,24 @@
     let now = start();
     let mut election = Election::new(ServiceId::from("search"), now);
     election.heard(3, &VmId::from("a"), BootId(1), now);
-    election.runs(&VmId::from("a"), BootId(2), now + MS(10));
+    election.runs(&VmId::from("a"), BootId(2), 3, now + MS(10));
     expect_that!(election.should_campaign(0, now + MS(11)), eq(true));
     let next = election.next_lease(Some(&lease(3, "a", 1)), &VmId::from("b"), BootId(9));
     expect_that!(next.term, eq(4));
     expect_that!(next.doubted, is_empty());
 }
 
+#[googletest::test]
+fn an_earlier_process_that_is_heard_late_ends_no_leader() {
+    let now = start();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    election.read(&lease(3, "a", 2), now);
+    election.runs(&VmId::from("a"), BootId(1), 2, now + MS(10));
+    expect_that!(election.should_campaign(0, now + MS(11)), eq(false));
+    let next = election.next_lease(Some(&lease(3, "a", 2)), &VmId::from("b"), BootId(9));
+    expect_that!(next.doubted.len(), eq(1));
+}
+
 #[googletest::test]
 fn a_lease_names_the_earlier_leaders_that_may_still_act() {
     let now = start();
--- a/tests/support/keys_world.rs
+++ b/tests/support/keys_world.rs
@@ -592,7 +592,8 @@
                 if other == index || !self.nodes[other].running {
                     continue;
                 }
-                self.nodes[other].election.runs(&name, BootId(boot), now);
+                let election = &mut self.nodes[other].election;
+                election.runs(&name, BootId(boot), term, now);
                 let led = self.nodes[other].leading.as_ref();
                 if led.is_some_and(|leading| leading.leader.term() < term) {
                     self.step_down(other);
