Remove what nothing uses from the node

Cause, from a read-through: a counter that is never counted and so always told zero, the time of a target's last answer, the shares of a map and a test on refusals had no reader.

Change: they are gone. No decision changed.

--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -19,8 +19,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
 #[strum(serialize_all = "snake_case")]
 pub enum Counter {
-    /// Connections opened to targets.
-    TargetConnections,
     /// Requests sent again.
     Repeats,
     /// Repeats that the allowance did not permit.
@@ -52,7 +50,7 @@
 /// The counters of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    plain: [Cell<u64>; 10],
+    plain: [Cell<u64>; 9],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -88,8 +88,6 @@
     failing: Cell<f64>,
     shut_until: Cell<Option<Instant>>,
     warm_at: Cell<Option<Instant>>,
-    /// When the target last answered anything.
-    heard: Cell<Option<Instant>>,
 }
 
 impl Target {
@@ -106,7 +104,6 @@
             failing: Cell::new(0.0),
             shut_until: Cell::new(None),
             warm_at: Cell::new((!entry.warm_up.is_zero()).then(|| now + entry.warm_up)),
-            heard: Cell::new(None),
             entry,
         }
     }
@@ -149,13 +146,8 @@
         self.warm_at.get().is_some_and(|at| now < at)
     }
 
-    /// Returns when the target last answered anything.
-    pub fn heard(&self) -> Option<Instant> {
-        self.heard.get()
-    }
-
     /// Records an answer that took this long; `waited` tells whether all slots were busy.
-    pub fn answered(&self, took: Duration, waited: bool, now: Instant) {
+    pub fn answered(&self, took: Duration, waited: bool) {
         average(&self.latency, took);
         if !waited {
             average(&self.work, took);
@@ -164,12 +156,10 @@
         self.failures.set(0);
         self.sample_failing(0.0);
         self.shut_until.set(None);
-        self.heard.set(Some(now));
     }
 
     /// Records that the target refused a request because it is full.
     pub fn shed(&self, now: Instant) {
-        self.heard.set(Some(now));
         self.sample_failing(SHED_SAMPLE);
         self.shut(now + SHED_PAUSE);
     }
--- a/src/node/keys/map.rs
+++ b/src/node/keys/map.rs
@@ -1,7 +1,5 @@
 //! Which target owns which keys of a service: ranges that cover all keys without a gap.
 
-use std::collections::BTreeMap;
-
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -100,17 +98,6 @@
         }
         next == u32::from(u16::MAX) + 1
     }
-
-    /// Returns the number of keys of each owner.
-    pub fn shares(&self) -> BTreeMap<&Holder, u32> {
-        let mut shares = BTreeMap::new();
-        for part in &self.ranges {
-            if let Some(owner) = &part.owner {
-                *shares.entry(owner).or_insert(0) += part.range.len();
-            }
-        }
-        shares
-    }
 }
 
 /// Numbers given to grants within a term; a term's fences are above those of all earlier terms.
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -97,16 +97,6 @@
     Late,
 }
 
-impl Refusal {
-    /// Returns whether the request has not run and never will.
-    pub fn has_not_run(self) -> bool {
-        match self {
-            Self::NoTarget | Self::Busy | Self::NoOwner | Self::Shed | Self::Quarantined => true,
-            Self::Lost | Self::Late => false,
-        }
-    }
-}
-
 /// An attempt that has ended.
 struct Ended {
     target: Rc<Target>,
@@ -374,7 +364,7 @@
         let took = now.saturating_duration_since(since);
         match end {
             AttemptEnd::Answered(answer) if answer.head.status < SERVER_ERROR => {
-                target.answered(took, waited, now);
+                target.answered(took, waited);
                 self.state.crashes.answered(self.task.fingerprint, now);
                 Some(Outcome::Answer(answer))
             }
@@ -389,7 +379,7 @@
                 alone.then_some(Outcome::Answer(answer))
             }
             AttemptEnd::Streaming(answer, rest) => {
-                target.answered(took, waited, now);
+                target.answered(took, waited);
                 self.state.crashes.answered(self.task.fingerprint, now);
                 Some(Outcome::Stream(answer, rest))
             }
