Reset connections whose exchange is given up on

Cause: an order, a call or a request that got no answer in time closed its connection. The system still delivers what was sent before an ordinary close, so a grant that a silent link had held up reached its target after the target had counted as lost and its keys had moved (soak). Ruled out: the wait before a lost owner's keys move; it covers the hold from the last order's time-out on, and the three late grants came after it. Change: Conn knows whether an exchange is open, and one that is dropped in its middle is reset (linger 0): its unsent and unacknowledged bytes are gone.

--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -67,6 +67,7 @@
     pub async fn call(&self, call: Call<'_>, limit: Duration) -> Result<Reply, CallError> {
         let deadline = Instant::now() + limit;
         let mut conn = self.open(deadline).await?;
+        conn.begin_exchange();
         let exchange = timeout_at(deadline.into(), exchange(&mut conn, self.address, call));
         let reply = match exchange.await {
             Ok(Ok(reply)) => reply,
@@ -77,6 +78,7 @@
                 return Err(self.lost(format!("no answer within {limit:?}")));
             }
         };
+        conn.end_exchange();
         if reply.head.keep_alive && conn.data().is_empty() {
             self.keep(conn);
         }
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -103,9 +103,15 @@
         },
     };
     let out = encode(means, request, target);
+    held.conn.begin_exchange();
     let (read, uploaded) = exchange(&mut held, &out, means.names, request).await;
     match read {
-        Ok((answer, open)) => finish(means, held, answer, open, uploaded),
+        Ok((answer, open)) => {
+            if uploaded && open.is_none() {
+                held.conn.end_exchange();
+            }
+            finish(means, held, answer, open, uploaded)
+        }
         Err(why) => AttemptEnd::Broken(why),
     }
 }
@@ -318,9 +324,10 @@
     }
 
     /// Keeps the connection after the whole answer.
-    pub fn finish(self, pool: &Pool) {
+    pub fn finish(mut self, pool: &Pool) {
         let clean = self.held.conn.data().is_empty() && !self.until_close;
         if self.uploaded && clean && self.decoder.is_done() {
+            self.held.conn.end_exchange();
             pool.put(self.held, self.keep, Instant::now());
         }
     }
--- a/src/node/proxy/conn.rs
+++ b/src/node/proxy/conn.rs
@@ -17,10 +17,24 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A connection.
+///
+/// One that is dropped in the middle of an exchange is reset, so that the system does not go on
+/// delivering what nobody waits for.
 #[derive(Debug)]
 pub struct Conn {
     stream: TcpStream,
     ahead: Ahead,
+    in_exchange: bool,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        if self.in_exchange {
+            let socket = socket2::SockRef::from(&self.stream);
+            // Without it the connection closes in the ordinary way.
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 /// Bytes read and not consumed yet.
@@ -68,6 +82,7 @@
         Ok(Self {
             stream,
             ahead: Ahead::default(),
+            in_exchange: false,
         })
     }
 
@@ -77,6 +92,16 @@
         Self::new(socket.connect(address).await?)
     }
 
+    /// Marks the start of a request that is sent on the connection.
+    pub fn begin_exchange(&mut self) {
+        self.in_exchange = true;
+    }
+
+    /// Marks that the request has its whole answer.
+    pub fn end_exchange(&mut self) {
+        self.in_exchange = false;
+    }
+
     /// Returns the bytes read ahead.
     pub fn data(&self) -> &[u8] {
         self.ahead.data()
