Relieve a leader that the table turns away alone

Causes, found by the new test and its virtual twin: 1. A leader tells of itself as long as it runs, so nobody tries to take the lease, though it can neither move keys nor have its lease confirmed. For 20 s an owner lost meanwhile left its keys without service. 2. A new leader did not know how long grants may last and waited for the longest that targets accept, 10 s, before it moved a lost owner's keys; grants last 2.5 s. 3. A node that the table turns away never followed a new leader: its view waited for the stored map at each change of term. 4. A leader that had stepped down told so with every pulse, and each time the others' patience began anew, so all but the first in rank waited for ever when the first could not take the lease. Ruled out: followers that take the lease on their own when the row is not confirmed; it needs writes every few seconds of every leader. Change: a node notes whether the table answers it (keys::contact). A leader whose calls have failed for a second steps down once another node is known to have read the table after that; while nobody reads it, it goes on. The map names the longest hold that any leader may have granted; it is written before a longer one is granted and never shortened. A view goes on with the first announcement of a later term. A stop counts once.

--- a/src/node/control/follow.rs
+++ b/src/node/control/follow.rs
@@ -53,6 +53,7 @@
     }
 
     fn answered(&mut self, state: &State) {
+        state.contact.borrow_mut().answered();
         if std::mem::take(&mut self.failures) > 0 {
             state
                 .log
@@ -63,6 +64,7 @@
     /// Records a failure; returns how long to wait.
     fn failed(&mut self, state: &State, error: &EdgeError) -> Duration {
         state.counters.add(Counter::TableFailures);
+        state.contact.borrow_mut().failed(Instant::now());
         if self.failures == 0 {
             state.log.tell(Event::TableDown, |line| {
                 line.text("what", self.what);
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -33,6 +33,8 @@
 
 /// How often a leader has the table confirm its lease; well within its right.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(3_000);
+/// The same while its calls fail, to tell a table that is away from a call that was lost.
+const RETRY_PERIOD: Duration = Duration::from_millis(300);
 /// Pause after a write of the map failed.
 const WRITE_PAUSE: Duration = Duration::from_millis(150);
 /// Weight of the newest sample of a target's speed; each is an average already.
@@ -45,18 +47,31 @@
 
 impl<T: Table + 'static, P: Platform> Group<T, P> {
     pub(super) fn lead(&mut self, now: Instant) {
+        if self.is_turned_away() {
+            return self.step_down("the table turns this node away alone", now);
+        }
         let candidates = self.candidates();
         let Some(leading) = &mut self.leading else {
             return;
         };
         let mut actions = leading.leader.tick(now, &candidates, &self.heat);
-        let due = now.saturating_duration_since(leading.checked) >= CONFIRM_PERIOD;
+        let period = match self.state.contact.borrow().is_failing() {
+            true => RETRY_PERIOD,
+            false => CONFIRM_PERIOD,
+        };
+        let due = now.saturating_duration_since(leading.checked) >= period;
         if due {
             actions.push(Action::CheckLease);
         }
         self.act(actions);
     }
 
+    fn is_turned_away(&self) -> bool {
+        let others_read = self.peers.table_read();
+        let contact = self.state.contact.borrow();
+        self.leading.is_some() && contact.is_turned_away(others_read)
+    }
+
     pub(super) fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -175,6 +190,10 @@
             return;
         };
         leading.leader.write_ended(written == Ok(true));
+        match written {
+            Ok(_) => self.state.contact.borrow_mut().answered(),
+            Err(()) => self.state.contact.borrow_mut().failed(Instant::now()),
+        }
         if written == Ok(false) {
             self.check_lease();
         }
@@ -204,8 +223,9 @@
         };
         leading.checking = false;
         let Some(row) = row else {
-            return;
+            return self.state.contact.borrow_mut().failed(Instant::now());
         };
+        self.state.contact.borrow_mut().answered();
         if row.revision == leading.lease_revision {
             leading.leader.confirmed(begun);
             return;
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -24,6 +24,7 @@
 use crate::node::control::group::GroupMessage;
 use crate::node::control::rows;
 use crate::node::control::rows::NodeRow;
+use crate::node::edge::Cursor;
 use crate::node::keys::election::Election;
 use crate::node::keys::election::Strength;
 use crate::node::lag::RulesLag;
@@ -69,6 +70,8 @@
     lag: RefCell<RulesLag>,
     crashes_told: Cell<u64>,
     periods: Cell<u64>,
+    /// When another node last read the table with success.
+    table_read: Cell<Option<Instant>>,
 }
 
 impl Peers {
@@ -83,6 +86,7 @@
             lag: RefCell::default(),
             crashes_told: Cell::new(0),
             periods: Cell::new(0),
+            table_read: Cell::new(None),
         }
     }
 
@@ -119,6 +123,11 @@
         election.rank((&conf.name, conf.strength), live)
     }
 
+    /// Returns when another node last read the table with success, as far as they have told.
+    pub fn table_read(&self) -> Option<Instant> {
+        self.table_read.get()
+    }
+
     /// Returns whether every known node was heard lately, and any is known.
     pub fn all_heard(&self, now: Instant) -> bool {
         let peers = self.peers.borrow();
@@ -202,6 +211,7 @@
             peer.strength = pulse.strength;
         }
         self.compare_rules(pulse.rules, now);
+        self.note_table_read(pulse.list, now);
         self.compare_list(node, pulse.list, now);
         for term in pulse.terms {
             let leads = term.leads;
@@ -260,6 +270,14 @@
         }
     }
 
+    fn note_table_read(&self, mark: ListMark, now: Instant) {
+        let age = Duration::from_millis(mark.age_ms.into());
+        let has_read = mark.cursor != Cursor::default();
+        if let Some(read) = now.checked_sub(age).filter(|_| has_read) {
+            self.table_read.set(self.table_read.get().max(Some(read)));
+        }
+    }
+
     /// Takes what a node of this data centre has read of the list of targets.
     fn compare_list(&self, node: &VmId, mark: ListMark, now: Instant) {
         let peers = self.peers.borrow();
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -114,8 +114,8 @@
 
     /// Records that the leader of a term gives no more orders.
     pub fn ended(&mut self, term: u64, now: Instant) {
-        self.ended.insert(term);
-        if term >= self.term {
+        // It is told again and again; only the first time counts, or nobody's patience would end.
+        if self.ended.insert(term) && term >= self.term {
             self.heard = now.checked_sub(SILENCE).unwrap_or(now);
         }
     }
--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -166,7 +166,7 @@
             left.granted = left.granted.max(right.granted);
             left.fence = fence;
             left.due = now;
-            if self.wanted == self.writing.unwrap_or(self.written) {
+            if self.wanted == self.writing.map_or(self.written, |(number, _)| number) {
                 self.wanted += 1;
             }
         }
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -62,10 +62,14 @@
 pub struct Leader {
     term: u64,
     hold_max: Duration,
+    /// The longest hold that the map is to name, which counts for later leaders as well.
+    named_hold: Duration,
+    /// The longest hold that the stored map names: no grant lasts longer.
+    stored_hold: Duration,
     fences: Fences,
     spans: Vec<Span>,
     written: u64,
-    writing: Option<u64>,
+    writing: Option<(u64, Duration)>,
     wanted: u64,
     announced: u64,
     next_order: u64,
@@ -84,6 +88,8 @@
         let mut leader = Self {
             term,
             hold_max,
+            named_hold: Duration::ZERO,
+            stored_hold: Duration::ZERO,
             fences: Fences::new(term),
             spans: Vec::new(),
             written: 0,
@@ -100,7 +106,10 @@
         let Some(map) = map.filter(|map| map.is_whole()) else {
             return leader;
         };
-        let former = now + RIGHT + drifted(hold_max) + ORDER_LIMIT;
+        let hold = map.longest_ms.map_or(hold_max, Duration::from_millis);
+        leader.named_hold = hold;
+        leader.stored_hold = hold;
+        let former = now + RIGHT + drifted(hold) + ORDER_LIMIT;
         leader.former_bound = Some(former);
         for part in &map.ranges {
             let span = leader.resume(part, former, now);
@@ -137,7 +146,7 @@
         let Some(former) = self.former_bound.take() else {
             return;
         };
-        let bound = now + ORDER_LIMIT + drifted(self.hold_max);
+        let bound = now + ORDER_LIMIT + drifted(self.stored_hold);
         for span in &mut self.spans {
             if span.bound == former {
                 span.bound = bound;
@@ -151,8 +160,9 @@
     /// Records the end of a write of the map; returns whether it took effect.
     pub fn write_ended(&mut self, written: bool) {
         let number = self.writing.take();
-        if let (true, Some(number)) = (written, number) {
+        if let (true, Some((number, hold))) = (written, number) {
             self.written = number;
+            self.stored_hold = hold;
         }
     }
 
@@ -167,6 +177,7 @@
         if self.spans.is_empty() {
             self.start(candidates, now);
         }
+        self.name_hold();
         let mut places = Vec::new();
         for at in 0..self.spans.len() {
             self.advance(at, candidates, heat, now, &mut places);
@@ -184,7 +195,7 @@
         }
         self.announce(places, &mut actions);
         if self.writing.is_none() && self.written < self.wanted {
-            self.writing = Some(self.wanted);
+            self.writing = Some((self.wanted, self.named_hold));
             actions.push(Action::Write(self.map()));
         }
         actions
@@ -223,6 +234,7 @@
                 term: self.term,
                 number: self.wanted,
             },
+            longest_ms: Some(self.named_hold.as_millis() as u64),
             ranges: self.spans.iter().map(part).collect(),
         }
     }
@@ -239,9 +251,25 @@
         RENEW.max(paced).min(self.hold_max.div_f64(HOLD_PERIODS))
     }
 
+    /// Returns how long a grant should last now.
+    fn wanted_hold(&self) -> Duration {
+        let hold = self.renew().mul_f64(HOLD_PERIODS).min(self.hold_max);
+        Duration::from_millis(hold.as_millis() as u64)
+    }
+
     /// Returns how long a grant lasts now.
     fn hold(&self) -> Duration {
-        self.renew().mul_f64(HOLD_PERIODS).min(self.hold_max)
+        self.wanted_hold().min(self.stored_hold)
+    }
+
+    /// Has the map name a longer hold when that is needed. It never names a shorter one: grants of
+    /// earlier leaders may still last as long.
+    fn name_hold(&mut self) {
+        let wanted = self.wanted_hold();
+        if wanted > self.named_hold {
+            self.named_hold = wanted;
+            self.wanted += 1;
+        }
     }
 
     fn announce(&mut self, places: Vec<Place>, actions: &mut Vec<Action>) {
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -52,7 +52,7 @@
             bound: former,
             order: None,
             bound_before: former,
-            granted: self.hold_max,
+            granted: self.stored_hold,
             due: now,
             misses: 0,
             refused: 0,
@@ -73,7 +73,7 @@
                 bound: now,
                 order: None,
                 bound_before: now,
-                granted: self.hold_max,
+                granted: Duration::ZERO,
                 due: now,
                 misses: 0,
                 refused: 0,
@@ -186,7 +186,7 @@
 
     /// Begins to move a span: its next owner goes into the map.
     pub(super) fn name(&mut self, at: usize, next: Holder) {
-        if self.wanted == self.writing.unwrap_or(self.written) {
+        if self.wanted == self.writing.map_or(self.written, |(number, _)| number) {
             self.wanted += 1;
         }
         let span = &mut self.spans[at];
@@ -206,6 +206,10 @@
         if span.order.is_some() || now < span.due {
             return None;
         }
+        if hold.is_zero() {
+            // The stored map names none yet.
+            return None;
+        }
         let owner = span.owner.clone()?;
         let candidate = candidates.iter().find(|c| c.holder == owner)?;
         let lost = span.misses >= MISSES_TO_LOSE || span.refused >= REFUSED_TO_LOSE;
--- a/src/node/keys/map.rs
+++ b/src/node/keys/map.rs
@@ -76,6 +76,10 @@
 pub struct KeyMap {
     /// The version.
     pub version: MapVersion,
+    /// The longest time, in milliseconds, that any leader may have granted keys for; without it,
+    /// the longest that targets accept.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub longest_ms: Option<u64>,
     /// The ranges in order; together they hold each key once.
     pub ranges: Vec<Ownership>,
 }
--- a/src/node/keys/mod.rs
+++ b/src/node/keys/mod.rs
@@ -4,6 +4,7 @@
 //! orders to targets, renews their grants and moves keys. [`leader`] decides, without input or
 //! output; [`view`] is what every node routes by.
 
+pub mod contact;
 pub mod election;
 pub mod heat;
 pub mod leader;
--- a/src/node/keys/view.rs
+++ b/src/node/keys/view.rs
@@ -35,6 +35,8 @@
     pub pending: bool,
 }
 
+/// The number of a term's first announcement.
+const FIRST_NUMBER: u64 = 1;
 /// Announcements that may wait for earlier ones: datagrams overtake each other.
 const MOST_WAITING: usize = 32;
 
@@ -97,11 +99,7 @@
         self.waiting.retain(|sequence, _| *sequence > held);
         let mut changed = false;
         while self.is_known() {
-            let next = Sequence {
-                number: self.sequence.number + 1,
-                ..self.sequence
-            };
-            let Some(places) = self.waiting.remove(&next) else {
+            let Some((next, places)) = self.take_next() else {
                 break;
             };
             self.sequence = next;
@@ -111,6 +109,25 @@
         changed
     }
 
+    /// Returns the announcement that follows: the next one of the term, or the first one of a later
+    /// term, whose leader goes on from the stored map and announces every range that it grants.
+    fn take_next(&mut self) -> Option<(Sequence, Vec<Place>)> {
+        let next = Sequence {
+            number: self.sequence.number + 1,
+            ..self.sequence
+        };
+        if let Some(places) = self.waiting.remove(&next) {
+            return Some((next, places));
+        }
+        let is_first = |sequence: &&Sequence| {
+            sequence.term > self.sequence.term && sequence.number == FIRST_NUMBER
+        };
+        let first = *self.waiting.keys().rfind(is_first)?;
+        let places = self.waiting.remove(&first)?;
+        self.waiting.retain(|sequence, _| *sequence > first);
+        Some((first, places))
+    }
+
     fn put(&mut self, new: &Place) {
         let mut places = Vec::with_capacity(self.places.len() + 2);
         let mut inserted = false;
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -18,6 +18,7 @@
 use crate::node::allowance::AllowanceBound;
 use crate::node::counters::Counters;
 use crate::node::fleet::Fleet;
+use crate::node::keys::contact::Contact;
 use crate::node::keys::election::Strength;
 use crate::node::keys::view::KeyView;
 use crate::node::log::Log;
@@ -114,6 +115,8 @@
     pub nodes: Cell<usize>,
     /// Data centres with nodes, this one included.
     pub data_centres: Cell<usize>,
+    /// Whether the platform's table answers this node.
+    pub contact: RefCell<Contact>,
     /// Callers' connections that are open.
     pub callers: Cell<usize>,
     /// Requests that are being served.
@@ -146,6 +149,7 @@
             turned: Notify::new(),
             nodes: Cell::new(1),
             data_centres: Cell::new(1),
+            contact: RefCell::default(),
             callers: Cell::new(0),
             in_flight: Cell::new(0),
             counters: Counters::default(),
--- /dev/null
+++ b/tests/node_contact.rs
@@ -0,0 +1,41 @@
+//! A leader that the table turns away alone gives way; one for whom it is away as for all does not.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+
+use gooseberryloft::node::keys::contact::Contact;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+#[googletest::test]
+fn a_leader_gives_way_once_others_have_read_what_it_could_not() {
+    let now = Instant::now();
+    let mut contact = Contact::default();
+    contact.failed(now);
+    contact.failed(now + MS(700));
+    expect_that!(contact.is_turned_away(Some(now + MS(999))), eq(false));
+    expect_that!(contact.is_turned_away(Some(now + MS(1_000))), eq(true));
+}
+
+#[googletest::test]
+fn a_leader_goes_on_while_nobody_reaches_the_table() {
+    let now = Instant::now();
+    let mut contact = Contact::default();
+    contact.failed(now);
+    expect_that!(contact.is_turned_away(None), eq(false));
+    expect_that!(contact.is_turned_away(Some(now)), eq(false));
+}
+
+#[googletest::test]
+fn a_single_answer_is_enough_to_go_on() {
+    let now = Instant::now();
+    let mut contact = Contact::default();
+    contact.failed(now);
+    contact.answered();
+    expect_that!(contact.is_failing(), eq(false));
+    expect_that!(contact.is_turned_away(Some(now + MS(5_000))), eq(false));
+    contact.failed(now + MS(4_500));
+    expect_that!(contact.is_turned_away(Some(now + MS(5_000))), eq(false));
+}
--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -110,3 +110,14 @@
     sorted.sort_unstable();
     expect_that!(sorted, elements_are![eq(&0), eq(&1), eq(&2), eq(&3)]);
 }
+
+#[googletest::test]
+fn a_leader_that_tells_again_that_it_stopped_keeps_nobody_from_taking_its_place() {
+    let now = Instant::now();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    election.heard(1, &VmId::from("a"), BootId(1), now);
+    for told in 0..10 {
+        election.ended(1, now + MS(100 * told));
+    }
+    expect_that!(election.should_campaign(1, now + MS(1_000)), eq(true));
+}
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -118,6 +118,33 @@
     expect_that!(world.broken, is_empty());
 }
 
+#[googletest::test]
+fn a_leader_that_the_table_turns_away_alone_is_relieved() {
+    let mut world = settled(4, 3);
+    let leader = world.leader().expect("somebody leads");
+    world.nodes[leader].reaches_table = false;
+    world.run(MS(50));
+    world.crash(1);
+    world.run(MS(50));
+    // The table is missed for 3 s at most, then a second, an election and a hold.
+    let took = until_held(&mut world, MS(20_000));
+    expect_that!(took, lt(MS(8_000)));
+    expect_that!(world.leader(), not(eq(Some(leader))));
+    expect_that!(world.broken, is_empty());
+}
+
+#[googletest::test]
+fn a_later_leader_waits_no_longer_than_the_holds_that_were_granted() {
+    let mut world = settled(4, 3);
+    let leader = world.leader().expect("somebody leads");
+    world.restart_node(leader);
+    world.crash(1);
+    world.run(MS(50));
+    let took = until_held(&mut world, MS(20_000));
+    expect_that!(took, lt(MS(5_000)));
+    expect_that!(world.broken, is_empty());
+}
+
 #[googletest::test]
 fn a_leader_without_the_table_gives_up_in_the_end() {
     let mut world = settled(3, 1);
--- /dev/null
+++ b/tests/node_view.rs
@@ -0,0 +1,82 @@
+//! What a node believes of owners follows what leaders announce, across terms and without the table.
+
+use googletest::prelude::*;
+
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::node::keys::map::Holder;
+use gooseberryloft::node::keys::map::KeyMap;
+use gooseberryloft::node::keys::map::KeyRange;
+use gooseberryloft::node::keys::map::MapVersion;
+use gooseberryloft::node::keys::map::Ownership;
+use gooseberryloft::node::keys::view::KeyView;
+use gooseberryloft::node::keys::view::Place;
+use gooseberryloft::node::keys::view::Sequence;
+
+const HALF: u16 = 1 << 15;
+
+fn seq(term: u64, number: u64) -> Sequence {
+    Sequence { term, number }
+}
+
+fn place(first: u16, last: u16, owner: &str) -> Place {
+    Place {
+        range: KeyRange { first, last },
+        owner: Some(TargetId::from(owner)),
+        pending: false,
+    }
+}
+
+/// A view after the third announcement of term 1: both halves belong to `a`.
+fn known() -> KeyView {
+    let map = KeyMap {
+        version: MapVersion { term: 1, number: 1 },
+        longest_ms: None,
+        ranges: vec![Ownership {
+            range: KeyRange::ALL,
+            owner: Some(Holder {
+                id: TargetId::from("a"),
+                life: 1,
+            }),
+            prior: None,
+        }],
+    };
+    let mut view = KeyView::default();
+    assert!(view.load(&map, seq(1, 3)));
+    view
+}
+
+fn owner(view: &KeyView, key: u16) -> Option<&str> {
+    view.find(key)?.owner.as_ref().map(TargetId::as_str)
+}
+
+#[googletest::test]
+fn announcements_of_a_term_are_taken_in_order() {
+    let mut view = known();
+    expect_that!(view.apply(seq(1, 5), &[place(0, 9, "c")]), eq(false));
+    expect_that!(owner(&view, 5), some(eq("a")));
+    expect_that!(view.apply(seq(1, 4), &[place(0, 9, "b")]), eq(true));
+    expect_that!(owner(&view, 5), some(eq("c")));
+    expect_that!(view.sequence(), eq(seq(1, 5)));
+}
+
+#[googletest::test]
+fn a_new_leader_is_followed_without_the_stored_map() {
+    let mut view = known();
+    expect_that!(
+        view.apply(seq(2, 2), &[place(HALF, u16::MAX, "c")]),
+        eq(false)
+    );
+    expect_that!(view.apply(seq(2, 1), &[place(0, HALF - 1, "b")]), eq(true));
+    expect_that!(owner(&view, 0), some(eq("b")));
+    expect_that!(owner(&view, u16::MAX), some(eq("c")));
+    expect_that!(view.sequence(), eq(seq(2, 2)));
+    expect_that!(view.apply(seq(1, 4), &[place(0, 9, "d")]), eq(false));
+    expect_that!(owner(&view, 0), some(eq("b")));
+}
+
+#[googletest::test]
+fn a_term_whose_first_announcement_was_missed_waits_for_the_stored_map() {
+    let mut view = known();
+    expect_that!(view.apply(seq(2, 3), &[place(0, 9, "b")]), eq(false));
+    expect_that!(owner(&view, 0), some(eq("a")));
+}
--- a/tests/support/keys_world.rs
+++ b/tests/support/keys_world.rs
@@ -9,6 +9,7 @@
 use gooseberryloft::ids::ServiceId;
 use gooseberryloft::ids::TargetId;
 use gooseberryloft::ids::VmId;
+use gooseberryloft::node::keys::contact::Contact;
 use gooseberryloft::node::keys::election::Election;
 use gooseberryloft::node::keys::election::Lease;
 use gooseberryloft::node::keys::heat::Heat;
@@ -88,6 +89,8 @@
     boot: u64,
     election: Election,
     leading: Option<Leading>,
+    /// The last term that it led and leads no more.
+    ended: Option<u64>,
     heat: Heat,
 }
 
@@ -97,6 +100,7 @@
     lease_revision: u64,
     map_revision: u64,
     checked: Instant,
+    contact: Contact,
 }
 
 struct Flying {
@@ -187,6 +191,7 @@
             boot: boot as u64 + 1,
             election: Election::new(ServiceId::from("search"), now),
             leading: None,
+            ended: None,
             heat: Heat::new(now),
         };
         Self {
@@ -272,6 +277,7 @@
         node.boot = self.lives;
         node.election = Election::new(ServiceId::from("search"), self.now);
         node.leading = None;
+        node.ended = None;
         node.running = true;
     }
 
@@ -362,12 +368,17 @@
             lease_revision: self.revision,
             map_revision: map.map_or(0, |(revision, _)| *revision),
             checked: now,
+            contact: Contact::default(),
         });
     }
 
     fn lead(&mut self, node: usize) {
         let now = self.now;
         let candidates = self.candidates();
+        let reads = |other: usize| self.nodes[other].running && self.table_answers(other);
+        let others_read = (0..self.nodes.len())
+            .any(|other| other != node && reads(other))
+            .then_some(now);
         let fake = &mut self.nodes[node];
         let Some(leading) = &mut fake.leading else {
             return;
@@ -381,6 +392,9 @@
         {
             leading.leader.former_ended(now);
         }
+        if leading.contact.is_turned_away(others_read) {
+            return self.step_down(node);
+        }
         let mut actions = leading.leader.tick(now, &candidates, &fake.heat);
         if now - leading.checked >= CONFIRM_PERIOD {
             actions.push(Action::CheckLease);
@@ -409,8 +423,9 @@
         };
         leading.checked = now;
         if !answers {
-            return;
+            return leading.contact.failed(now);
         }
+        leading.contact.answered();
         if revision == Some(leading.lease_revision) {
             leading.leader.confirmed(now);
             return;
@@ -421,6 +436,7 @@
     fn step_down(&mut self, node: usize) {
         let fake = &mut self.nodes[node];
         if let Some(leading) = fake.leading.take() {
+            fake.ended = Some(leading.leader.term());
             fake.election.ended(leading.leader.term(), self.now);
         }
     }
@@ -435,8 +451,10 @@
         };
         let fits = lease == Some(leading.lease_revision) && held == leading.map_revision;
         if !answers {
+            leading.contact.failed(self.now);
             return leading.leader.write_ended(false);
         }
+        leading.contact.answered();
         if !fits {
             leading.leader.write_ended(false);
             leading.map_revision = held;
@@ -576,17 +594,17 @@
     /// Leaders tell all others of themselves.
     fn tell_peers(&mut self) {
         let now = self.now;
-        let told: Vec<(usize, u64, u64, bool)> = self
+        let told: Vec<(usize, u64, u64, bool, Option<u64>)> = self
             .nodes
             .iter()
             .enumerate()
             .filter(|(_, node)| node.running)
             .map(|(index, node)| {
                 let term = node.election.term();
-                (index, node.boot, term, node.leading.is_some())
+                (index, node.boot, term, node.leading.is_some(), node.ended)
             })
             .collect();
-        for (index, boot, term, leads) in told {
+        for (index, boot, term, leads, ended) in told {
             let name = VmId::from(format!("n{index}"));
             for other in 0..self.nodes.len() {
                 if other == index || !self.nodes[other].running {
@@ -594,6 +612,9 @@
                 }
                 let election = &mut self.nodes[other].election;
                 election.runs(&name, BootId(boot), term, now);
+                if let Some(ended) = ended {
+                    election.ended(ended, now);
+                }
                 let led = self.nodes[other].leading.as_ref();
                 if led.is_some_and(|leading| leading.leader.term() < term) {
                     self.step_down(other);
