Renew grants only where the same process listens for certain

Ruled out: X-Expect-Instance on grants; it tells instances of other names apart, not two processes of one name, and the protocol names it for requests. Change: the edge tells with each order that was carried out when its connection was opened. A renewal at the same fence goes out only by a connection that is as old; a process that was there before and still answers is the one that took the fence. Without one, nothing is sent, and the leader grants anew at a higher fence. The same after an order without an answer.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -120,7 +120,7 @@
         let (state, service) = (self.state.clone(), self.service.clone());
         tokio::task::spawn_local(async move {
             let end = platform.order(&order).await;
-            if !matches!(end, OrderEnd::Done(_)) {
+            if !matches!(end, OrderEnd::Done(_) | OrderEnd::Reconnected) {
                 state.counters.add(Counter::OrderFailures);
                 state.log.tell(Event::OrderFailed, |line| {
                     line.text("service", service.as_str());
--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -32,6 +32,8 @@
     pub head: AnswerHead,
     /// The body.
     pub body: Vec<u8>,
+    /// When the connection was opened that carried it.
+    pub opened: Instant,
 }
 
 /// A call.
@@ -47,11 +49,19 @@
     pub body: &'a [u8],
 }
 
+/// A connection between two calls.
+#[derive(Debug)]
+struct Kept {
+    conn: Conn,
+    opened: Instant,
+    since: Instant,
+}
+
 /// Calls one address.
 #[derive(Debug)]
 pub struct HttpClient {
     address: SocketAddr,
-    idle: Mutex<Vec<(Conn, Instant)>>,
+    idle: Mutex<Vec<Kept>>,
 }
 
 impl HttpClient {
@@ -66,32 +76,52 @@
     /// Sends a call and reads the whole answer, within a time.
     pub async fn call(&self, call: Call<'_>, limit: Duration) -> Result<Reply, CallError> {
         let deadline = Instant::now() + limit;
-        let mut conn = self.open(deadline).await?;
+        let (conn, opened) = match self.take(None) {
+            Some(kept) => kept,
+            None => (self.open(deadline).await?, Instant::now()),
+        };
+        self.send(conn, opened, call, deadline).await
+    }
+
+    /// Sends a call by a connection that was opened at `latest` or earlier; `None` when there is
+    /// none, and nothing was sent.
+    pub async fn call_again(
+        &self,
+        call: Call<'_>,
+        latest: Instant,
+        limit: Duration,
+    ) -> Option<Result<Reply, CallError>> {
+        let (conn, opened) = self.take(Some(latest))?;
+        let deadline = Instant::now() + limit;
+        Some(self.send(conn, opened, call, deadline).await)
+    }
+
+    async fn send(
+        &self,
+        mut conn: Conn,
+        opened: Instant,
+        call: Call<'_>,
+        deadline: Instant,
+    ) -> Result<Reply, CallError> {
         conn.begin_exchange();
         let exchange = timeout_at(deadline.into(), exchange(&mut conn, self.address, call));
-        let reply = match exchange.await {
-            Ok(Ok(reply)) => reply,
+        let (head, body) = match exchange.await {
+            Ok(Ok(answer)) => answer,
             Ok(Err(why)) => return Err(self.lost(why.to_owned())),
             Err(_) => {
                 // Other connections may have gone silent in the same way.
                 self.lock().clear();
-                return Err(self.lost(format!("no answer within {limit:?}")));
+                return Err(self.lost("no answer in time".to_owned()));
             }
         };
         conn.end_exchange();
-        if reply.head.keep_alive && conn.data().is_empty() {
-            self.keep(conn);
+        if head.keep_alive && conn.data().is_empty() {
+            self.keep(conn, opened);
         }
-        Ok(reply)
+        Ok(Reply { head, body, opened })
     }
 
     async fn open(&self, deadline: Instant) -> Result<Conn, CallError> {
-        let now = Instant::now();
-        while let Some((conn, since)) = self.pop() {
-            if now.saturating_duration_since(since) < IDLE_LIMIT && conn.is_idle() {
-                return Ok(conn);
-            }
-        }
         let address = self.address;
         let not_sent = |cause: String| CallError::NotSent { address, cause };
         match timeout_at(deadline.into(), Conn::open(address)).await {
@@ -100,18 +130,31 @@
         }
     }
 
-    fn keep(&self, conn: Conn) {
+    fn keep(&self, conn: Conn, opened: Instant) {
         let mut idle = self.lock();
         if idle.len() < IDLE_CONNECTIONS {
-            idle.push((conn, Instant::now()));
+            let since = Instant::now();
+            idle.push(Kept {
+                conn,
+                opened,
+                since,
+            });
         }
     }
 
-    fn pop(&self) -> Option<(Conn, Instant)> {
-        self.lock().pop()
+    /// Takes the kept connection that was used last, of those opened at `latest` or earlier.
+    fn take(&self, latest: Option<Instant>) -> Option<(Conn, Instant)> {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        idle.retain(|kept| now.saturating_duration_since(kept.since) < IDLE_LIMIT);
+        idle.retain(|kept| kept.conn.is_idle());
+        let fits = |kept: &Kept| latest.is_none_or(|latest| kept.opened <= latest);
+        let at = idle.iter().rposition(fits)?;
+        let kept = idle.remove(at);
+        Some((kept.conn, kept.opened))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<(Conn, Instant)>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<Kept>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -125,7 +168,7 @@
     conn: &mut Conn,
     address: SocketAddr,
     call: Call<'_>,
-) -> Result<Reply, &'static str> {
+) -> Result<(AnswerHead, Vec<u8>), &'static str> {
     let mut out = Vec::with_capacity(256 + call.body.len());
     let (method, path) = (call.method, call.path);
     put(&mut out, format_args!("{method} {path} HTTP/1.1\r\n"));
@@ -161,7 +204,7 @@
             conn.consume(piece.used());
         }
         if decoder.is_done() {
-            return Ok(Reply { head, body });
+            return Ok((head, body));
         }
         if body.len() > MOST_BYTES {
             return Err("an answer that is too long");
--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -164,7 +164,7 @@
             left.range.last = right.range.last;
             left.bound = left.bound.max(right.bound);
             left.granted = left.granted.max(right.granted);
-            left.fence = fence;
+            left.renumber(fence);
             left.due = now;
             if self.wanted == self.writing.map_or(self.written, |(number, _)| number) {
                 self.wanted += 1;
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -33,6 +33,7 @@
 pub use order::Order;
 pub use order::OrderEnd;
 pub use order::OrderId;
+pub use order::Taken;
 
 /// How often a grant is renewed, unless there are many: the hold is short, since the keys of a lost
 /// target wait for its end, and long enough for a change of leader.
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -49,6 +49,7 @@
             stage,
             fence: self.fences.draw(),
             handover: None,
+            opened: None,
             bound: former,
             order: None,
             bound_before: former,
@@ -70,6 +71,7 @@
                 stage: Stage::Naming(self.wanted + 1),
                 fence,
                 handover: None,
+                opened: None,
                 bound: now,
                 order: None,
                 bound_before: now,
@@ -100,7 +102,7 @@
             let fence = self.fences.draw();
             let span = &mut self.spans[at];
             span.stage = Stage::Releasing;
-            span.fence = fence;
+            span.renumber(fence);
             span.order = None;
             span.due = now;
             span.misses = 0;
@@ -136,7 +138,7 @@
             Some(_) => Stage::Granting,
             None => Stage::Vacant,
         };
-        span.fence = fence;
+        span.renumber(fence);
         span.order = None;
         span.bound = now;
         span.due = now;
@@ -225,6 +227,7 @@
                 Command::Grant {
                     hold,
                     handover: span.handover.clone(),
+                    opened: span.opened,
                 }
             }
         };
@@ -249,14 +252,12 @@
         places: &mut Vec<Place>,
     ) {
         let renew = self.renew();
-        let fence = match end {
-            OrderEnd::Outdated => Some(self.fences.draw()),
-            _ => None,
-        };
+        let fence = self.fences.draw();
         let span = &mut self.spans[at];
         span.due = now + ORDER_PAUSE;
         match end {
-            OrderEnd::Done(_) => {
+            OrderEnd::Done(taken) => {
+                span.opened = Some(taken.opened);
                 self.lost
                     .retain(|lost| span.owner.as_ref() != Some(&lost.holder));
                 if span.stage == Stage::Granting {
@@ -271,24 +272,33 @@
             }
             OrderEnd::Outdated => {
                 span.bound = span.bound_before;
-                span.fence = fence.unwrap_or(span.fence);
+                span.renumber(fence);
                 span.due = now + renew;
             }
+            OrderEnd::Reconnected => {
+                span.bound = span.bound_before;
+                span.renumber(fence);
+                span.due = now;
+            }
             OrderEnd::NotSent => {
                 span.bound = span.bound_before;
                 span.refused += 1;
             }
-            OrderEnd::Unknown => span.misses += 1,
+            OrderEnd::Unknown => {
+                // The next try may reach another process, and needs another fence for it.
+                span.renumber(fence);
+                span.misses += 1;
+            }
         }
     }
 
     pub(super) fn release_ended(&mut self, at: usize, end: OrderEnd, now: Instant) {
         match end {
-            OrderEnd::Done(handover) => {
-                self.spans[at].handover = handover;
+            OrderEnd::Done(taken) => {
+                self.spans[at].handover = taken.handover;
                 self.hand_on(at, now);
             }
-            OrderEnd::Outdated | OrderEnd::NotSent | OrderEnd::Unknown => {
+            OrderEnd::Outdated | OrderEnd::NotSent | OrderEnd::Reconnected | OrderEnd::Unknown => {
                 self.spans[at].due = now + ORDER_PAUSE;
             }
         }
--- a/src/node/keys/leader/order.rs
+++ b/src/node/keys/leader/order.rs
@@ -1,6 +1,7 @@
 //! What a leader tells targets, and what becomes of it.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::ids::Fence;
 use crate::node::keys::map::Holder;
@@ -22,6 +23,9 @@
         hold: Duration,
         /// What the former owner left for the new one.
         handover: Option<String>,
+        /// For a renewal: when the connection was opened by which the target took this fence. Only
+        /// one as old leads to the same process for certain.
+        opened: Option<Instant>,
     },
     /// Take no new work on these keys.
     Release,
@@ -47,16 +51,28 @@
 /// What became of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderEnd {
-    /// The target has done it; a release may leave a handover.
-    Done(Option<String>),
+    /// The target has done it.
+    Done(Taken),
     /// The target has seen a higher fence.
     Outdated,
     /// Nothing was sent: nobody listens, or no connection could be made.
     NotSent,
+    /// Nothing was sent: the connection of the grant is gone, and another process may listen at
+    /// the address by now.
+    Reconnected,
     /// It was sent, and may be carried out late.
     Unknown,
 }
 
+/// An order that a target has carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Taken {
+    /// What a release leaves for the next owner.
+    pub handover: Option<String>,
+    /// When the connection was opened that carried the order.
+    pub opened: Instant,
+}
+
 /// What the leader wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/node/keys/leader/span.rs
+++ b/src/node/keys/leader/span.rs
@@ -18,6 +18,8 @@
     pub(super) stage: Stage,
     pub(super) fence: Fence,
     pub(super) handover: Option<String>,
+    /// When the connection was opened by which the owner took the fence.
+    pub(super) opened: Option<Instant>,
     /// Nobody but the owner holds the keys, and the owner not after this unless renewed.
     pub(super) bound: Instant,
     pub(super) order: Option<OrderId>,
@@ -44,6 +46,12 @@
 }
 
 impl Span {
+    /// Gives the span another fence, under which the owner is granted the keys anew.
+    pub(super) fn renumber(&mut self, fence: Fence) {
+        self.fence = fence;
+        self.opened = None;
+    }
+
     /// Returns a part of a held span under the same fence.
     pub(super) fn part(&self, range: KeyRange) -> Self {
         Self {
@@ -53,6 +61,7 @@
             stage: self.stage,
             fence: self.fence,
             handover: None,
+            opened: self.opened,
             bound: self.bound,
             order: None,
             bound_before: self.bound,
--- a/tests/support/keys_world.rs
+++ b/tests/support/keys_world.rs
@@ -18,6 +18,7 @@
 use gooseberryloft::node::keys::leader::Leader;
 use gooseberryloft::node::keys::leader::Order;
 use gooseberryloft::node::keys::leader::OrderEnd;
+use gooseberryloft::node::keys::leader::Taken;
 use gooseberryloft::node::keys::map::Holder;
 use gooseberryloft::node::keys::map::KeyMap;
 use gooseberryloft::node::keys::map::KeyRange;
@@ -75,6 +76,8 @@
     pub leaving: bool,
     life: u64,
     holds: Vec<Held>,
+    /// When its process started, which all connections to it are taken to be as old as.
+    since: Instant,
     seen: Vec<(KeyRange, u64)>,
 }
 
@@ -161,6 +164,10 @@
     pub broken: Vec<String>,
 }
 
+fn taken(handover: Option<String>, opened: Instant) -> Taken {
+    Taken { handover, opened }
+}
+
 fn holder(index: usize, life: u64) -> Holder {
     Holder {
         id: TargetId::from(format!("t{index}")),
@@ -182,6 +189,7 @@
             leaving: false,
             life: life as u64 + 1,
             holds: Vec::new(),
+            since: now,
             seen: Vec::new(),
         };
         let node = |boot: usize| FakeNode {
@@ -268,6 +276,7 @@
         target.life = self.lives;
         target.holds.clear();
         target.seen.clear();
+        target.since = self.now;
     }
 
     /// Ends a node's process and starts another.
@@ -482,6 +491,12 @@
             self.answers.push(end(OrderEnd::NotSent, WAY, self.now));
             return;
         }
+        if let Command::Grant { opened, .. } = order.command
+            && opened.is_some_and(|opened| opened < self.targets[target].since)
+        {
+            self.answers.push(end(OrderEnd::Reconnected, WAY, self.now));
+            return;
+        }
         let cut = self.nodes[node].cut_off.contains(&target);
         if cut || self.chance.percent(self.faults.lost) {
             self.answers.push(end(OrderEnd::Unknown, limit, self.now));
@@ -542,7 +557,7 @@
                     fence,
                     until,
                 });
-                OrderEnd::Done(None)
+                OrderEnd::Done(taken(None, target.since))
             }
             Command::Release => {
                 if fence >= highest {
@@ -550,7 +565,7 @@
                     target.seen.push((range, fence));
                 }
                 after += WORK;
-                OrderEnd::Done(Some("state".to_owned()))
+                OrderEnd::Done(taken(Some("state".to_owned()), target.since))
             }
         };
         if let (Command::Grant { .. }, OrderEnd::Done(_)) = (&flying.order.command, &end) {
