Serve metrics on a port of their own

Cause: the platform fetches metrics from the port that the deploy file names, and only the ready address, whose port the settings give, had them. Test: metrics_count_requests_by_service_and_outcome, on both addresses.

--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -69,6 +69,8 @@
     pub callers: SocketAddr,
     /// For the balancer's question whether the node is ready, and for metrics.
     pub ready: SocketAddr,
+    /// For metrics at a fixed port, if one is wanted.
+    pub metrics: Option<SocketAddr>,
     /// For datagrams of other nodes.
     pub peers: SocketAddr,
 }
@@ -91,6 +93,7 @@
 {
     let callers = listen(addresses.callers)?;
     let ready = listen(addresses.ready)?;
+    let metrics = addresses.metrics.map(listen).transpose()?;
     let socket = UdpSocket::bind(addresses.peers).await?;
     let peers = Rc::new(Peers::new(state.clone(), socket));
     let mut stop = signal(SignalKind::terminate())?;
@@ -109,6 +112,9 @@
     spawn(peers.clone().receive());
     spawn(peers.clone().send());
     spawn(serve_ready(state.clone(), ready));
+    if let Some(metrics) = metrics {
+        spawn(serve_ready(state.clone(), metrics));
+    }
     spawn(register(
         state.clone(),
         table.clone(),
