--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -145,13 +145,16 @@
     /// Takes the kept connection that was used last, of those opened at `latest` or earlier.
     fn take(&self, latest: Option<Instant>) -> Option<(Conn, Instant)> {
         let now = Instant::now();
-        let mut idle = self.lock();
-        idle.retain(|kept| now.saturating_duration_since(kept.since) < IDLE_LIMIT);
-        idle.retain(|kept| kept.conn.is_idle());
         let fits = |kept: &Kept| latest.is_none_or(|latest| kept.opened <= latest);
-        let at = idle.iter().rposition(fits)?;
-        let kept = idle.remove(at);
-        Some((kept.conn, kept.opened))
+        let mut idle = self.lock();
+        loop {
+            let at = idle.iter().rposition(fits)?;
+            let kept = idle.remove(at);
+            let age = now.saturating_duration_since(kept.since);
+            if age < IDLE_LIMIT && kept.conn.is_idle() {
+                return Some((kept.conn, kept.opened));
+            }
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Kept>> {
