--- a/src/node/keys/contact.rs
+++ b/src/node/keys/contact.rs
@@ -30,7 +30,7 @@
     }
 
     /// Returns whether another node should lead: this one's calls have failed for a while, and one
-    /// of another node, begun at `others_read` or later, succeeded after that while.
+    /// of another node succeeded after that, at `others_read`.
     ///
     /// When the table is away from all, nobody could take over, and the leader goes on renewing.
     pub fn is_turned_away(&self, others_read: Option<Instant>) -> bool {
