Answer requests that have arrived when the node closes

Read from the code: a connection between two requests ends when the node closes, and a select without order looked at the stage before the bytes that had come, and at what the runtime had told, not at the socket. A node that gets a fifth of a core finds both at the same time. Ruled out: connections not yet accepted; they are refused at the handshake, and those accepted last have a patience of their own. Change: what has come is read first, and at the end of its patience the connection asks the system once more.

--- a/src/node/proxy/conn.rs
+++ b/src/node/proxy/conn.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with the bytes read ahead on it.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -123,6 +124,13 @@
         (read, write, &mut self.ahead)
     }
 
+    /// Returns whether bytes have arrived that were not read yet, by what the system says now.
+    pub fn has_arrived(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let socket = socket2::SockRef::from(&self.stream);
+        matches!(socket.peek(&mut byte), Ok(1..))
+    }
+
     /// Returns whether the connection is open and silent, as one between two requests should be.
     pub fn is_idle(&self) -> bool {
         let mut byte = [0];
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -129,12 +129,14 @@
             deadline = deadline.min(Instant::now() + patience);
         }
         if Instant::now() >= deadline {
-            return false;
+            // A request may have arrived that the runtime has not told of yet.
+            return conn.has_arrived() && matches!(conn.fill().await, Ok(1..));
         }
         tokio::select! {
+            biased;
             read = conn.fill() => return matches!(read, Ok(1..)),
             () = turned => {}
-            () = tokio::time::sleep_until(deadline.into()) => return false,
+            () = tokio::time::sleep_until(deadline.into()) => {}
         }
     }
 }
