Count grants of earlier leaders to the next owner of an unfinished move

Cause: the map names the next owner from before a move until the next write of the map, so it also names it after the move has ended. A new leader that finds such an entry, and sees that the prior owner has ended or releases, took the keys of the next owner as not held (held_until = now), although the earlier leader may have granted them and may renew that grant. When the new leader did not reach the next owner, it gave the keys to another target while a last renewal by the earlier leader still held.

Ruled out: the simulation.

Change: a range that is resumed in the middle of a move keeps the end of earlier grants for its next owner too, and shortens it like the others once the earlier leaders are known to have ended.

--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -158,13 +158,15 @@
             return;
         };
         let held_until = now + ORDER_TIMEOUT + max_time_at_target(self.stored_max_grant);
-        for state in &mut self.ranges {
-            if state.held_until == assumed {
-                state.held_until = held_until;
-            }
-            if state.held_until_before_order == assumed {
-                state.held_until_before_order = held_until;
+        let shorten = |until: &mut Instant| {
+            if *until == assumed {
+                *until = held_until;
             }
+        };
+        for state in &mut self.ranges {
+            shorten(&mut state.held_until);
+            shorten(&mut state.held_until_before_order);
+            state.next_held_until.iter_mut().for_each(shorten);
         }
     }
 
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -58,6 +58,7 @@
             handover: None,
             opened: None,
             held_until: grants_until,
+            next_held_until: next.map(|_| grants_until),
             pending_order: None,
             held_until_before_order: grants_until,
             grant_duration: self.stored_max_grant,
@@ -80,6 +81,7 @@
                 handover: None,
                 opened: None,
                 held_until: now,
+                next_held_until: None,
                 pending_order: None,
                 held_until_before_order: now,
                 grant_duration: Duration::ZERO,
@@ -136,7 +138,8 @@
         }
     }
 
-    /// Makes the next owner the owner, after the previous one no longer holds the keys.
+    /// Makes the next owner the owner, after the previous one no longer holds the keys. A previous
+    /// leader may already have granted them to the next owner.
     pub(super) fn complete_move(&mut self, at: usize, now: Instant) {
         let fence = self.fences.allocate();
         let state = &mut self.ranges[at];
@@ -147,7 +150,7 @@
         };
         state.set_fence(fence);
         state.pending_order = None;
-        state.held_until = now;
+        state.held_until = state.next_held_until.take().unwrap_or(now).max(now);
         state.next_order_at = now;
         state.unanswered = 0;
         state.not_sent = 0;
--- a/src/node/keys/leader/range_state.rs
+++ b/src/node/keys/leader/range_state.rs
@@ -25,6 +25,9 @@
     /// Until when the owner may hold the keys unless its grant is renewed; no other target holds
     /// them.
     pub(super) held_until: Instant,
+    /// Until when the next owner may hold the keys by a grant of a previous leader, which may have
+    /// finished the move; `None` for moves that this leader began.
+    pub(super) next_held_until: Option<Instant>,
     pub(super) pending_order: Option<OrderId>,
     /// The value of `held_until` before the pending grant, restored if the grant has no effect.
     pub(super) held_until_before_order: Instant,
@@ -72,6 +75,7 @@
             handover: None,
             opened: self.opened,
             held_until: self.held_until,
+            next_held_until: self.next_held_until,
             pending_order: None,
             held_until_before_order: self.held_until,
             grant_duration: self.grant_duration,
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -215,6 +215,30 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+#[googletest::test]
+fn a_new_leader_waits_for_grants_to_the_next_owner_of_an_unfinished_move() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    // The map names the new process as owner and the former process as prior owner.
+    simulation.restart(1);
+    simulation.run(MS(1_000));
+    for (node, fake) in simulation.nodes.iter_mut().enumerate() {
+        if node != leader {
+            fake.unreachable.push(1);
+        }
+    }
+    simulation.nodes[leader].running = false;
+    simulation.run(MS(2_700));
+    // The previous leader renews its grants once more before it learns of the new term.
+    simulation.nodes[leader].running = true;
+    simulation.run(MS(200));
+    expect_that!(simulation.held_by(1), not(is_empty()));
+    simulation.run(MS(8_000));
+    expect_that!(simulation.held_by(1), is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+    expect_that!(simulation.violations, is_empty());
+}
+
 /// Applies one random fault or repair to a random target or node, or adds load.
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
