Leave a request unread that crosses the close of an idle connection

Cause: in a graceful shutdown an idle connection was closed like one that had just carried a response: its write side was shut down, and what the caller still sent was read and discarded for up to 500 ms. When the packet that closes the connection is lost, the kernel sends it again 200 ms later; a request sent in between was read and never answered.

Ruled out: the accept queue (accept is polled before the timer that ends it, until it is empty), the first request of a connection accepted late (waits 400 ms and looks once more), pipelined requests behind a response that closes (not counted, sent again by the caller), half-read heads.

Change: the drain is for connections on which a response was just sent. An idle one is closed at once, so the kernel resets the connection when a request arrives, and the caller knows that it was not read. Connections are also accepted for no longer than 3 s of the grace period, since a request taken later has less time to end: with 10 s of grace it was 5 s.

Before: the new test of the real node fails, the second write succeeds on a connection that nobody serves. After: it passes.

--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -50,6 +50,9 @@
 /// Share of the grace period in which connections are still accepted: the load balancer stops
 /// sending callers after two failed health checks, which are a second apart.
 const LEAVING_SHARE: f64 = 0.5;
+/// Maximum time in which connections are still accepted. A request accepted later has less of the
+/// grace period left, however long that is, and the load balancer needs no more.
+const MAX_LEAVING_TIME: Duration = Duration::from_secs(3);
 /// How long before the end of the grace period the remaining requests are aborted.
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 /// Time for the last connections to close after the remaining requests are aborted.
@@ -279,6 +282,12 @@
     });
 }
 
+/// Returns how long a node that is asked to stop accepts connections and new requests, of its whole
+/// `grace` period.
+pub fn accepting_time(grace: Duration) -> Duration {
+    grace.mul_f64(LEAVING_SHARE).min(MAX_LEAVING_TIME)
+}
+
 async fn shut_down(state: &Rc<State>, groups: &Groups, accepting: tokio::task::JoinHandle<()>) {
     let started = Instant::now();
     state.log.record(Event::Draining, |line| {
@@ -290,7 +299,7 @@
         group.send(GroupMessage::Resign);
     }
     let grace = state.reloadable().shutdown_grace;
-    tokio::time::sleep(grace.mul_f64(LEAVING_SHARE)).await;
+    tokio::time::sleep(accepting_time(grace)).await;
     accepting.abort();
     state.advance_to(ShutdownStage::Closing);
     let deadline = started + grace.saturating_sub(GRACE_MARGIN);
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -101,6 +101,8 @@
     };
     let _connection_guard = ConnectionGuard::new(&state);
     let mut grace = FIRST_REQUEST_GRACE;
+    // An idle connection is closed without reading on: a request that arrives from now on stays
+    // unread, so the kernel resets the connection and the caller may send it again elsewhere.
     while wait_for_request(&state, &mut conn, grace).await {
         grace = Duration::ZERO;
         let request_guard = RequestGuard::new(&state);
@@ -108,11 +110,10 @@
         drop(request_guard);
         match next_step {
             NextStep::KeepOpen => {}
-            NextStep::Close => break,
+            NextStep::Close => return close_gracefully(conn).await,
             NextStep::Abort => return,
         }
     }
-    close_gracefully(conn).await;
 }
 
 /// Waits for a request; returns false if the connection should be closed.
@@ -142,7 +143,7 @@
     }
 }
 
-/// Closes a connection so that the response arrives even if the caller has sent more data, which
+/// Closes a connection after a response, so that the response arrives even if the caller has sent more data, which
 /// would otherwise cause a reset.
 async fn close_gracefully(mut conn: Conn) {
     let (_, mut write, _) = conn.split();
