Let the number of concurrent moves grow with the number of targets

Cause: at most six ranges moved at a time, at any size. A set of hot keys is adjacent and so owned by two or three targets; with hundreds of targets it must be divided among a hundred of them, one move each, and a move takes as long as the work that runs on its keys.

Change: one move for eight candidates, at least six as before. The leader also looks up the owners of its ranges in an index built once a tick, instead of a search through all candidates for each range: with 342 targets that were 342 x 342 comparisons of names, 20 times a second.

Ruled out: the rate of plans (two a second, one plan gives several moves), and moving whole neighbourhoods at once (an owner cannot take more than its part).

After: at least 100, the bound: half of the keys have an owner of their own. Sites with up to 48 targets keep the limit of six. The move of keys is priced by their share of all keys; that of hot keys is small.

--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -17,8 +17,11 @@
 pub(super) const EXCLUSION_TIME: Duration = Duration::from_millis(4_000);
 /// Maximum number of doublings of [`EXCLUSION_TIME`].
 pub(super) const MAX_DOUBLINGS: u32 = 3;
-/// Maximum number of ranges that move at the same time.
-const MAX_CONCURRENT_MOVES: usize = 6;
+/// Minimum limit on the number of ranges that move at the same time.
+const MIN_CONCURRENT_MOVES: usize = 6;
+/// Candidates per range that may move at the same time: a set of hot keys is divided among a share of
+/// the targets, so with many targets it takes many moves.
+const CANDIDATES_PER_MOVE: usize = 8;
 /// Requests per second below which a range may be moved only to reduce the number of ranges.
 const COLD_RANGE_RATE: f64 = 1.0;
 /// Maximum number of cold ranges that one balancing round starts to move.
@@ -94,11 +97,9 @@
     /// Starts moves from overloaded owners to less loaded ones.
     pub(super) fn balance(&mut self, candidates: &[Candidate], key_load: &KeyLoad, now: Instant) {
         let eligible = self.eligible(candidates, now);
-        for _ in 0..MAX_CONCURRENT_MOVES {
-            let moving = self.ranges.iter().filter(|state| state.next.is_some());
-            if moving.count() >= MAX_CONCURRENT_MOVES {
-                return;
-            }
+        let limit = MIN_CONCURRENT_MOVES.max(candidates.len() / CANDIDATES_PER_MOVE);
+        let moving = self.ranges.iter().filter(|state| state.next.is_some());
+        for _ in moving.count()..limit {
             let Some(next) = plan::next_move(&eligible, &self.owned_ranges(), key_load) else {
                 return;
             };
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -7,6 +7,7 @@
 //! can continue from it.
 
 mod balance;
+mod candidate_index;
 mod moves;
 mod order;
 mod range_state;
@@ -18,6 +19,7 @@
 use crate::node::keys::leader::balance::EXCLUSION_TIME;
 use crate::node::keys::leader::balance::LostTarget;
 use crate::node::keys::leader::balance::MAX_DOUBLINGS;
+use crate::node::keys::leader::candidate_index::CandidateIndex;
 use crate::node::keys::leader::range_state::RangeState;
 use crate::node::keys::leader::range_state::Stage;
 use crate::node::keys::map::FenceAllocator;
@@ -198,9 +200,10 @@
         }
         self.raise_max_grant();
         let mut locations = Vec::new();
+        let index = CandidateIndex::new(candidates);
         for at in 0..self.ranges.len() {
-            self.advance(at, candidates, key_load, now, &mut locations);
-            if let Some(order) = self.next_order(at, candidates, now) {
+            self.advance(at, &index, key_load, now, &mut locations);
+            if let Some(order) = self.next_order(at, &index, now) {
                 actions.push(Action::Send(order));
             }
         }
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -10,6 +10,7 @@
 use crate::node::keys::leader::Order;
 use crate::node::keys::leader::OrderId;
 use crate::node::keys::leader::OrderOutcome;
+use crate::node::keys::leader::candidate_index::CandidateIndex;
 use crate::node::keys::leader::max_time_at_target;
 use crate::node::keys::leader::range_state::RangeState;
 use crate::node::keys::leader::range_state::Stage;
@@ -99,7 +100,7 @@
     pub(super) fn advance(
         &mut self,
         at: usize,
-        candidates: &[Candidate],
+        candidates: &CandidateIndex<'_>,
         key_load: &KeyLoad,
         now: Instant,
         locations: &mut Vec<RangeLocation>,
@@ -123,7 +124,7 @@
             let ended = state
                 .owner
                 .as_ref()
-                .is_none_or(|owner| now >= state.held_until || has_ended(owner, candidates));
+                .is_none_or(|owner| now >= state.held_until || candidates.has_ended(owner));
             if ended {
                 self.complete_move(at, now);
             }
@@ -157,16 +158,21 @@
     }
 
     /// Returns true if the range's owner cannot keep it: it leaves, has ended or is lost.
-    pub(super) fn must_move(&self, at: usize, candidates: &[Candidate], now: Instant) -> bool {
+    pub(super) fn must_move(
+        &self,
+        at: usize,
+        candidates: &CandidateIndex<'_>,
+        now: Instant,
+    ) -> bool {
         let state = &self.ranges[at];
         let Some(owner) = &state.owner else {
             return true;
         };
-        let listed = candidates.iter().find(|c| c.holder == *owner);
+        let listed = candidates.get(owner);
         let is_list_complete = now.saturating_duration_since(self.started_at) >= LIST_RECOVERY_TIME;
         let is_leaving = match listed {
             Some(candidate) => candidate.leaving,
-            None => is_list_complete || has_ended(owner, candidates),
+            None => is_list_complete || candidates.has_ended(owner),
         };
         is_leaving
             || state.unanswered >= LOST_AFTER_UNANSWERED
@@ -177,12 +183,12 @@
     pub(super) fn move_to_least_loaded(
         &mut self,
         at: usize,
-        candidates: &[Candidate],
+        candidates: &CandidateIndex<'_>,
         key_load: &KeyLoad,
         now: Instant,
     ) {
         let owner = self.ranges[at].owner.clone();
-        let eligible = self.eligible(candidates, now);
+        let eligible = self.eligible(candidates.all(), now);
         let others = eligible
             .into_iter()
             .filter(|c| Some(&c.holder) != owner.as_ref());
@@ -215,7 +221,7 @@
     pub(super) fn next_order(
         &mut self,
         at: usize,
-        candidates: &[Candidate],
+        candidates: &CandidateIndex<'_>,
         now: Instant,
     ) -> Option<Order> {
         let duration = self.grant_duration();
@@ -228,7 +234,7 @@
             return None;
         }
         let owner = state.owner.clone()?;
-        let candidate = candidates.iter().find(|c| c.holder == owner)?;
+        let candidate = candidates.get(&owner)?;
         let is_lost =
             state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
         let command = match state.stage {
@@ -327,12 +333,3 @@
         }
     }
 }
-
-/// Returns true if a process is known to have ended, because a later one of the same target runs.
-fn has_ended(holder: &Holder, candidates: &[Candidate]) -> bool {
-    let same_id = |c: &&Candidate| c.holder.id == holder.id;
-    candidates
-        .iter()
-        .find(same_id)
-        .is_some_and(|c| c.holder.incarnation > holder.incarnation)
-}
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -239,6 +239,30 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+/// Number of targets that own a key of `first..first + count`.
+fn owners_of(simulation: &Simulation, first: u16, count: u16) -> usize {
+    let overlaps = |target: &usize| {
+        let held = simulation.held_by(*target);
+        held.iter()
+            .any(|range| range.first < first + count && range.last >= first)
+    };
+    (0..simulation.targets.len()).filter(overlaps).count()
+}
+
+#[googletest::test]
+fn a_hot_set_of_adjacent_keys_is_distributed_over_many_owners_within_seconds() {
+    let mut simulation = simulation_with_held_keys(342, 1);
+    expect_that!(owners_of(&simulation, 300, 200), le(3));
+    for round in 0..30 {
+        for key in 300..500 {
+            simulation.add_load(key, u32::from(u64::from(key) % 5 == round % 5));
+        }
+        simulation.run(MS(100));
+    }
+    expect_that!(owners_of(&simulation, 300, 200), ge(100));
+    expect_that!(simulation.violations, is_empty());
+}
+
 /// Applies one random fault or repair to a random target or node, or adds load.
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
