Store each owner of a key map once

Cause: the stored map repeated the owner, and during a move the prior owner, in every range, about 60 and 90 bytes. A row holds 65,536 bytes; with 342 targets, two ranges each and two sets of hot keys the map gets there, and then no write of it succeeds and no key moves any more. Every write and every read of the map at a start also costs these bytes.

Change: the row has a list of owners, and ranges refer to it by number. A map in the earlier form is still read. A row that cannot be decoded, or whose ranges have gaps, no longer counts as absent for a new leader, which would grant all keys anew: it postpones and logs the row (no test of its own).

Ruled out: compression (one more library, and the size would still grow with the number of ranges times the owner), several rows a map (one transaction more, and readers could see a mixture).

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -102,6 +102,13 @@
         let map = stored
             .as_ref()
             .and_then(|row| rows::decode::<KeyMap>(&row.value));
+        if stored.is_some() && map.is_none() {
+            // Without the map, keys could be granted that another target still holds.
+            self.state.log.record(Event::RowMalformed, |line| {
+                line.text("row", &self.map_key())
+            });
+            return self.election.postpone(now);
+        }
         let max_grant = self.state.conf.max_grant;
         let mut leader = Leader::new(lease.term, map.as_ref(), max_grant, now);
         leader.lease_confirmed(started_at);
--- a/src/node/keys/map.rs
+++ b/src/node/keys/map.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::Fence;
 use crate::ids::TargetId;
+use crate::node::keys::stored_map::StoredMap;
 
 /// One process of a target.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -76,12 +77,12 @@
 
 /// The owners of all keys of a service, as stored in the table.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "StoredMap", try_from = "StoredMap")]
 pub struct KeyMap {
     /// Increases with each stored map.
     pub version: MapVersion,
     /// The longest duration, in milliseconds, for which any leader may have granted keys; if
     /// absent, the longest duration that targets accept.
-    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub max_grant_ms: Option<u64>,
     /// The ranges in ascending order; together they contain each key exactly once.
     pub ranges: Vec<Ownership>,
--- a/src/node/keys/mod.rs
+++ b/src/node/keys/mod.rs
@@ -9,5 +9,6 @@
 pub mod leader;
 pub mod map;
 pub mod plan;
+mod stored_map;
 pub mod table_health;
 pub mod view;
