Read rules and targets through one node of each data centre

Three of them grow with the nodes for no use: every node polled for rules every 20 s and was answered at every change, all nodes took themselves for readers until the first heartbeats arrived, and when the table turned the reader away all others read the list every 1.5 s until it was served again.

The others read them when a heartbeat shows newer ones, after 0.1 s, or when no neighbour has read the list for 1.5 s. A node does not take itself for the reader in its first second. Heartbeats say whether calls to the table fail, and a reader whose calls fail is replaced. After changes the reader pauses 0.3 s instead of 0.1 s, so that a replacement of a service needs fewer calls. A node that starts reads the list at once.

--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -33,6 +33,8 @@
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::election::Election;
 use crate::node::platform::Cursor;
+use crate::node::reader;
+use crate::node::reader::Neighbour;
 use crate::node::rules_lag::RulesLag;
 use crate::node::state::State;
 use crate::platform::Row;
@@ -40,9 +42,6 @@
 /// A node without a heartbeat for this long is considered dead: it is left out of election
 /// ranks, and its load on targets no longer counts.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// A node of this data centre without a heartbeat for this long is not expected to read the list of
-/// targets for the others.
-const READER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A node without a heartbeat for this long is removed until it sends one or its row is read again.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -57,6 +56,8 @@
     /// When the node was added.
     added: Instant,
     last_heartbeat: Option<Instant>,
+    /// Whether its calls to the table fail, by its last heartbeat.
+    table_fails: bool,
     /// Its requests in flight by target.
     loads: Vec<(Tag, u16)>,
 }
@@ -65,6 +66,8 @@
 #[derive(Debug)]
 pub struct Peers {
     state: Rc<State>,
+    /// When this process began.
+    started: Instant,
     socket: UdpSocket,
     peers: RefCell<BTreeMap<VmId, Peer>>,
     groups: RefCell<BTreeMap<ServiceId, GroupHandle>>,
@@ -82,6 +85,7 @@
     pub fn new(state: Rc<State>, socket: UdpSocket) -> Self {
         Self {
             state,
+            started: Instant::now(),
             socket,
             peers: RefCell::default(),
             groups: RefCell::default(),
@@ -173,6 +177,7 @@
             cpu_capacity: CpuCapacity::default(),
             added: now,
             last_heartbeat: None,
+            table_fails: false,
             loads: Vec::new(),
         };
         if let Some(old) = peers.insert(name.clone(), peer) {
@@ -222,6 +227,7 @@
         self.update_loads(node, heartbeat.loads, now);
         if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
             peer.cpu_capacity = heartbeat.cpu_capacity;
+            peer.table_fails = heartbeat.table_fails;
         }
         self.compare_rules(heartbeat.rules, now);
         self.record_table_read(heartbeat.list, now);
@@ -275,8 +281,11 @@
 
     fn compare_rules(&self, version: u64, now: Instant) {
         let own = self.state.rules_version();
-        if self.rules_lag.borrow_mut().observe(version, own, now) {
-            self.rules_hint.notify_one();
+        let is_polling = self.state.is_reader.get();
+        let mut rules_lag = self.rules_lag.borrow_mut();
+        if rules_lag.observe(version, own, is_polling, now) {
+            // A read that is in progress gets the newest rules, so only a waiting task is notified.
+            self.rules_hint.notify_waiters();
         }
     }
 
@@ -303,17 +312,19 @@
         }
     }
 
-    /// Decides whether this node reads the list of targets for its data centre: the node with the
-    /// lowest name among those with recent heartbeats does.
+    /// Decides whether this node reads rules and targets for its data centre.
     fn choose_reader(&self, now: Instant) {
         let conf = &self.state.conf;
         let peers = self.peers.borrow();
-        let is_before = |(name, peer): (&VmId, &Peer)| {
-            *name < conf.name
-                && peer.data_centre == conf.data_centre
-                && peer.is_reader_candidate(now)
-        };
-        let is_reader = !peers.iter().any(is_before);
+        let local = peers
+            .iter()
+            .filter(|(_, peer)| peer.data_centre == conf.data_centre);
+        let neighbours = local.map(|(name, peer)| Neighbour {
+            name,
+            last_heartbeat: peer.last_heartbeat,
+            table_fails: peer.table_fails,
+        });
+        let is_reader = reader::is_reader(&conf.name, self.started, neighbours, now);
         if self.state.is_reader.replace(is_reader) != is_reader {
             self.state.list_check.notify_waiters();
         }
@@ -364,12 +375,6 @@
         self.last_heartbeat.unwrap_or(self.added)
     }
 
-    /// Returns true if the last heartbeat is recent enough for the node to be chosen as reader.
-    fn is_reader_candidate(&self, now: Instant) -> bool {
-        self.last_heartbeat
-            .is_some_and(|at| now.saturating_duration_since(at) < READER_TIMEOUT)
-    }
-
     fn is_alive(&self, now: Instant) -> bool {
         self.last_heartbeat
             .is_some_and(|at| now.saturating_duration_since(at) < ALIVE_TIMEOUT)
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -124,6 +124,7 @@
             cpu_capacity: self.state.conf.cpu_capacity,
             rules: self.state.rules_version(),
             list: self.state.list_schedule.borrow().position(Instant::now()),
+            table_fails: self.state.table_health.borrow().is_failing(),
             terms: terms.collect(),
             loads,
         }
--- a/src/node/control/watch.rs
+++ b/src/node/control/watch.rs
@@ -23,11 +23,9 @@
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
 
-/// Long-poll timeout for rules on the node that reads the targets for its data centre. A dead
-/// connection is detected only after this time.
+/// Long-poll timeout for rules on the node that reads for its data centre. A dead connection is
+/// detected only after this time.
 const READER_POLL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Long-poll timeout for rules on other nodes, which learn of new rules from heartbeats as well.
-const OTHERS_POLL_TIMEOUT: Duration = Duration::from_millis(20_000);
 /// Maximum number of target changes sent in one datagram.
 const MAX_UPDATES_PER_DATAGRAM: usize = 6;
 /// Backoff after the first failed call; it doubles with each further failure.
@@ -83,14 +81,22 @@
     }
 }
 
-/// Polls for rules until the process ends; `hint` is notified when another node has newer rules.
+/// Keeps the rules current until the process ends; `hint` is notified when another node has newer
+/// rules.
+///
+/// The data centre's reader polls for them. The others read them when a heartbeat shows newer ones,
+/// or when no reader is known to reach the platform.
 pub async fn rules(state: Rc<State>, platform: Rc<impl Platform>, hint: Rc<Notify>) {
     let mut health = CallHealth::new("rules", MAX_RULES_DOUBLINGS);
     let mut cursor: Option<Cursor> = None;
+    let mut read = Instant::now();
     loop {
+        if cursor.is_some() && wait_for_rules(&state, &hint, read).await == RulesChange::Newer {
+            cursor = None;
+        }
         let wait = match state.is_reader.get() {
             true => READER_POLL_TIMEOUT,
-            false => OTHERS_POLL_TIMEOUT,
+            false => Duration::ZERO,
         };
         let update = tokio::select! {
             update = platform.rules(cursor, wait) => update,
@@ -104,6 +110,7 @@
         state.counters.add(Counter::TableCalls);
         match update {
             Ok((next, rules)) => {
+                read = Instant::now();
                 health.record_success(&state);
                 cursor = Some(next);
                 if let Some(rules) = rules {
@@ -122,6 +129,33 @@
     }
 }
 
+/// What a node that waits to read the rules knows of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RulesChange {
+    /// Another node has newer rules.
+    Newer,
+    /// None is known.
+    Unknown,
+}
+
+/// Waits until this node has to read the rules that it last read at `read`; on the reader, at once.
+async fn wait_for_rules(state: &State, hint: &Notify, read: Instant) -> RulesChange {
+    loop {
+        let newer = hint.notified();
+        let rescheduled = state.list_check.notified();
+        let due = state.list_schedule.borrow().next_rules_read(read);
+        if state.is_reader.get() || Instant::now() >= due {
+            return RulesChange::Unknown;
+        }
+        tokio::select! {
+            biased;
+            () = newer => return RulesChange::Newer,
+            () = rescheduled => {}
+            () = tokio::time::sleep_until(due.into()) => {}
+        }
+    }
+}
+
 fn apply_rules(state: &State, rules: Rules) {
     let (version, before) = (rules.version, state.rules_version());
     let routes = rules.routes.len() as u64;
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -83,6 +83,9 @@
     /// The list of targets as the node last read it.
     #[serde(rename = "i")]
     pub list: ListPosition,
+    /// Whether the node's calls to the table fail.
+    #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+    pub table_fails: bool,
     /// Leader terms of the services whose leader the node knows.
     #[serde(rename = "l")]
     pub terms: Vec<ServiceTerm>,
--- a/src/node/list_schedule.rs
+++ b/src/node/list_schedule.rs
@@ -14,7 +14,7 @@
 /// How long one call of the reader waits for a change.
 pub const READER_POLL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause of the reader between calls, so that changes in quick succession need one call.
-const READER_PAUSE: Duration = Duration::from_millis(100);
+const READER_PAUSE: Duration = Duration::from_millis(300);
 /// Minimum time between reads of a node that missed a change sent by the reader. It is short if
 /// targets are leaving, and long if targets only joined, because at a start they join one by one.
 const LEFT_PAUSE: Duration = Duration::from_millis(500);
@@ -32,6 +32,8 @@
     /// When this node's list was last known to be current, by its own read or a peer's report.
     confirmed: Instant,
     last_read: Instant,
+    /// When a peer last read the list, by its reports.
+    peer_read: Option<Instant>,
     difference: Option<Difference>,
 }
 
@@ -52,6 +54,7 @@
             digest: ListDigest::default(),
             confirmed: now,
             last_read: now,
+            peer_read: None,
             difference: Some(Difference::Left),
         }
     }
@@ -87,8 +90,9 @@
         if peer.cursor < self.cursor {
             return;
         }
+        let read = now.checked_sub(Duration::from_millis(peer.age_ms.into()));
+        self.peer_read = self.peer_read.max(read);
         if peer.digest == self.digest {
-            let read = now.checked_sub(Duration::from_millis(peer.age_ms.into()));
             self.confirmed = self.confirmed.max(read.unwrap_or(now));
         } else if peer.cursor > self.cursor {
             let (theirs, own) = (peer.digest, self.digest);
@@ -102,8 +106,18 @@
         }
     }
 
-    /// Returns the time of the next read; `is_reader` is true on the data centre's reader.
+    /// Returns when a node that does not poll for rules, and last read them at `rules_read`, should
+    /// read them again: a reader in the data centre that reads the list also has new rules.
+    pub fn next_rules_read(&self, rules_read: Instant) -> Instant {
+        self.peer_read.max(Some(rules_read)).unwrap_or(rules_read) + MAX_CONFIRMED_AGE
+    }
+
+    /// Returns the time of the next read, which is at once on a node that has not read the list yet;
+    /// `is_reader` is true on the data centre's reader.
     pub fn next_read(&self, is_reader: bool) -> Instant {
+        if self.cursor == Cursor::default() {
+            return self.last_read;
+        }
         match (is_reader, self.difference) {
             (true, _) => self.last_read + READER_PAUSE,
             (false, Some(Difference::Left)) => self.last_read + LEFT_PAUSE,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 pub mod pick;
 pub mod platform;
 pub mod proxy;
+pub mod reader;
 pub mod retry_budget;
 pub mod rules;
 pub mod rules_lag;
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -94,9 +94,9 @@
     pub fleet: RefCell<Fleet>,
     /// Schedules reads of the list of targets.
     pub list_schedule: RefCell<ListSchedule>,
-    /// Whether this node polls the list of targets for its data centre.
+    /// Whether this node polls the platform for rules and targets for its data centre.
     pub is_reader: Cell<bool>,
-    /// Notified when the time of the next read of the list may have changed.
+    /// Notified when the time of the next read of rules or targets may have changed.
     pub list_check: Notify,
     /// Idle connections to targets.
     pub pool: Pool,
@@ -139,7 +139,7 @@
             router: RefCell::default(),
             fleet: RefCell::default(),
             list_schedule: RefCell::new(ListSchedule::new(Instant::now())),
-            is_reader: Cell::new(true),
+            is_reader: Cell::new(false),
             list_check: Notify::new(),
             pool: Pool::default(),
             views: RefCell::default(),
