Ask refused callers to come back within the objective

Cause: Retry-After was a quarter of the caller's remaining time. With an objective of 600 ms and 1,500 ms of time, a caller waited 120 ms for a slot, then 345 ms until it came back, and was late even if a slot was free by then.

Change: a quarter of the objective, if that is less than the time left. The request comes back while it can still be answered within its objective.

Ruled out: waiting longer for a slot instead of refusing (the connection is held and the caller cannot choose), and a fixed short time (in an overload all callers would come back at once; the fraction scales with the objective).

--- a/src/node/control/watch.rs
+++ b/src/node/control/watch.rs
@@ -119,8 +119,12 @@
             }
             Err(PlatformError::HistoryDropped) => cursor = None,
             Err(error) => {
+                read = Instant::now();
                 // A call without a cursor does not wait, so it detects the end of an outage sooner.
-                cursor = None;
+                // A node that has rules, and whose neighbours read them, need not detect it.
+                if state.is_reader.get() || state.rules_version() == 0 {
+                    cursor = None;
+                }
                 let backoff = health.record_failure(&state, &error);
                 // The hint shows that other nodes reach the table, so retry at once.
                 let _ = timeout(backoff, hint.notified()).await;
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -8,7 +8,8 @@
 use crate::traffic::forward;
 use crate::traffic::forward::put;
 
-/// `Retry-After` as a fraction of the caller's remaining time; callers accept up to a third.
+/// `Retry-After` as a fraction of the caller's remaining time or of the objective; callers accept up
+/// to a third of their time.
 const RETRY_AFTER_FRACTION: f64 = 0.25;
 /// Bounds of the `Retry-After` sent to callers.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -67,6 +68,16 @@
     pub retry_after: Option<Duration>,
 }
 
+/// Returns when a caller whose request has not run should come back. A caller that comes back within
+/// the latency objective may still be answered within it; one that waits for a part of a longer time
+/// left is late even if a slot is free by then.
+pub fn retry_after(time_left: Duration, objective: Duration) -> Duration {
+    time_left
+        .min(objective)
+        .mul_f64(RETRY_AFTER_FRACTION)
+        .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+}
+
 impl LocalResponse {
     /// Returns an error response that does not ask for a retry.
     pub fn error(status: u16, text: &'static str) -> Self {
@@ -77,29 +88,27 @@
         }
     }
 
-    /// Returns a 503 response for a request that has not run; `time_left` is the caller's remaining
-    /// time.
-    pub fn not_run(text: &'static str, time_left: Duration) -> Self {
-        let pause = time_left
-            .mul_f64(RETRY_AFTER_FRACTION)
-            .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+    /// Returns a 503 response for a request that has not run.
+    pub fn not_run(text: &'static str, retry_after: Duration) -> Self {
         Self {
             status: 503,
             text,
-            retry_after: Some(pause),
+            retry_after: Some(retry_after),
         }
     }
 
     /// Returns the response to a request that received no response from a target.
-    pub fn refusal(refusal: Refusal, time_left: Duration) -> Self {
+    pub fn refusal(refusal: Refusal, retry_after: Duration) -> Self {
         match refusal {
             Refusal::NoTarget => {
-                Self::not_run("no target is in service; come back later", time_left)
+                Self::not_run("no target is in service; come back later", retry_after)
             }
             Refusal::Busy | Refusal::Shed => {
-                Self::not_run("all targets are busy; come back later", time_left)
+                Self::not_run("all targets are busy; come back later", retry_after)
+            }
+            Refusal::NoOwner => {
+                Self::not_run("the key is on the move; come back later", retry_after)
             }
-            Refusal::NoOwner => Self::not_run("the key is on the move; come back later", time_left),
             Refusal::Quarantined => Self {
                 status: 503,
                 text: "requests like this one crashed targets; do not send it again",
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -25,6 +25,7 @@
 use crate::node::proxy::respond;
 use crate::node::proxy::respond::LAST_CHUNK;
 use crate::node::proxy::respond::LocalResponse;
+use crate::node::proxy::respond::retry_after;
 use crate::node::rules::Limits;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
@@ -38,9 +39,8 @@
     head_time: Duration::from_secs(3),
     idle_time: Duration::from_secs(15),
 };
-/// Remaining time assumed for a caller while no rules are loaded; its `Retry-After` is a fraction
-/// of this.
-const ASSUMED_TIME_LEFT: Duration = Duration::from_millis(1_200);
+/// `Retry-After` while no rules are loaded.
+const NO_RULES_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum number of bytes of pipelined requests that are buffered while a request is served.
 const MAX_PIPELINED_BYTES: usize = 32 << 10;
 /// How long a connection that was accepted late in a graceful shutdown waits for its first request,
@@ -178,7 +178,7 @@
     let Some(router) = state.router().filter(|_| state.fleet.borrow().is_loaded()) else {
         let response = LocalResponse::not_run(
             "no rules are in force here yet; come back later",
-            ASSUMED_TIME_LEFT,
+            NO_RULES_RETRY_AFTER,
         );
         // The body is not read, so the connection cannot be reused.
         let close = close || head.framing != Framing::Empty;
@@ -260,7 +260,8 @@
                 log_refusal_state(state, routed, line);
             });
             let time_left = routed.deadline.saturating_duration_since(Instant::now());
-            let out = LocalResponse::refusal(refusal, time_left).encode(close);
+            let pause = retry_after(time_left, routed.objective);
+            let out = LocalResponse::refusal(refusal, pause).encode(close);
             send(conn, &out, close).await
         }
     }
--- a/tests/node_owner_capacity.rs
+++ b/tests/node_owner_capacity.rs
@@ -16,6 +16,7 @@
 use gooseberryloft::node::fleet::Fleet;
 use gooseberryloft::node::fleet::TargetEntry;
 use gooseberryloft::node::pick::has_capacity;
+use gooseberryloft::node::proxy::respond::retry_after;
 
 const STEP: Duration = Duration::from_millis(1);
 /// What a node waits for a free slot before it refuses, of the objective.
@@ -27,6 +28,10 @@
     centres: usize,
     service_time: Duration,
     objective: Duration,
+    /// How long callers wait in all.
+    timeout: Duration,
+    /// Whether callers that are refused come back once.
+    comes_back: bool,
     /// Requests in progress at the owner, as a multiple of its slots.
     utilisation: f64,
 }
@@ -37,6 +42,10 @@
     in_time: u32,
     late: u32,
     refused: u32,
+    /// Requests answered in time after they had been refused once.
+    returned_in_time: u32,
+    /// Requests that were refused once.
+    returned: u32,
 }
 
 impl Served {
@@ -48,6 +57,8 @@
 struct Waiting {
     centre: usize,
     arrived: u32,
+    /// When the caller came back, if the request was refused once.
+    returned: Option<u32>,
     sent: u32,
     /// True if all slots were busy with the data centre's own requests when it was sent.
     saturated: bool,
@@ -98,7 +109,10 @@
             owner.in_flight.set(owner.in_flight.get() - 1);
             owner.record_response(STEP * (step - request.sent), request.saturated);
             match step - request.arrived <= objective {
-                true => served.in_time += 1,
+                true => {
+                    served.in_time += 1;
+                    served.returned_in_time += u32::from(request.returned.is_some());
+                }
                 false => served.late += 1,
             }
         }
@@ -107,6 +121,7 @@
             waiting.push_back(Waiting {
                 centre: rng.random_range(0..load.centres),
                 arrived: step,
+                returned: None,
                 sent: step,
                 saturated: false,
             });
@@ -114,14 +129,23 @@
         let mut still_waiting = VecDeque::new();
         for mut request in waiting.drain(..) {
             let owner = target(request.centre);
-            if has_capacity(owner, load.objective, load.centres) {
+            let since = request.returned.unwrap_or(request.arrived);
+            if step < since {
+                still_waiting.push_back(request);
+            } else if has_capacity(owner, load.objective, load.centres) {
                 request.sent = step;
                 request.saturated = owner.load() >= owner.entry.slots;
                 owner.in_flight.set(owner.in_flight.get() + 1);
                 queue.push_back(request);
-            } else if step - request.arrived >= max_wait {
+            } else if step - since < max_wait {
+                still_waiting.push_back(request);
+            } else if request.returned.is_some() || !load.comes_back {
                 served.refused += 1;
             } else {
+                let time_left = load.timeout - STEP * (step - request.arrived);
+                let pause = retry_after(time_left, load.objective).as_millis() as u32;
+                request.returned = Some(step + pause);
+                served.returned += 1;
                 still_waiting.push_back(request);
             }
         }
@@ -143,6 +167,8 @@
     centres: 4,
     service_time: Duration::from_millis(100),
     objective: Duration::from_millis(600),
+    timeout: Duration::from_millis(1_500),
+    comes_back: false,
     utilisation: 0.6,
 };
 
@@ -152,6 +178,8 @@
     centres: 6,
     service_time: Duration::from_millis(430),
     objective: Duration::from_millis(1_500),
+    timeout: Duration::from_millis(4_000),
+    comes_back: false,
     utilisation: 0.6,
 };
 
@@ -161,6 +189,10 @@
 /// quarters of those.
 const MIN_IN_TIME: f64 = 0.5;
 
+/// Bound on the share answered in time of the requests that come back after a refusal, when eight
+/// tenths of the slots are needed: they wait up to twice and should still get there one time in three.
+const MIN_RETURNED_IN_TIME: f64 = 1.0 / 3.0;
+
 /// Plays a load with several seeds and returns the sums.
 fn play_seeds(load: &Load) -> Served {
     let mut total = Served::default();
@@ -169,6 +201,8 @@
         total.in_time += served.in_time;
         total.late += served.late;
         total.refused += served.refused;
+        total.returned += served.returned;
+        total.returned_in_time += served.returned_in_time;
     }
     total
 }
@@ -191,3 +225,16 @@
         expect_that!(served.share(served.in_time), gt(MIN_IN_TIME), "{served:?}");
     }
 }
+
+#[googletest::test]
+fn callers_that_come_back_are_often_answered_in_time() {
+    for load in [FEW_SLOTS, MANY_SLOTS] {
+        let served = play_seeds(&Load {
+            utilisation: 0.8,
+            comes_back: true,
+            ..load
+        });
+        let in_time = f64::from(served.returned_in_time) / f64::from(served.returned);
+        expect_that!(in_time, gt(MIN_RETURNED_IN_TIME), "{served:?}");
+    }
+}
--- a/tests/node_stored_map.rs
+++ b/tests/node_stored_map.rs
@@ -31,7 +31,7 @@
             last: (first(at + 1) - 1) as u16,
         },
         owner: Some(holder(at % targets)),
-        prior: (at % 4 == 0).then(|| holder((at + 1) % targets)),
+        prior: at.is_multiple_of(4).then(|| holder((at + 1) % targets)),
     };
     KeyMap {
         version: MapVersion {
