Do not step down again for a failure before the lease was taken

After an outage of the table another node read it first, so the leader took itself for the only one refused and stepped down. Its campaign succeeded, but the old failure still counted, so it stepped down again within milliseconds, up to seven times (log: group-taken, group-lost, "the table refuses only this node"). A node that polls for nothing has few other calls that would end the failure, which made this frequent since the change of readers. Every new term also waited 20 s for the leader of a VM that had been removed 23 s before, since a lease names leaders until another node hears that they have ended: eleven ranges of owners that were gone stayed without an owner until the end.

Ruled out: a panic of the group's task (a hook in a trial printed none), and orders that are not sent (renewals of held ranges go on, by a trial that printed the leader's state in each tick).

Change: a campaign that reads the lease row ends an earlier failure. A leader drops earlier leaders from its lease once they have not been able to confirm theirs for its whole validity.

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -35,6 +35,8 @@
                 return self.election.postpone(now);
             }
         };
+        // An earlier failure must not make the new leader step down at once.
+        self.state.table_health.borrow_mut().record_success();
         let lease = row
             .as_ref()
             .and_then(|row| rows::decode::<Lease>(&row.value));
@@ -128,6 +130,7 @@
             lease,
             lease_revision: revision,
             map_revision: Rc::new(std::cell::Cell::new(stored.map_or(0, |row| row.revision))),
+            held_since: now,
             last_check: now,
             check_pending: false,
         });
@@ -141,6 +144,8 @@
             return;
         };
         let name = &self.state.conf.name;
+        self.election
+            .record_expiry(&leading.lease, leading.held_since, now);
         let election = &self.election;
         let ended = |previous: &PreviousLeader| election.has_ended(previous, name);
         if leading.lease.maybe_active.iter().all(ended) {
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -119,6 +119,8 @@
     lease: Lease,
     lease_revision: u64,
     map_revision: Rc<std::cell::Cell<u64>>,
+    /// When the lease was known to be written.
+    held_since: Instant,
     /// When the last check of the lease began.
     last_check: Instant,
     check_pending: bool,
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -16,6 +16,7 @@
 use crate::ids::BootId;
 use crate::ids::ServiceId;
 use crate::ids::VmId;
+use crate::node::keys::leader::LEASE_VALIDITY;
 
 /// A leader without a heartbeat for this long counts as lost; heartbeats are sent every 150 ms.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(650);
@@ -124,6 +125,17 @@
         }
     }
 
+    /// Records that the previous leaders of a lease that this node has held since `held_since` have
+    /// ended, once their own leases can no longer be valid: none was confirmed after this one was
+    /// written. Otherwise a leader that was removed would be named in every later lease.
+    pub fn record_expiry(&mut self, lease: &Lease, held_since: Instant, now: Instant) {
+        if now.saturating_duration_since(held_since) >= LEASE_VALIDITY {
+            for previous in &lease.maybe_active {
+                self.record_end(previous.term, now);
+            }
+        }
+    }
+
     /// Records that a process on `node` is running and knows of `term`.
     ///
     /// The processes of a node run one after another. A process that knows of the term that another
--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -11,6 +11,7 @@
 use gooseberryloft::node::keys::election::CpuCapacity;
 use gooseberryloft::node::keys::election::Election;
 use gooseberryloft::node::keys::election::Lease;
+use gooseberryloft::node::keys::election::PreviousLeader;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -120,3 +121,27 @@
     }
     expect_that!(election.should_campaign(1, now + MS(1_000)), eq(true));
 }
+
+#[googletest::test]
+fn a_previous_leader_counts_as_ended_once_its_lease_has_expired() {
+    let now = Instant::now();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    let removed = PreviousLeader {
+        term: 1,
+        node: VmId::from("removed"),
+        boot: BootId(1),
+    };
+    let lease = Lease {
+        term: 2,
+        node: VmId::from("n1"),
+        boot: BootId(2),
+        maybe_active: vec![removed.clone()],
+    };
+    let own = VmId::from("n1");
+    election.record_expiry(&lease, now, now + Duration::from_secs(19));
+    expect_that!(election.has_ended(&removed, &own), eq(false));
+    election.record_expiry(&lease, now, now + Duration::from_secs(20));
+    expect_that!(election.has_ended(&removed, &own), eq(true));
+    let next = election.next_lease(Some(&lease), &own, BootId(2));
+    expect_that!(next.maybe_active, is_empty());
+}
