--- a/tests/node_owner_capacity.rs
+++ b/tests/node_owner_capacity.rs
@@ -2,6 +2,7 @@
 //! neither refused nor late because the data centres do not know each other's load.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +15,7 @@
 use gooseberryloft::ids::ServiceId;
 use gooseberryloft::ids::TargetId;
 use gooseberryloft::node::fleet::Fleet;
+use gooseberryloft::node::fleet::Target;
 use gooseberryloft::node::fleet::TargetEntry;
 use gooseberryloft::node::pick::has_capacity;
 use gooseberryloft::node::proxy::respond::retry_after;
@@ -84,81 +86,121 @@
     fleet
 }
 
-/// Plays a minute of random arrivals and service times; counts the callers' results.
-fn play(load: &Load, seed: u64) -> Served {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let now = Instant::now();
-    let centres: Vec<Fleet> = (0..load.centres).map(|_| centre(load, now)).collect();
-    let target = |centre: usize| &centres[centre].of(&ServiceId::from("board"))[0];
-    let per_step =
-        load.utilisation * load.slots as f64 * STEP.as_secs_f64() / load.service_time.as_secs_f64();
-    let objective = load.objective.as_millis() as u32;
-    let max_wait = (f64::from(objective) * WAIT_FRACTION) as u32;
-    let mut served = Served::default();
-    let mut waiting: VecDeque<Waiting> = VecDeque::new();
-    let mut queue: VecDeque<Waiting> = VecDeque::new();
-    let mut running: Vec<(u32, Waiting)> = Vec::new();
-    for step in 0..60_000u32 {
-        let mut still_running = Vec::new();
-        for (end, request) in running.drain(..) {
+/// An owner with the data centres that send to it.
+struct Play<'a> {
+    load: &'a Load,
+    rng: ChaCha8Rng,
+    centres: Vec<Fleet>,
+    /// Requests at the nodes of the data centres.
+    waiting: VecDeque<Waiting>,
+    /// Requests that the owner has received but not begun.
+    queue: VecDeque<Waiting>,
+    /// Requests that the owner works on, with the time at which each ends.
+    running: Vec<(u32, Waiting)>,
+    served: Served,
+}
+
+impl<'a> Play<'a> {
+    fn new(load: &'a Load, seed: u64) -> Self {
+        let now = Instant::now();
+        Self {
+            load,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            centres: (0..load.centres).map(|_| centre(load, now)).collect(),
+            waiting: VecDeque::new(),
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            served: Served::default(),
+        }
+    }
+
+    fn target(&self, centre: usize) -> Rc<Target> {
+        self.centres[centre].of(&ServiceId::from("board"))[0].clone()
+    }
+
+    fn end_requests(&mut self, step: u32) {
+        let objective = self.load.objective.as_millis() as u32;
+        for (end, request) in std::mem::take(&mut self.running) {
             if end > step {
-                still_running.push((end, request));
+                self.running.push((end, request));
                 continue;
             }
-            let owner = target(request.centre);
+            let owner = self.target(request.centre);
             owner.in_flight.set(owner.in_flight.get() - 1);
             owner.record_response(STEP * (step - request.sent), request.saturated);
             match step - request.arrived <= objective {
                 true => {
-                    served.in_time += 1;
-                    served.returned_in_time += u32::from(request.returned.is_some());
+                    self.served.in_time += 1;
+                    self.served.returned_in_time += u32::from(request.returned.is_some());
                 }
-                false => served.late += 1,
+                false => self.served.late += 1,
             }
         }
-        running = still_running;
-        if rng.random::<f64>() < per_step {
-            waiting.push_back(Waiting {
-                centre: rng.random_range(0..load.centres),
+    }
+
+    fn arrive(&mut self, step: u32) {
+        let load = self.load;
+        let per_step = load.utilisation * load.slots as f64 * STEP.as_secs_f64()
+            / load.service_time.as_secs_f64();
+        if self.rng.random::<f64>() < per_step {
+            self.waiting.push_back(Waiting {
+                centre: self.rng.random_range(0..load.centres),
                 arrived: step,
                 returned: None,
                 sent: step,
                 saturated: false,
             });
         }
-        let mut still_waiting = VecDeque::new();
-        for mut request in waiting.drain(..) {
-            let owner = target(request.centre);
+    }
+
+    fn send_or_refuse(&mut self, step: u32) {
+        let load = self.load;
+        let max_wait = load.objective.mul_f64(WAIT_FRACTION).as_millis() as u32;
+        for mut request in std::mem::take(&mut self.waiting) {
+            let owner = self.target(request.centre);
             let since = request.returned.unwrap_or(request.arrived);
             if step < since {
-                still_waiting.push_back(request);
-            } else if has_capacity(owner, load.objective, load.centres) {
+                self.waiting.push_back(request);
+            } else if has_capacity(&owner, load.objective, load.centres) {
                 request.sent = step;
                 request.saturated = owner.load() >= owner.entry.slots;
                 owner.in_flight.set(owner.in_flight.get() + 1);
-                queue.push_back(request);
+                self.queue.push_back(request);
             } else if step - since < max_wait {
-                still_waiting.push_back(request);
+                self.waiting.push_back(request);
             } else if request.returned.is_some() || !load.comes_back {
-                served.refused += 1;
+                self.served.refused += 1;
             } else {
                 let time_left = load.timeout - STEP * (step - request.arrived);
                 let pause = retry_after(time_left, load.objective).as_millis() as u32;
                 request.returned = Some(step + pause);
-                served.returned += 1;
-                still_waiting.push_back(request);
+                self.served.returned += 1;
+                self.waiting.push_back(request);
             }
         }
-        waiting = still_waiting;
-        while running.len() < load.slots
-            && let Some(request) = queue.pop_front()
+    }
+
+    fn begin_requests(&mut self, step: u32) {
+        while self.running.len() < self.load.slots
+            && let Some(request) = self.queue.pop_front()
         {
-            let mean = load.service_time.as_millis() as f64;
-            let work = -mean * (1.0 - rng.random::<f64>()).ln();
-            running.push((step + (work as u32).max(1), request));
+            let mean = self.load.service_time.as_millis() as f64;
+            let work = -mean * (1.0 - self.rng.random::<f64>()).ln();
+            self.running.push((step + (work as u32).max(1), request));
         }
     }
-    served
+}
+
+/// Plays a minute of random arrivals and service times; counts the callers' results.
+fn play(load: &Load, seed: u64) -> Served {
+    let mut play = Play::new(load, seed);
+    for step in 0..60_000 {
+        play.end_requests(step);
+        play.arrive(step);
+        play.send_or_refuse(step);
+        play.begin_requests(step);
+    }
+    play.served
 }
 
 /// The keyed service of the small site at six tenths of its slots.
