Step down only if a call that began after another node's read fails

Cause: after an outage of the table for all nodes some node is the first to read it. The leader, whose own call from the outage still waited for its timeout, then took itself for the only one refused and stepped down.

Ruled out: a longer FAILURE_TIMEOUT (it counts from the first failure, and the outage lasted 8 s).

The simulation of keys retries every 0.3 s while calls fail, like the real node.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -71,7 +71,7 @@
 
     fn should_step_down(&self) -> bool {
         let others_read = self.peers.last_table_read();
-        let table_health = self.state.table_health.borrow();
+        let mut table_health = self.state.table_health.borrow_mut();
         self.leading.is_some() && table_health.should_step_down(others_read)
     }
 
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -31,6 +31,8 @@
 const NETWORK_DELAY: Duration = Duration::from_millis(5);
 /// How often a leader reads the lease row to check that it still holds the lease.
 const CONFIRM_PERIOD: Duration = Duration::from_secs(3);
+/// The same while its calls fail.
+const RETRY_PERIOD: Duration = Duration::from_millis(300);
 /// How long a target's current work on keys delays its answer to a release.
 const RELEASE_WORK: Duration = Duration::from_millis(200);
 
@@ -411,7 +413,11 @@
             return self.step_down(node);
         }
         let mut actions = leading.leader.tick(now, &candidates, &fake.key_load);
-        if now - leading.checked_at >= CONFIRM_PERIOD {
+        let period = match leading.table_health.is_failing() {
+            true => RETRY_PERIOD,
+            false => CONFIRM_PERIOD,
+        };
+        if now - leading.checked_at >= period {
             actions.push(Action::CheckLease);
         }
         self.act(node, actions);
