--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -143,8 +143,8 @@
     }
 }
 
-/// Closes a connection after a response, so that the response arrives even if the caller has sent more data, which
-/// would otherwise cause a reset.
+/// Closes a connection after a response, so that the response arrives even if the caller has sent
+/// more data, which would otherwise cause a reset.
 async fn close_gracefully(mut conn: Conn) {
     let (_, mut write, _) = conn.split();
     if write.shutdown().await.is_err() {
