Correct two comments and the remedy of an inconsistent key map

Found when reading the diff. The age of a confirmed list also covers the reader's pause and a heartbeat; the store keeps no history to restore a row from, and once all grants have expired the row can be deleted.

--- a/src/node/keys/stored_map.rs
+++ b/src/node/keys/stored_map.rs
@@ -48,9 +48,9 @@
     ranges: Vec<Ownership>,
 }
 
-/// A stored map refers to an owner that it does not contain, or has a gap.
+/// A stored map refers to an owner that it does not contain, or its ranges leave out keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("the stored key map is inconsistent; restore its row from the table's history")]
+#[error("the stored key map is inconsistent; delete its row once no target holds keys")]
 pub(super) struct InconsistentMap;
 
 impl From<KeyMap> for StoredMap {
--- a/src/node/list_schedule.rs
+++ b/src/node/list_schedule.rs
@@ -19,9 +19,9 @@
 /// targets are leaving, and long if targets only joined, because at a start they join one by one.
 const LEFT_PAUSE: Duration = Duration::from_millis(500);
 const JOINED_PAUSE: Duration = Duration::from_millis(1_500);
-/// Maximum age of a confirmed list before a node reads it itself: longer than the reader's poll
-/// timeout plus the network delay, and shorter than the 2 s after which a leaving target must get
-/// no requests.
+/// Maximum age of a confirmed list before a node reads it itself: longer than the reader's pause and
+/// poll timeout, a heartbeat period and the network delay together, and shorter than the 2 s after
+/// which a leaving target must get no requests.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(1_500);
 
 /// Decides when this node next reads the list of targets, from its own reads and peers' reports.
