Track the generation of the table's data

The store may come back from a copy some seconds old. Writes since the copy are then lost although they were acknowledged, and versions are given out again, so that a version does not identify the state that was read. The store reports each such restore by a higher number in all its responses.

Nothing uses it yet.

--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Returns the address that calls are sent to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a call, on an idle connection if there is one, and reads the response within
     /// `timeout`.
     pub async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Reply, CallError> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 
 pub use http::HttpPlatform;
 pub use table::Condition;
+pub use table::Generation;
 pub use table::Mutation;
 pub use table::ObjectStore;
 pub use table::Row;
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -12,6 +12,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WriteId(pub u128);
 
+/// The generation of the table's data. It increases each time the data is restored from an older
+/// copy: later writes are lost, and their revisions are given out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Generation(pub u64);
+
 /// A row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -102,6 +109,12 @@
 
     /// Applies a transaction atomically.
     fn commit(&self, tx: &Transaction) -> impl Future<Output = Result<(), TableError>> + Send;
+
+    /// Returns the newest generation that any response has reported; always the first one if the
+    /// service never restores its data.
+    fn generation(&self) -> Generation {
+        Generation::default()
+    }
 }
 
 /// The platform's object store.
