--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -66,6 +66,8 @@
     KeysMoved = 309,
     /// An order to a target failed or was not confirmed.
     OrderFailed = 310,
+    /// A leader continues in a new term after a restore of the table.
+    GroupKept = 311,
     /// A link to a peer was lost.
     LinkLost = 400,
     /// The first heartbeat of a node was received.
@@ -96,6 +98,8 @@
     TableUp = 601,
     /// A write of a row failed, or its outcome is unknown.
     TableWriteFailed = 602,
+    /// The table was restored from an older copy; a leader writes its lease again.
+    TableRestored = 603,
 }
 
 impl Event {
@@ -116,7 +120,7 @@
             Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused => Level::Debug,
-            Self::TableDown | Self::TableWriteFailed => Level::Warn,
+            Self::TableDown | Self::TableWriteFailed | Self::TableRestored => Level::Warn,
             Self::OrderFailed | Self::PeerLost => Level::Warn,
             _ => Level::Info,
         }
--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -7,13 +7,17 @@
 use crate::events::Event;
 use crate::node::control::group::Group;
 use crate::node::control::group::Leadership;
+use crate::node::control::group::log_failure;
 use crate::node::control::rows;
 use crate::node::counters::Counter;
 use crate::node::keys::election::Lease;
-use crate::node::keys::election::PreviousLeader;
+use crate::node::keys::election::generation_of;
+use crate::node::keys::leader::Inherited;
 use crate::node::keys::leader::Leader;
 use crate::node::keys::map::KeyMap;
+use crate::node::keys::tenure::Tenure;
 use crate::node::platform::Platform;
+use crate::node::state::State;
 use crate::platform::Condition;
 use crate::platform::Table;
 use crate::platform::TableError;
@@ -31,7 +35,7 @@
         let row = match stored {
             Ok(row) => row,
             Err(error) => {
-                self.log_failure("lease", &error);
+                log_failure(&self.state, &self.lease_key(), &error);
                 return self.election.postpone(now);
             }
         };
@@ -52,41 +56,21 @@
             self.election.record_lease(current, now);
             return;
         }
+        let is_first = row.is_none() && self.state.conf.first_start;
         let revision = row.map_or(0, |row| row.revision);
-        let next = self
-            .election
-            .next_lease(lease.as_ref(), &self.state.conf.name, self.state.boot);
-        match self.write_lease(&next, revision).await {
+        let held = lease.or_else(|| (!is_first).then(Lease::lost));
+        let next = self.next_lease(held.as_ref());
+        match write_lease(&self.state, &*self.table, self.lease_key(), &next, revision).await {
             Some(revision) => self.take_over(next, revision, started_at).await,
             None => self.election.postpone(self.clock.now()),
         }
     }
 
-    /// Writes the lease, if its row still has `revision`; returns the new revision if the write
-    /// took effect.
-    pub(super) async fn write_lease(&self, next: &Lease, revision: u64) -> Option<u64> {
-        let key = self.lease_key();
-        let tx = Transaction {
-            id: WriteId(rand::random()),
-            conditions: vec![Condition {
-                key: key.clone(),
-                revision,
-            }],
-            mutations: vec![rows::put(key.clone(), next)],
-        };
-        self.state.counters.add(Counter::TableCalls);
-        match self.table.commit(&tx).await {
-            Ok(()) | Err(TableError::Unknown(_)) => {}
-            Err(error) => {
-                self.log_failure("lease", &error);
-                return None;
-            }
-        }
-        // The read returns the new revision, and shows whether a write of unknown outcome took
-        // effect.
-        self.state.counters.add(Counter::TableCalls);
-        let row = self.table.get(&key).await.ok().flatten()?;
-        (row.writer == tx.id).then_some(row.revision)
+    /// Returns the lease with which this node replaces `held`.
+    pub(super) fn next_lease(&self, held: Option<&Lease>) -> Lease {
+        let (node, boot) = (&self.state.conf.name, self.state.boot);
+        self.election
+            .next_lease(held, self.table.generation(), node, boot)
     }
 
     /// Starts to lead from the stored map. `started_at` is when the campaign began, before the
@@ -96,7 +80,7 @@
         let stored = match self.table.get(&self.map_key()).await {
             Ok(stored) => stored,
             Err(error) => {
-                self.log_failure("map", &error);
+                log_failure(&self.state, &self.map_key(), &error);
                 return self.election.postpone(self.clock.now());
             }
         };
@@ -111,8 +95,25 @@
             });
             return self.election.postpone(now);
         }
+        if self.table.generation() > lease.generation() {
+            // The table was restored since, and the rows that were read may be older than the lease.
+            return self.election.postpone(now);
+        }
+        let is_current = |map: &KeyMap| generation_of(map.version.term) == lease.generation();
+        let inherited = match &map {
+            Some(map) if is_current(map) => Inherited::Map(map),
+            map if lease.lost_leader().is_some() => Inherited::Outdated(map.as_ref()),
+            Some(map) => Inherited::Map(map),
+            None => Inherited::Nothing,
+        };
+        if matches!(inherited, Inherited::Map(_))
+            && let Some(lost) = lease.lost_leader()
+        {
+            // The leader that stored this map knew that no leader of an earlier generation remained.
+            self.election.record_end(lost, now);
+        }
         let max_grant = self.state.conf.max_grant;
-        let mut leader = Leader::new(lease.term, map.as_ref(), max_grant, now);
+        let mut leader = Leader::new(lease.term, inherited, max_grant, now);
         leader.lease_confirmed(started_at);
         let (ranges, _) = leader.range_counts();
         self.state.log.record(Event::GroupTaken, |line| {
@@ -120,17 +121,16 @@
             line.number("term", lease.term);
             line.number("doubted", lease.maybe_active.len() as u64);
             line.number("ranges", ranges as u64);
+            line.text("map", map_name(inherited));
         });
         let (node, boot) = (&self.state.conf.name, self.state.boot);
         self.election.record_leader(lease.term, node, boot, now);
         self.newest_announced = leader.sequence();
         self.load_map(map, self.newest_announced);
+        let nodes = self.peers.processes();
         self.leading = Some(Leadership {
-            leader,
-            lease,
-            lease_revision: revision,
+            tenure: Tenure::new(leader, lease, revision, nodes, now),
             map_revision: Rc::new(std::cell::Cell::new(stored.map_or(0, |row| row.revision))),
-            held_since: now,
             last_check: now,
             check_pending: false,
         });
@@ -143,13 +143,15 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let name = &self.state.conf.name;
-        self.election
-            .record_expiry(&leading.lease, leading.held_since, now);
-        let election = &self.election;
-        let ended = |previous: &PreviousLeader| election.has_ended(previous, name);
-        if leading.lease.maybe_active.iter().all(ended) {
-            leading.leader.previous_leaders_ended(now);
+        let (node, boot) = (&self.state.conf.name, self.state.boot);
+        if leading.tenure.settle(&mut self.election, node, now) {
+            let term = leading.tenure.leader.term();
+            self.election.record_leader(term, node, boot, now);
+            self.newest_announced = leading.tenure.leader.sequence();
+            self.state.log.record(Event::GroupKept, |line| {
+                line.text("service", self.service.as_str());
+                line.number("term", term);
+            });
         }
     }
 
@@ -158,7 +160,7 @@
         let Some(leading) = self.leading.take() else {
             return;
         };
-        let term = leading.leader.term();
+        let term = leading.tenure.lease().term;
         self.handle.status.borrow_mut().ended = Some(term);
         self.election.record_end(term, now);
         self.state.log.record(Event::GroupLost, |line| {
@@ -170,3 +172,50 @@
         self.peers.send_resignation();
     }
 }
+
+/// Writes a lease, if its row still has `revision`; returns the new revision if the write took
+/// effect in the generation of the lease.
+pub(super) async fn write_lease(
+    state: &State,
+    table: &impl Table,
+    key: String,
+    lease: &Lease,
+    revision: u64,
+) -> Option<u64> {
+    let tx = Transaction {
+        id: WriteId(rand::random()),
+        conditions: vec![Condition {
+            key: key.clone(),
+            revision,
+        }],
+        mutations: vec![rows::put(key.clone(), lease)],
+    };
+    state.counters.add(Counter::TableCalls);
+    match table.commit(&tx).await {
+        Ok(()) | Err(TableError::Unknown(_)) => {}
+        Err(error) => {
+            log_failure(state, &key, &error);
+            return None;
+        }
+    }
+    // The read returns the new revision, and shows whether a write of unknown outcome took effect.
+    state.counters.add(Counter::TableCalls);
+    let row = match table.get(&key).await {
+        Ok(row) => row?,
+        Err(error) => {
+            log_failure(state, &key, &error);
+            return None;
+        }
+    };
+    let is_written = row.writer == tx.id && table.generation() == lease.generation();
+    is_written.then_some(row.revision)
+}
+
+/// Returns the name of what a leader inherits in log lines.
+fn map_name(inherited: Inherited<'_>) -> &'static str {
+    match inherited {
+        Inherited::Nothing => "none",
+        Inherited::Map(_) => "current",
+        Inherited::Outdated(_) => "outdated",
+    }
+}
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -9,6 +9,7 @@
 use crate::events::Event;
 use crate::node::control::group::Group;
 use crate::node::control::group::GroupMessage;
+use crate::node::control::group::campaign::write_lease;
 use crate::node::control::rows;
 use crate::node::counters::Counter;
 use crate::node::datagram::Message;
@@ -23,6 +24,7 @@
 use crate::node::keys::map::Holder;
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::plan::Candidate;
+use crate::node::keys::tenure::LeaseCheck;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
 use crate::node::platform::Platform;
@@ -53,12 +55,15 @@
         if self.should_step_down() {
             return self.step_down("the table refuses only this node", now);
         }
+        self.check_previous_leaders(now);
         let candidates = self.candidates();
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let mut actions = leading.leader.tick(now, &candidates, &self.key_load);
-        let period = match self.state.table_health.borrow().is_failing() {
+        let tenure = &mut leading.tenure;
+        let is_outdated = tenure.is_outdated(self.table.generation());
+        let mut actions = tenure.leader.tick(now, &candidates, &self.key_load);
+        let period = match is_outdated || self.state.table_health.borrow().is_failing() {
             true => RETRY_PERIOD,
             false => CONFIRM_PERIOD,
         };
@@ -105,7 +110,10 @@
         let mut views = self.state.views.borrow_mut();
         let view = views.entry(self.service.clone()).or_default();
         if !view.is_known() || view.sequence().term != sequence.term {
-            let map = self.leading.as_ref().map(|leading| leading.leader.map());
+            let map = self
+                .leading
+                .as_ref()
+                .map(|leading| leading.tenure.leader.map());
             let map: KeyMap = map.unwrap_or_default();
             let before = Sequence {
                 number: sequence.number - 1,
@@ -151,11 +159,12 @@
         let Some(leading) = &self.leading else {
             return;
         };
-        let revision = leading.map_revision.clone();
+        let (revision, tenure) = (leading.map_revision.clone(), &leading.tenure);
+        let generation = tenure.lease().generation();
         let conditions = vec![
             Condition {
                 key: self.lease_key(),
-                revision: leading.lease_revision,
+                revision: tenure.revision(),
             },
             Condition {
                 key: self.map_key(),
@@ -184,7 +193,8 @@
             let written = match table.get(&key).await {
                 Ok(row) => {
                     revision.set(row.as_ref().map_or(0, |row| row.revision));
-                    Ok(row.is_some_and(|row| row.writer == tx.id))
+                    let is_written = row.is_some_and(|row| row.writer == tx.id);
+                    Ok(is_written && table.generation() <= generation)
                 }
                 Err(_) => Err(()),
             };
@@ -196,7 +206,7 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        leading.leader.map_write_ended(written == Ok(true));
+        leading.tenure.leader.map_write_ended(written == Ok(true));
         match written {
             Ok(_) => self.state.table_health.borrow_mut().record_success(),
             Err(()) => self
@@ -224,16 +234,21 @@
         tokio::task::spawn_local(async move {
             state.counters.add(Counter::TableCalls);
             let row = table.get(&key).await;
-            handle.send(GroupMessage::LeaseRead(row.ok().flatten(), started_at));
+            handle.send(GroupMessage::LeaseRead(row.map_err(|_| ()), started_at));
         });
     }
 
-    pub(super) fn lease_read(&mut self, row: Option<Row>, started_at: Instant, now: Instant) {
+    pub(super) fn lease_read(
+        &mut self,
+        row: Result<Option<Row>, ()>,
+        started_at: Instant,
+        now: Instant,
+    ) {
         let Some(leading) = &mut self.leading else {
             return;
         };
         leading.check_pending = false;
-        let Some(row) = row else {
+        let Ok(row) = row else {
             return self
                 .state
                 .table_health
@@ -241,14 +256,61 @@
                 .record_failure(Instant::now());
         };
         self.state.table_health.borrow_mut().record_success();
-        if row.revision == leading.lease_revision {
-            leading.leader.lease_confirmed(started_at);
-            return;
+        let lease = row
+            .as_ref()
+            .and_then(|row| rows::decode::<Lease>(&row.value));
+        let revision = row.as_ref().map_or(0, |row| row.revision);
+        let generation = self.table.generation();
+        match leading.tenure.check((revision, lease.as_ref()), generation) {
+            LeaseCheck::Held => leading.tenure.leader.lease_confirmed(started_at),
+            LeaseCheck::Restored => {
+                leading.check_pending = true;
+                let nodes = self.peers.processes();
+                leading.tenure.suspend(generation, nodes, now);
+                self.rewrite_lease(&lease.unwrap_or_else(Lease::lost), revision, now);
+            }
+            LeaseCheck::Lost => {
+                if let Some(lease) = &lease {
+                    self.election.record_lease(lease, now);
+                }
+                self.step_down("another node holds the lease", now);
+            }
         }
-        if let Some(lease) = rows::decode::<Lease>(&row.value) {
-            self.election.record_lease(&lease, now);
+    }
+
+    /// Writes the lease again, in place of the older one that a restored table contains.
+    fn rewrite_lease(&self, held: &Lease, revision: u64, now: Instant) {
+        let lease = self.next_lease(Some(held));
+        self.state.log.record(Event::TableRestored, |line| {
+            line.text("service", self.service.as_str());
+            line.number("generation", self.table.generation().0);
+            line.number("term", held.term);
+        });
+        let (state, table, handle) = (self.state.clone(), self.table.clone(), self.handle.clone());
+        let key = self.lease_key();
+        tokio::task::spawn_local(async move {
+            let written = write_lease(&state, &*table, key, &lease, revision).await;
+            handle.send(GroupMessage::LeaseRewritten(lease, written, now));
+        });
+    }
+
+    pub(super) fn lease_rewritten(
+        &mut self,
+        lease: Lease,
+        revision: Option<u64>,
+        started_at: Instant,
+        now: Instant,
+    ) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.check_pending = false;
+        // If the write did not take effect, the row is read again soon.
+        if let Some(revision) = revision {
+            leading
+                .tenure
+                .record_lease(lease, revision, started_at, now);
         }
-        self.step_down("another node holds the lease", now);
     }
 
     pub(super) fn add_service_time(&mut self, target: Tag, ms: u16) {
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -24,10 +24,10 @@
 use crate::node::keys::election::Election;
 use crate::node::keys::election::Lease;
 use crate::node::keys::key_load::KeyLoad;
-use crate::node::keys::leader::Leader;
 use crate::node::keys::leader::OrderId;
 use crate::node::keys::leader::OrderOutcome;
 use crate::node::keys::map::KeyMap;
+use crate::node::keys::tenure::Tenure;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
 use crate::node::platform::Platform;
@@ -72,8 +72,11 @@
     /// The outcome of a write of the map: whether it took effect, or an error if the map could not
     /// be read afterwards.
     MapWritten(Result<bool, ()>),
-    /// The lease row, or `None` if the read failed or found no row; and when the read began.
-    LeaseRead(Option<Row>, Instant),
+    /// The lease row, or an error if the read failed; and when the read began.
+    LeaseRead(Result<Option<Row>, ()>, Instant),
+    /// The lease that was written again after a restore of the table, with the revision of its row,
+    /// or `None` if the write did not take effect; and when the write began.
+    LeaseRewritten(Lease, Option<u64>, Instant),
     /// The stored map, and the newest announcement received before the read began.
     MapRead(Option<KeyMap>, Sequence),
     /// The node must stop leading.
@@ -113,14 +116,10 @@
     }
 }
 
-/// The state of a group while this node leads: the leader and the revisions of its rows.
+/// The state of a group while this node leads: the leader with its lease, and the calls for it.
 struct Leadership {
-    leader: Leader,
-    lease: Lease,
-    lease_revision: u64,
+    tenure: Tenure,
     map_revision: Rc<std::cell::Cell<u64>>,
-    /// When the lease was known to be written.
-    held_since: Instant,
     /// When the last check of the lease began.
     last_check: Instant,
     check_pending: bool,
@@ -235,13 +234,16 @@
             }
             GroupMessage::OrderEnded(id, outcome) => {
                 let actions = match &mut self.leading {
-                    Some(leading) => leading.leader.order_ended(id, outcome, now),
+                    Some(leading) => leading.tenure.leader.order_ended(id, outcome, now),
                     None => Vec::new(),
                 };
                 self.execute(actions);
             }
             GroupMessage::MapWritten(written) => self.map_written(written),
             GroupMessage::LeaseRead(row, started_at) => self.lease_read(row, started_at, now),
+            GroupMessage::LeaseRewritten(lease, revision, started_at) => {
+                self.lease_rewritten(lease, revision, started_at, now);
+            }
             GroupMessage::MapRead(map, announced) => self.load_map(map, announced),
             GroupMessage::Resign => self.step_down("the node is shutting down", now),
         }
@@ -329,9 +331,12 @@
         if let Some(ended) = ended {
             self.election.record_end(ended, now);
         }
-        let led_term = self.leading.as_ref().map(|leading| leading.leader.term());
-        if led_term.is_some_and(|led_term| led_term < term) {
-            self.step_down("another node reports a newer term", now);
+        if let Some(leading) = &mut self.leading {
+            if leading.tenure.is_superseded(term, ended) {
+                self.step_down("another node reports a newer term", now);
+            } else if leads.is_none() {
+                leading.tenure.record_idle(node, boot);
+            }
         }
         if let Some(number) = leads
             && self.election.record_leader(term, node, boot, now)
@@ -360,7 +365,7 @@
         status.leads = self
             .leading
             .as_ref()
-            .map(|leading| leading.leader.sequence().number);
+            .map(|leading| leading.tenure.leader.sequence().number);
     }
 
     fn lease_key(&self) -> String {
@@ -370,15 +375,14 @@
     fn map_key(&self) -> String {
         rows::map_key(&self.service)
     }
+}
 
-    fn log_failure(&self, row: &str, error: &TableError) {
-        self.state.counters.add(Counter::TableFailures);
-        self.state.log.record(Event::TableWriteFailed, |line| {
-            line.text("service", self.service.as_str());
-            line.text("row", row);
-            line.show("error", error);
-        });
-    }
+fn log_failure(state: &State, row: &str, error: &TableError) {
+    state.counters.add(Counter::TableFailures);
+    state.log.record(Event::TableWriteFailed, |line| {
+        line.text("row", row);
+        line.show("error", error);
+    });
 }
 
 /// All groups of a node, by service.
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -32,6 +32,7 @@
 use crate::node::datagram::Tag;
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::election::Election;
+use crate::node::keys::tenure::KnownNodes;
 use crate::node::platform::Cursor;
 use crate::node::reader;
 use crate::node::reader::Neighbour;
@@ -130,6 +131,13 @@
         election.rank((&conf.name, conf.cpu_capacity), alive)
     }
 
+    /// Returns the known nodes with the processes that this node has received heartbeats from.
+    pub fn processes(&self) -> KnownNodes {
+        let peers = self.peers.borrow();
+        let processes = peers.iter().map(|(name, peer)| (name.clone(), peer.boot));
+        processes.collect()
+    }
+
     /// Returns when another node last read the list of targets from the platform, by its
     /// heartbeats.
     pub fn last_table_read(&self) -> Option<Instant> {
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -17,6 +17,7 @@
 use crate::ids::ServiceId;
 use crate::ids::VmId;
 use crate::node::keys::leader::LEASE_VALIDITY;
+use crate::platform::Generation;
 
 /// A leader without a heartbeat for this long counts as lost; heartbeats are sent every 150 ms.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(650);
@@ -44,6 +45,44 @@
     pub maybe_active: Vec<PreviousLeader>,
 }
 
+/// Number of terms reserved for each generation of the table's data, so that a term that was lost in
+/// a restore is not given out again.
+const TERMS_PER_GENERATION: u64 = 1 << 16;
+
+/// Returns the generation of the table's data in which a term began.
+pub fn generation_of(term: u64) -> Generation {
+    Generation(term / TERMS_PER_GENERATION)
+}
+
+impl Lease {
+    /// Returns the generation of the table's data in which the lease was written.
+    pub fn generation(&self) -> Generation {
+        generation_of(self.term)
+    }
+
+    /// Returns the lease that is assumed if the row is missing although it was written before.
+    pub fn lost() -> Self {
+        Self {
+            term: 0,
+            node: VmId::from(""),
+            boot: BootId(0),
+            maybe_active: Vec::new(),
+        }
+    }
+
+    /// Returns the term that stands for all leaders of earlier generations, if they may be active.
+    pub fn lost_leader(&self) -> Option<u64> {
+        let lost = lost_term(self.generation());
+        let mut terms = self.maybe_active.iter().map(|previous| previous.term);
+        terms.find(|term| *term == lost)
+    }
+}
+
+/// Returns the highest term before a generation.
+fn lost_term(generation: Generation) -> u64 {
+    (generation.0 * TERMS_PER_GENERATION).saturating_sub(1)
+}
+
 /// A previous leader of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreviousLeader {
@@ -149,21 +188,40 @@
         }
     }
 
-    /// Returns the lease with which a new leader replaces `held`.
-    pub fn next_lease(&self, held: Option<&Lease>, node: &VmId, boot: BootId) -> Lease {
-        let mut maybe_active: Vec<PreviousLeader> = held
-            .map(|held| held.maybe_active.clone())
-            .unwrap_or_default();
-        maybe_active.extend(held.map(|held| PreviousLeader {
-            term: held.term,
-            node: held.node.clone(),
-            boot: held.boot,
-        }));
+    /// Returns the lease with which a new leader replaces `held`, in a table of this generation.
+    ///
+    /// If `held` was written in an earlier generation, later leases may be lost. Their leaders are
+    /// unknown, and one entry stands for all of them.
+    pub fn next_lease(
+        &self,
+        held: Option<&Lease>,
+        generation: Generation,
+        node: &VmId,
+        boot: BootId,
+    ) -> Lease {
+        let is_restored = held.is_some_and(|held| held.generation() < generation);
+        let mut maybe_active: Vec<PreviousLeader> = match held {
+            Some(_) if is_restored => vec![PreviousLeader {
+                term: lost_term(generation),
+                node: VmId::from(""),
+                boot: BootId(0),
+            }],
+            Some(held) => {
+                let current = PreviousLeader {
+                    term: held.term,
+                    node: held.node.clone(),
+                    boot: held.boot,
+                };
+                held.maybe_active.iter().cloned().chain([current]).collect()
+            }
+            None => Vec::new(),
+        };
         maybe_active.retain(|previous| !self.has_ended(previous, node));
         let surplus = maybe_active.len().saturating_sub(MAX_PREVIOUS_LEADERS);
         maybe_active.drain(..surplus);
+        let newest = held.map_or(0, |held| held.term).max(self.term);
         Lease {
-            term: held.map_or(0, |held| held.term).max(self.term) + 1,
+            term: newest.max(generation.0 * TERMS_PER_GENERATION) + 1,
             node: node.clone(),
             boot,
             maybe_active,
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -22,6 +22,7 @@
 use crate::node::keys::leader::candidate_index::CandidateIndex;
 use crate::node::keys::leader::range_state::RangeState;
 use crate::node::keys::leader::range_state::Stage;
+use crate::node::keys::leader::range_state::location;
 use crate::node::keys::map::FenceAllocator;
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::map::MapVersion;
@@ -90,14 +91,39 @@
     previous_grants_until: Option<Instant>,
     balanced_at: Instant,
     lost_targets: Vec<LostTarget>,
+    /// An outdated stored map and when it may be used.
+    outdated: Option<OutdatedMap>,
+    /// Whether the map is not written, because the table may have lost the lease.
+    suspended: bool,
+    /// Whether the locations of all ranges are to be announced.
+    announce_all: bool,
+}
+
+/// What a new leader knows of the keys that targets hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inherited<'a> {
+    /// No target has been granted keys.
+    Nothing,
+    /// The stored map contains every target that may hold a key.
+    Map(&'a KeyMap),
+    /// The table was restored after grants that its map, if any, does not contain.
+    Outdated(Option<&'a KeyMap>),
+}
+
+/// A stored map that does not contain all targets that may hold keys.
+#[derive(Debug)]
+struct OutdatedMap {
+    map: Option<KeyMap>,
+    /// When all grants of previous leaders have expired.
+    until: Instant,
 }
 
 impl Leader {
-    /// Takes over from the stored map; `map` is `None` if no map has been stored yet.
+    /// Takes over from the previous leaders.
     ///
     /// `grant_limit` is the longest grant that targets accept, and `now` must be after the write of
     /// the lease was confirmed.
-    pub fn new(term: u64, map: Option<&KeyMap>, grant_limit: Duration, now: Instant) -> Self {
+    pub fn new(term: u64, inherited: Inherited<'_>, grant_limit: Duration, now: Instant) -> Self {
         let mut leader = Self {
             term,
             grant_limit,
@@ -115,9 +141,20 @@
             previous_grants_until: None,
             balanced_at: now,
             lost_targets: Vec::new(),
+            outdated: None,
+            suspended: false,
+            announce_all: false,
         };
-        let Some(map) = map.filter(|map| map.is_whole()) else {
-            return leader;
+        let map = match inherited {
+            Inherited::Map(map) if map.is_whole() => map,
+            Inherited::Map(_) | Inherited::Nothing => return leader,
+            Inherited::Outdated(map) => {
+                let until = now + LEASE_VALIDITY + leader.longest_previous_grant();
+                leader.previous_grants_until = Some(until);
+                let map = map.filter(|map| map.is_whole()).cloned();
+                leader.outdated = Some(OutdatedMap { map, until });
+                return leader;
+            }
         };
         let max_grant = map.max_grant_ms.map_or(grant_limit, Duration::from_millis);
         leader.max_grant = max_grant;
@@ -159,6 +196,10 @@
         let Some(assumed) = self.previous_grants_until.take() else {
             return;
         };
+        if let Some(outdated) = &mut self.outdated {
+            outdated.until = now + ORDER_TIMEOUT + max_time_at_target(self.grant_limit);
+            return;
+        }
         let held_until = now + ORDER_TIMEOUT + max_time_at_target(self.stored_max_grant);
         let shorten = |until: &mut Instant| {
             if *until == assumed {
@@ -172,6 +213,31 @@
         }
     }
 
+    /// Returns the longest time for which a target may hold keys after a previous leader's last order.
+    pub fn longest_previous_grant(&self) -> Duration {
+        ORDER_TIMEOUT + max_time_at_target(self.grant_limit)
+    }
+
+    /// Returns true while the map is not written.
+    pub fn is_suspended(&self) -> bool {
+        self.suspended
+    }
+
+    /// Stops writing the map, so that no further moves take effect, until the next term begins.
+    pub fn suspend_writes(&mut self) {
+        self.suspended = true;
+    }
+
+    /// Continues in a new term, whose fences are higher; stores and announces the map again.
+    pub fn begin_term(&mut self, term: u64) {
+        self.term = term;
+        self.fences = FenceAllocator::new(term);
+        self.suspended = false;
+        self.last_announcement = 0;
+        self.announce_all = true;
+        self.newest_map += 1;
+    }
+
     /// Records the end of a write of the map; `written` is true if the map was stored.
     pub fn map_write_ended(&mut self, written: bool) {
         let writing = self.writing.take();
@@ -195,11 +261,14 @@
         }
         self.lost_targets
             .retain(|lost| now < lost.excluded_until + EXCLUSION_TIME * 2u32.pow(MAX_DOUBLINGS));
-        if self.ranges.is_empty() {
-            self.assign_initial(candidates, now);
+        if self.ranges.is_empty() && !self.assign(candidates, now) {
+            return actions;
         }
         self.raise_max_grant();
         let mut locations = Vec::new();
+        if std::mem::take(&mut self.announce_all) {
+            locations.extend(self.ranges.iter().filter_map(location));
+        }
         let index = CandidateIndex::new(candidates);
         for at in 0..self.ranges.len() {
             self.advance(at, &index, key_load, now, &mut locations);
@@ -216,7 +285,7 @@
             }
         }
         self.announce(locations, &mut actions);
-        if self.writing.is_none() && self.stored_map < self.newest_map {
+        if !self.suspended && self.writing.is_none() && self.stored_map < self.newest_map {
             self.writing = Some((self.newest_map, self.max_grant));
             actions.push(Action::Write(self.map()));
         }
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -69,15 +69,31 @@
         }
     }
 
-    /// Assigns each candidate an equal share of the keys, when a service has no map yet.
-    pub(super) fn assign_initial(&mut self, candidates: &[Candidate], now: Instant) {
-        for (range, holder) in plan::equal_ranges(candidates) {
+    /// Assigns all keys when no target holds any: to the owners in an outdated map, or else in equal
+    /// shares. Returns false while targets may still hold keys that the outdated map does not show.
+    pub(super) fn assign(&mut self, candidates: &[Candidate], now: Instant) -> bool {
+        if self.outdated.as_ref().is_some_and(|map| now < map.until) {
+            return false;
+        }
+        let map = self.outdated.take().and_then(|outdated| outdated.map);
+        let former = map.map(|map| map.ranges).unwrap_or_default();
+        let former = former.into_iter().map(|entry| (entry.range, entry.owner));
+        let mut shares: Vec<_> = former.collect();
+        if shares.is_empty() {
+            let equal = plan::equal_ranges(candidates).into_iter();
+            shares.extend(equal.map(|(range, holder)| (range, Some(holder))));
+        }
+        for (range, next) in shares {
             let fence = self.fences.allocate();
+            let stage = match next {
+                Some(_) => Stage::StoringMap(self.newest_map + 1),
+                None => Stage::Vacant,
+            };
             self.ranges.push(RangeState {
                 range,
                 owner: None,
-                next: Some(holder),
-                stage: Stage::StoringMap(self.newest_map + 1),
+                next,
+                stage,
                 fence,
                 handover: None,
                 opened: None,
@@ -94,6 +110,7 @@
         if !self.ranges.is_empty() {
             self.newest_map += 1;
         }
+        true
     }
 
     /// Advances a range to its next stage if possible, and adds new locations to `locations`.
--- a/src/node/keys/mod.rs
+++ b/src/node/keys/mod.rs
@@ -9,6 +9,8 @@
 pub mod leader;
 pub mod map;
 pub mod plan;
+pub mod recovery;
 mod stored_map;
 pub mod table_health;
+pub mod tenure;
 pub mod view;
--- /dev/null
+++ b/src/node/keys/tenure.rs
@@ -0,0 +1,181 @@
+//! A node's leadership of a service and the lease that it is based on, also across restores of the
+//! table's data.
+//!
+//! A restore may lose the lease and the newest key map. The leader then acquires the lease again.
+//! Until it knows that no other node has led meanwhile, it continues in its previous term, in which
+//! it only renews grants and completes moves: its fences are lower than those of any later leader.
+
+use std::time::Instant;
+
+use crate::ids::BootId;
+use crate::ids::VmId;
+use crate::node::keys::election::Election;
+use crate::node::keys::election::Lease;
+use crate::node::keys::leader::LEASE_VALIDITY;
+use crate::node::keys::leader::Leader;
+use crate::node::keys::recovery::Recovery;
+use crate::platform::Generation;
+
+/// The nodes known to a leader, with the processes that it has received heartbeats from.
+pub type KnownNodes = Vec<(VmId, Option<BootId>)>;
+
+/// The leadership of a service while this node holds its lease.
+#[derive(Debug)]
+pub struct Tenure {
+    /// Decides on grants and moves.
+    pub leader: Leader,
+    lease: Lease,
+    revision: u64,
+    /// When the lease was known to be written.
+    held_since: Instant,
+    /// Set until no unknown leader remains, after a restore of the table's data.
+    recovery: Option<Recovery>,
+    /// The generation in which the leader was last suspended.
+    suspended_at: Option<Generation>,
+}
+
+/// What the lease row means for the leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseCheck {
+    /// The leader holds the lease.
+    Held,
+    /// The table was restored, and the leader must write its lease again.
+    Restored,
+    /// Another node leads, or did so when the table was restored.
+    Lost,
+}
+
+impl Tenure {
+    /// Starts to lead with a lease that was written to the row's `revision`.
+    pub fn new(
+        leader: Leader,
+        lease: Lease,
+        revision: u64,
+        nodes: KnownNodes,
+        now: Instant,
+    ) -> Self {
+        let nodes = nodes.into_iter().map(|(node, _)| (node, None));
+        let recovery = lease.lost_leader().map(|_| Recovery::new(nodes, now));
+        Self {
+            leader,
+            lease,
+            revision,
+            held_since: now,
+            recovery,
+            suspended_at: None,
+        }
+    }
+
+    /// Returns the lease.
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Returns the revision of the lease row.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns true if the table was restored after the lease was written.
+    pub fn is_outdated(&self, generation: Generation) -> bool {
+        self.lease.generation() < generation
+    }
+
+    /// Stops writing the key map, because the table was restored to `generation` after the lease was
+    /// written.
+    pub fn suspend(&mut self, generation: Generation, nodes: KnownNodes, now: Instant) {
+        if self.suspended_at.replace(generation) == Some(generation) {
+            return;
+        }
+        self.leader.suspend_writes();
+        match &mut self.recovery {
+            Some(recovery) => recovery.restart(nodes, now),
+            None => self.recovery = Some(Recovery::new(nodes, now)),
+        }
+    }
+
+    /// Evaluates the lease row, read from a table of this generation: its revision, 0 if it does not
+    /// exist, and the lease that it contains.
+    pub fn check(
+        &self,
+        (revision, lease): (u64, Option<&Lease>),
+        generation: Generation,
+    ) -> LeaseCheck {
+        if !self.is_outdated(generation) {
+            return match revision == self.revision {
+                true => LeaseCheck::Held,
+                false => LeaseCheck::Lost,
+            };
+        }
+        let is_own = |lease: &Lease| lease.node == self.lease.node && lease.boot == self.lease.boot;
+        let is_later = |lease: &Lease| lease.term > self.leader.term() && !is_own(lease);
+        match lease {
+            Some(lease) if is_later(lease) => LeaseCheck::Lost,
+            _ => LeaseCheck::Restored,
+        }
+    }
+
+    /// Records that the lease was written again after a restore, in a call that began at `begun`.
+    pub fn record_lease(&mut self, lease: Lease, revision: u64, begun: Instant, now: Instant) {
+        self.lease = lease;
+        self.revision = revision;
+        self.held_since = now;
+        self.leader.lease_confirmed(begun);
+    }
+
+    /// Returns true if another node's report shows that a later leader exists or existed.
+    pub fn is_superseded(&self, term: u64, ended: Option<u64>) -> bool {
+        let is_later = |term: u64| term > self.leader.term() && term != self.lease.term;
+        is_later(term) || ended.is_some_and(is_later)
+    }
+
+    /// Records that a process reported that it does not lead the service.
+    pub fn record_idle(&mut self, node: &VmId, boot: BootId) {
+        if let Some(recovery) = &mut self.recovery {
+            recovery.record_idle(node, boot);
+        }
+    }
+
+    /// Returns true while the leader continues in the term of a lease that the table may have lost.
+    pub fn is_suspended(&self) -> bool {
+        self.leader.is_suspended()
+    }
+
+    /// Informs the leader once all previous leaders are known to send no more orders; returns true
+    /// if it begins a new term.
+    pub fn settle(&mut self, election: &mut Election, node: &VmId, now: Instant) -> bool {
+        let begins = self.is_suspended() && self.may_begin_term(now);
+        if self.is_suspended() && !begins {
+            return false;
+        }
+        let is_complete = |recovery: &Recovery| recovery.is_complete(now);
+        if begins || self.recovery.as_ref().is_some_and(is_complete) {
+            self.recovery = None;
+            if let Some(term) = self.lease.lost_leader() {
+                election.record_end(term, now);
+            }
+        }
+        if begins {
+            self.leader.begin_term(self.lease.term);
+        }
+        election.record_expiry(&self.lease, self.held_since, now);
+        let mut previous = self.lease.maybe_active.iter();
+        if previous.all(|previous| election.has_ended(previous, node)) {
+            self.leader.previous_leaders_ended(now);
+        }
+        begins
+    }
+
+    /// Returns true if the lease has been written again and no other node can have led since the
+    /// previous one was confirmed.
+    fn may_begin_term(&self, now: Instant) -> bool {
+        let Some(recovery) = &self.recovery else {
+            return false;
+        };
+        let has_expired = || {
+            let grants = self.leader.longest_previous_grant();
+            recovery.elapsed(now) >= LEASE_VALIDITY + grants
+        };
+        self.lease.term > self.leader.term() && (recovery.is_complete(now) || has_expired())
+    }
+}
--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -12,6 +12,7 @@
 use gooseberryloft::node::keys::election::Election;
 use gooseberryloft::node::keys::election::Lease;
 use gooseberryloft::node::keys::election::PreviousLeader;
+use gooseberryloft::platform::Generation;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -55,7 +56,12 @@
     election.record_leader(3, &VmId::from("a"), BootId(1), now);
     election.record_process(&VmId::from("a"), BootId(2), 3, now + MS(10));
     expect_that!(election.should_campaign(0, now + MS(11)), eq(true));
-    let next = election.next_lease(Some(&lease(3, "a", 1)), &VmId::from("b"), BootId(9));
+    let next = election.next_lease(
+        Some(&lease(3, "a", 1)),
+        Generation::default(),
+        &VmId::from("b"),
+        BootId(9),
+    );
     expect_that!(next.term, eq(4));
     expect_that!(next.maybe_active, is_empty());
 }
@@ -67,7 +73,12 @@
     election.record_lease(&lease(3, "a", 2), now);
     election.record_process(&VmId::from("a"), BootId(1), 2, now + MS(10));
     expect_that!(election.should_campaign(0, now + MS(11)), eq(false));
-    let next = election.next_lease(Some(&lease(3, "a", 2)), &VmId::from("b"), BootId(9));
+    let next = election.next_lease(
+        Some(&lease(3, "a", 2)),
+        Generation::default(),
+        &VmId::from("b"),
+        BootId(9),
+    );
     expect_that!(next.maybe_active.len(), eq(1));
 }
 
@@ -75,9 +86,19 @@
 fn a_lease_lists_the_previous_leaders_that_may_still_send_orders() {
     let now = start();
     let election = Election::new(ServiceId::from("search"), now);
-    let first = election.next_lease(Some(&lease(3, "a", 1)), &VmId::from("b"), BootId(9));
+    let first = election.next_lease(
+        Some(&lease(3, "a", 1)),
+        Generation::default(),
+        &VmId::from("b"),
+        BootId(9),
+    );
     expect_that!(first.maybe_active.len(), eq(1));
-    let second = election.next_lease(Some(&first), &VmId::from("c"), BootId(8));
+    let second = election.next_lease(
+        Some(&first),
+        Generation::default(),
+        &VmId::from("c"),
+        BootId(8),
+    );
     let terms: Vec<u64> = second
         .maybe_active
         .iter()
@@ -142,6 +163,20 @@
     expect_that!(election.has_ended(&removed, &own), eq(false));
     election.record_expiry(&lease, now, now + Duration::from_secs(20));
     expect_that!(election.has_ended(&removed, &own), eq(true));
-    let next = election.next_lease(Some(&lease), &own, BootId(2));
+    let next = election.next_lease(Some(&lease), Generation::default(), &own, BootId(2));
     expect_that!(next.maybe_active, is_empty());
 }
+
+#[googletest::test]
+fn a_term_that_a_restore_lost_is_not_given_out_again() {
+    let now = start();
+    let election = Election::new(ServiceId::from("search"), now);
+    let (a, b) = (VmId::from("a"), VmId::from("b"));
+    let generation = Generation(1);
+    let backup = election.next_lease(None, generation, &a, BootId(1));
+    let lost = election.next_lease(Some(&backup), generation, &b, BootId(2));
+    let next = election.next_lease(Some(&backup), Generation(2), &a, BootId(3));
+    expect_that!(next.term, gt(lost.term));
+    expect_that!(next.lost_leader(), some(ge(lost.term)));
+    expect_that!(next.lost_leader(), some(lt(next.term)));
+}
--- /dev/null
+++ b/tests/node_restored_table.rs
@@ -0,0 +1,171 @@
+//! Ownership of keys after the table was restored from an older copy.
+
+#[path = "support/keys_simulation.rs"]
+mod keys_simulation;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use crate::keys_simulation::Backup;
+use crate::keys_simulation::Faults;
+use crate::keys_simulation::Simulation;
+use crate::keys_simulation::TestRng;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn simulation_with_held_keys(targets: usize, nodes: usize) -> Simulation {
+    let mut simulation = Simulation::new(targets, nodes, 1);
+    simulation.run(MS(3_000));
+    expect_that!(simulation.held_share(), gt(0.999));
+    simulation
+}
+
+/// The platform's bound for serving again once all nodes run.
+const RECOVERY_TIME: Duration = Duration::from_secs(15);
+
+/// Runs until all keys are held; returns the time it took, or a little more than the bound.
+fn recovery_time(simulation: &mut Simulation) -> Duration {
+    let start = simulation.elapsed();
+    while simulation.held_share() < 0.999 && simulation.elapsed() - start <= RECOVERY_TIME {
+        simulation.step();
+    }
+    simulation.elapsed() - start
+}
+
+#[googletest::test]
+fn a_leader_loses_no_keys_in_a_restore_and_moves_keys_soon_after() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let backup = simulation.backup();
+    simulation.run(MS(2_000));
+    simulation.restore(&backup);
+    for _ in 0..30 {
+        simulation.run(MS(100));
+        expect_that!(simulation.held_share(), gt(0.999));
+    }
+    simulation.targets[2].leaving = true;
+    simulation.run(MS(2_000));
+    expect_that!(simulation.held_by(2), is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+    expect_that!(simulation.violations, is_empty());
+}
+
+#[googletest::test]
+fn a_new_leader_does_not_grant_keys_by_a_map_that_lacks_a_move() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let backup = simulation.backup();
+    simulation.targets[1].leaving = true;
+    simulation.run(MS(3_000));
+    simulation.targets[1].leaving = false;
+    let leader = simulation.leader().expect("a node leads");
+    simulation.restart_node(leader);
+    simulation.restore(&backup);
+    simulation.run(MS(3_000));
+    expect_that!(
+        recovery_time(&mut simulation) + MS(3_000),
+        le(RECOVERY_TIME)
+    );
+    expect_that!(simulation.violations, is_empty());
+}
+
+#[googletest::test]
+fn a_resumed_leader_does_not_grant_keys_that_a_forgotten_leader_moved() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let paused = simulation.leader().expect("a node leads");
+    let backup = simulation.backup();
+    simulation.nodes[paused].running = false;
+    simulation.run(MS(3_000));
+    let forgotten = simulation.leader().expect("another node leads");
+    simulation.targets[1].leaving = true;
+    simulation.run(MS(3_000));
+    simulation.restore(&backup);
+    for node in 0..3 {
+        if node != paused {
+            simulation.restart_node(node);
+        }
+    }
+    expect_that!(forgotten, not(eq(paused)));
+    simulation.targets[1].leaving = false;
+    simulation.nodes[paused].running = true;
+    simulation.run(MS(50_000));
+    expect_that!(simulation.violations, is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+}
+
+#[googletest::test]
+fn keys_are_held_again_after_a_restore_to_an_empty_table() {
+    let mut simulation = Simulation::new(4, 3, 1);
+    let empty = simulation.backup();
+    simulation.run(MS(3_000));
+    for node in 0..3 {
+        simulation.restart_node(node);
+    }
+    simulation.restore(&empty);
+    simulation.run(MS(3_000));
+    expect_that!(
+        recovery_time(&mut simulation) + MS(3_000),
+        le(RECOVERY_TIME)
+    );
+    expect_that!(simulation.violations, is_empty());
+}
+
+/// Applies one random fault or repair.
+fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng, backups: &mut Vec<Backup>) {
+    let target = rng.below(simulation.targets.len() as u64) as usize;
+    let node = rng.below(simulation.nodes.len() as u64) as usize;
+    backups.push(simulation.backup());
+    match rng.below(16) {
+        0 => simulation.crash(target),
+        1 => simulation.restart(target),
+        2 => simulation.targets[target].leaving = true,
+        3 => simulation.targets[target].leaving = false,
+        4 => simulation.nodes[node].unreachable.push(target),
+        5 => simulation.nodes[node].unreachable.clear(),
+        6 | 7 => simulation.nodes[node].running = false,
+        8 | 9 => simulation.nodes[node].running = true,
+        10 => simulation.restart_node(node),
+        11 => {
+            let count = simulation.nodes.len();
+            for other in (0..count).filter(|other| *other != node) {
+                simulation.restart_node(other);
+            }
+        }
+        12 => simulation.nodes[node].reaches_table = !simulation.nodes[node].reaches_table,
+        13 | 14 => {
+            let age = rng.below(12) as usize;
+            let at = backups.len().saturating_sub(1 + age);
+            let backup = backups[at].clone();
+            simulation.restore(&backup);
+            backups.truncate(at + 1);
+        }
+        _ => {
+            for key in 0..20 {
+                simulation.add_load(rng.below(5) as u16 * 9_000 + key, 5);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(60))]
+
+    #[test]
+    fn no_key_is_held_twice_across_restores(seed in any::<u64>(), lost in 0u64..20, late in 0u64..30, writes in 0u64..30) {
+        let mut simulation = Simulation::new(4, 3, seed);
+        let mut rng = TestRng::new(seed ^ 0x5eed);
+        simulation.run(MS(2_000));
+        simulation.faults = Faults {
+            lost,
+            unanswered: lost,
+            late,
+            writes_lost: writes,
+        };
+        let mut backups = Vec::new();
+        for _ in 0..60 {
+            inject_fault(&mut simulation, &mut rng, &mut backups);
+            simulation.run(MS(50 + rng.below(1_200)));
+            prop_assert!(simulation.violations.is_empty(), "{:?}", simulation.violations.first());
+        }
+    }
+}
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -1,6 +1,8 @@
 //! Simulation of leaders, targets and the table on a virtual clock, for tests of the ownership of
 //! key ranges.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,9 +14,11 @@
 use gooseberryloft::ids::VmId;
 use gooseberryloft::node::keys::election::Election;
 use gooseberryloft::node::keys::election::Lease;
+use gooseberryloft::node::keys::election::generation_of;
 use gooseberryloft::node::keys::key_load::KeyLoad;
 use gooseberryloft::node::keys::leader::Action;
 use gooseberryloft::node::keys::leader::Command;
+use gooseberryloft::node::keys::leader::Inherited;
 use gooseberryloft::node::keys::leader::Leader;
 use gooseberryloft::node::keys::leader::Order;
 use gooseberryloft::node::keys::leader::OrderOutcome;
@@ -24,6 +28,9 @@
 use gooseberryloft::node::keys::map::KeyRange;
 use gooseberryloft::node::keys::plan::Candidate;
 use gooseberryloft::node::keys::table_health::TableHealth;
+use gooseberryloft::node::keys::tenure::LeaseCheck;
+use gooseberryloft::node::keys::tenure::Tenure;
+use gooseberryloft::platform::Generation;
 
 /// The time by which each step advances the virtual clock.
 pub const STEP: Duration = Duration::from_millis(25);
@@ -99,13 +106,15 @@
     /// The last term that it led, after stepping down.
     ended: Option<u64>,
     key_load: KeyLoad,
+    /// The newest generation of the table that an answer reported to this process.
+    generation: Generation,
+    /// The processes of other nodes from which this process has received heartbeats.
+    peers: BTreeMap<usize, u64>,
 }
 
 /// The state of a node while it leads.
 struct Leadership {
-    leader: Leader,
-    lease: Lease,
-    lease_revision: u64,
+    tenure: Tenure,
     map_revision: u64,
     checked_at: Instant,
     table_health: TableHealth,
@@ -133,6 +142,14 @@
     at: Instant,
 }
 
+/// A copy of the table.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    lease: Option<(u64, Lease)>,
+    map: Option<(u64, KeyMap)>,
+    revision: u64,
+}
+
 /// Probabilities of faults, in percent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -163,6 +180,7 @@
     lease: Option<(u64, Lease)>,
     map: Option<(u64, KeyMap)>,
     revision: u64,
+    generation: Generation,
     orders: Vec<OrderInTransit>,
     answers: Vec<OutcomeInTransit>,
     last_incarnation: u64,
@@ -209,6 +227,8 @@
             leading: None,
             ended: None,
             key_load: KeyLoad::new(now),
+            generation: Generation::default(),
+            peers: BTreeMap::new(),
         };
         Self {
             now,
@@ -221,6 +241,7 @@
             lease: None,
             map: None,
             revision: 0,
+            generation: Generation(1),
             orders: Vec::new(),
             answers: Vec::new(),
             last_incarnation: 1_000,
@@ -296,6 +317,35 @@
         node.leading = None;
         node.ended = None;
         node.running = true;
+        node.generation = Generation::default();
+        node.peers.clear();
+    }
+
+    /// Returns a copy of the table.
+    pub fn backup(&self) -> Backup {
+        Backup {
+            lease: self.lease.clone(),
+            map: self.map.clone(),
+            revision: self.revision,
+        }
+    }
+
+    /// Replaces the table by an older copy, and gives out again the revisions given out since.
+    pub fn restore(&mut self, backup: &Backup) {
+        self.lease = backup.lease.clone();
+        self.map = backup.map.clone();
+        self.revision = backup.revision;
+        self.generation = Generation(self.generation.0 + 1);
+    }
+
+    /// Returns the other nodes that a node knows; all of them are listed in the table.
+    fn known_nodes(&self, node: usize) -> Vec<(VmId, Option<BootId>)> {
+        let peers = &self.nodes[node].peers;
+        let others = (0..self.nodes.len()).filter(|other| *other != node);
+        let process = |other| peers.get(&other).map(|boot| BootId(*boot));
+        others
+            .map(|other| (VmId::from(format!("n{other}")), process(other)))
+            .collect()
     }
 
     /// Adds requests for a key to the load measured by every node.
@@ -354,6 +404,9 @@
             return self.nodes[node].election.postpone(now);
         }
         let name = VmId::from(format!("n{node}"));
+        let nodes = self.known_nodes(node);
+        let generation = self.generation;
+        let is_first = self.lease.is_none() && generation == Generation(1);
         let held = self.lease.as_ref().map(|(_, lease)| lease.clone());
         let fake = &mut self.nodes[node];
         if let Some(held) = &held
@@ -363,26 +416,33 @@
             return fake.election.record_lease(held, now);
         }
         let boot = BootId(fake.boot);
-        let lease = fake.election.next_lease(held.as_ref(), &name, boot);
+        fake.generation = generation;
+        let held = held.or_else(|| (!is_first).then(Lease::lost));
+        let lease = fake
+            .election
+            .next_lease(held.as_ref(), generation, &name, boot);
         self.revision += 1;
         self.lease = Some((self.revision, lease.clone()));
         if self.rng.percent(self.faults.writes_lost) {
             return self.nodes[node].election.postpone(now);
         }
         let map = self.map.as_ref();
-        let mut leader = Leader::new(
-            lease.term,
-            map.map(|(_, map)| map),
-            Duration::from_secs(10),
-            now,
-        );
-        leader.lease_confirmed(now);
         let fake = &mut self.nodes[node];
+        let is_current = |map: &KeyMap| generation_of(map.version.term) == generation;
+        let inherited = match map {
+            Some((_, map)) if is_current(map) => Inherited::Map(map),
+            map if lease.lost_leader().is_some() => Inherited::Outdated(map.map(|(_, map)| map)),
+            Some((_, map)) => Inherited::Map(map),
+            None => Inherited::Nothing,
+        };
+        if let (Inherited::Map(_), Some(lost)) = (inherited, lease.lost_leader()) {
+            fake.election.record_end(lost, now);
+        }
+        let mut leader = Leader::new(lease.term, inherited, Duration::from_secs(10), now);
+        leader.lease_confirmed(now);
         fake.election.record_leader(lease.term, &name, boot, now);
         fake.leading = Some(Leadership {
-            leader,
-            lease,
-            lease_revision: self.revision,
+            tenure: Tenure::new(leader, lease, self.revision, nodes, now),
             map_revision: map.map_or(0, |(revision, _)| *revision),
             checked_at: now,
             table_health: TableHealth::default(),
@@ -392,6 +452,10 @@
     fn lead(&mut self, node: usize) {
         let now = self.now;
         let candidates = self.candidates();
+        // The node reads rules and targets too, and any answer shows the generation.
+        if self.table_answers(node) && self.rng.percent(10) {
+            self.nodes[node].generation = self.generation;
+        }
         let reads = |other: usize| self.nodes[other].running && self.table_answers(other);
         let others_read = (0..self.nodes.len())
             .any(|other| other != node && reads(other))
@@ -401,19 +465,17 @@
             return;
         };
         let name = VmId::from(format!("n{node}"));
-        let election = &fake.election;
-        let maybe_active = &leading.lease.maybe_active;
-        if maybe_active
-            .iter()
-            .all(|previous| election.has_ended(previous, &name))
-        {
-            leading.leader.previous_leaders_ended(now);
+        if leading.tenure.settle(&mut fake.election, &name, now) {
+            let (term, boot) = (leading.tenure.leader.term(), BootId(fake.boot));
+            fake.election.record_leader(term, &name, boot, now);
         }
         if leading.table_health.should_step_down(others_read) {
             return self.step_down(node);
         }
-        let mut actions = leading.leader.tick(now, &candidates, &fake.key_load);
-        let period = match leading.table_health.is_failing() {
+        let leader = &mut leading.tenure.leader;
+        let mut actions = leader.tick(now, &candidates, &fake.key_load);
+        let is_outdated = leading.tenure.is_outdated(fake.generation);
+        let period = match is_outdated || leading.table_health.is_failing() {
             true => RETRY_PERIOD,
             false => CONFIRM_PERIOD,
         };
@@ -437,7 +499,9 @@
     fn check_lease(&mut self, node: usize) {
         let now = self.now;
         let answers = self.table_answers(node);
-        let revision = self.lease.as_ref().map(|(revision, _)| *revision);
+        let (generation, nodes) = (self.generation, self.known_nodes(node));
+        let row = self.lease.clone();
+        let lost = self.rng.percent(self.faults.writes_lost);
         let fake = &mut self.nodes[node];
         let Some(leading) = &mut fake.leading else {
             return;
@@ -447,18 +511,34 @@
             return leading.table_health.record_failure(now);
         }
         leading.table_health.record_success();
-        if revision == Some(leading.lease_revision) {
-            leading.leader.lease_confirmed(now);
-            return;
+        fake.generation = generation;
+        let revision = row.as_ref().map_or(0, |(revision, _)| *revision);
+        let lease = row.as_ref().map(|(_, lease)| lease);
+        match leading.tenure.check((revision, lease), generation) {
+            LeaseCheck::Held => leading.tenure.leader.lease_confirmed(now),
+            LeaseCheck::Lost => self.step_down(node),
+            LeaseCheck::Restored => {
+                leading.tenure.suspend(generation, nodes, now);
+                let (name, boot) = (VmId::from(format!("n{node}")), BootId(fake.boot));
+                let held = lease.cloned().unwrap_or_else(Lease::lost);
+                let next = fake
+                    .election
+                    .next_lease(Some(&held), generation, &name, boot);
+                self.revision += 1;
+                self.lease = Some((self.revision, next.clone()));
+                if !lost {
+                    leading.tenure.record_lease(next, self.revision, now, now);
+                }
+            }
         }
-        self.step_down(node);
     }
 
     fn step_down(&mut self, node: usize) {
         let fake = &mut self.nodes[node];
         if let Some(leading) = fake.leading.take() {
-            fake.ended = Some(leading.leader.term());
-            fake.election.record_end(leading.leader.term(), self.now);
+            let term = leading.tenure.lease().term;
+            fake.ended = Some(term);
+            fake.election.record_end(term, self.now);
         }
     }
 
@@ -470,14 +550,14 @@
         let Some(leading) = &mut self.nodes[node].leading else {
             return;
         };
-        let fits = lease == Some(leading.lease_revision) && held == leading.map_revision;
+        let fits = lease == Some(leading.tenure.revision()) && held == leading.map_revision;
         if !answers {
             leading.table_health.record_failure(self.now);
-            return leading.leader.map_write_ended(false);
+            return leading.tenure.leader.map_write_ended(false);
         }
         leading.table_health.record_success();
         if !fits {
-            leading.leader.map_write_ended(false);
+            leading.tenure.leader.map_write_ended(false);
             leading.map_revision = held;
             return self.check_lease(node);
         }
@@ -486,7 +566,8 @@
         leading.map_revision = self.revision;
         // A real node reads the row when the answer of a write is lost. Here that read fails too,
         // so the write counts as failed, although the table has stored it.
-        leading.leader.map_write_ended(!lost);
+        let is_outdated = leading.tenure.is_outdated(self.generation);
+        leading.tenure.leader.map_write_ended(!lost && !is_outdated);
     }
 
     fn send(&mut self, node: usize, order: Order) {
@@ -619,6 +700,7 @@
                 continue;
             };
             let actions = leading
+                .tenure
                 .leader
                 .order_ended(answer.order.id, answer.outcome, now);
             self.act(answer.node, actions);
@@ -644,14 +726,18 @@
                 if other == index || !self.nodes[other].running {
                     continue;
                 }
+                self.nodes[other].peers.insert(index, boot);
                 let election = &mut self.nodes[other].election;
                 election.record_process(&name, BootId(boot), term, now);
                 if let Some(ended) = ended {
                     election.record_end(ended, now);
                 }
-                let leading = self.nodes[other].leading.as_ref();
-                if leading.is_some_and(|leading| leading.leader.term() < term) {
-                    self.step_down(other);
+                if let Some(leading) = &mut self.nodes[other].leading {
+                    if leading.tenure.is_superseded(term, ended) {
+                        self.step_down(other);
+                    } else if !leads {
+                        leading.tenure.record_idle(&name, BootId(boot));
+                    }
                 }
                 if leads {
                     let election = &mut self.nodes[other].election;
