Log which lease and map a leader continues from

Callers saw two targets hold the same keys after the table had been restored from an older copy. The log showed who led, but not which lease row a leader replaced, which map it loaded, or when a map was stored, so that a term given out twice, an older map and a lost lease row could not be told apart.

Event 300 now has the replaced term, the revision of the lease, and the term, number and revision of the map. Event 301 has, if the lease row changed, its term and revision beside the expected one. Each stored map is one event 305 with its version and revision. No decision changes.

Successful orders stay out of the log: there are hundreds a second on large services, and event 309 shows when an owner first holds its keys.

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -61,7 +61,11 @@
         let held = lease.or_else(|| (!is_first).then(Lease::lost));
         let next = self.next_lease(held.as_ref());
         match write_lease(&self.state, &*self.table, self.lease_key(), &next, revision).await {
-            Some(revision) => self.take_over(next, revision, started_at).await,
+            Some(revision) => {
+                let replaced_term = held.map_or(0, |held| held.term);
+                self.take_over(next, revision, replaced_term, started_at)
+                    .await;
+            }
             None => self.election.postpone(self.clock.now()),
         }
     }
@@ -73,9 +77,15 @@
             .next_lease(held, self.table.generation(), node, boot)
     }
 
-    /// Starts to lead from the stored map. `started_at` is when the campaign began, before the
-    /// lease was written.
-    pub(super) async fn take_over(&mut self, lease: Lease, revision: u64, started_at: Instant) {
+    /// Starts to lead from the stored map. `replaced_term` is the term of the lease row that this
+    /// one replaced, and `started_at` is when the campaign began, before the lease was written.
+    pub(super) async fn take_over(
+        &mut self,
+        lease: Lease,
+        revision: u64,
+        replaced_term: u64,
+        started_at: Instant,
+    ) {
         self.state.counters.add(Counter::TableCalls);
         let stored = match self.table.get(&self.map_key()).await {
             Ok(stored) => stored,
@@ -99,13 +109,7 @@
             // The table was restored since, and the rows that were read may be older than the lease.
             return self.election.postpone(now);
         }
-        let is_current = |map: &KeyMap| generation_of(map.version.term) == lease.generation();
-        let inherited = match &map {
-            Some(map) if is_current(map) => Inherited::Map(map),
-            map if lease.lost_leader().is_some() => Inherited::Outdated(map.as_ref()),
-            Some(map) => Inherited::Map(map),
-            None => Inherited::Nothing,
-        };
+        let inherited = inherited(&lease, map.as_ref());
         if matches!(inherited, Inherited::Map(_))
             && let Some(lost) = lease.lost_leader()
         {
@@ -116,9 +120,16 @@
         let mut leader = Leader::new(lease.term, inherited, max_grant, now);
         leader.lease_confirmed(started_at);
         let (ranges, _) = leader.range_counts();
+        let map_version = map.as_ref().map(|map| map.version).unwrap_or_default();
+        let map_revision = stored.as_ref().map_or(0, |row| row.revision);
         self.state.log.record(Event::GroupTaken, |line| {
             line.text("service", self.service.as_str());
             line.number("term", lease.term);
+            line.number("replaced_term", replaced_term);
+            line.number("lease_revision", revision);
+            line.number("map_term", map_version.term);
+            line.number("map_number", map_version.number);
+            line.number("map_revision", map_revision);
             line.number("doubted", lease.maybe_active.len() as u64);
             line.number("ranges", ranges as u64);
             line.text("map", map_name(inherited));
@@ -130,7 +141,7 @@
         let nodes = self.peers.processes();
         self.leading = Some(Leadership {
             tenure: Tenure::new(leader, lease, revision, nodes, now),
-            map_revision: Rc::new(std::cell::Cell::new(stored.map_or(0, |row| row.revision))),
+            map_revision: Rc::new(std::cell::Cell::new(map_revision)),
             last_check: now,
             check_pending: false,
         });
@@ -173,6 +184,17 @@
     }
 }
 
+/// Returns what a leader with this lease takes over from the stored map.
+fn inherited<'a>(lease: &Lease, map: Option<&'a KeyMap>) -> Inherited<'a> {
+    let is_current = |map: &KeyMap| generation_of(map.version.term) == lease.generation();
+    match map {
+        Some(map) if is_current(map) => Inherited::Map(map),
+        map if lease.lost_leader().is_some() => Inherited::Outdated(map),
+        Some(map) => Inherited::Map(map),
+        None => Inherited::Nothing,
+    }
+}
+
 /// Writes a lease, if its row still has `revision`; returns the new revision if the write took
 /// effect in the generation of the lease.
 pub(super) async fn write_lease(
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -177,7 +177,7 @@
             mutations: vec![rows::put(self.map_key(), map)],
         };
         let (table, key, handle) = (self.table.clone(), self.map_key(), self.handle.clone());
-        let state = self.state.clone();
+        let (state, service, version) = (self.state.clone(), self.service.clone(), map.version);
         tokio::task::spawn_local(async move {
             state.counters.add(Counter::TableCalls);
             let error = table.commit(&tx).await.err();
@@ -198,6 +198,14 @@
                 }
                 Err(_) => Err(()),
             };
+            if written == Ok(true) {
+                state.log.record(Event::ShardsPlaced, |line| {
+                    line.text("service", service.as_str());
+                    line.number("term", version.term);
+                    line.number("number", version.number);
+                    line.number("revision", revision.get());
+                });
+            }
             handle.send(GroupMessage::MapWritten(written));
         });
     }
@@ -273,7 +281,12 @@
                 if let Some(lease) = &lease {
                     self.election.record_lease(lease, now);
                 }
-                self.step_down("another node holds the lease", now);
+                let reason = format!(
+                    "the lease row has term {} and revision {revision}, not revision {}",
+                    lease.map_or(0, |lease| lease.term),
+                    leading.tenure.revision()
+                );
+                self.step_down(&reason, now);
             }
         }
     }
