Ask the kernel before each send whether the caller has left

Cause: a request was sent although the end of its caller's connection had already arrived in the kernel. The node relied on the runtime to report it: - tokio assumes an accepted socket to be readable, so the request is read before the runtime has asked the kernel about the connection. A partial read then clears the readiness, and the end of the stream right behind the request is not read before the request goes out on a pooled connection. A caller that gave up while its connection waited in the accept queue was served this way, however long ago that was. - between two polls of the kernel the runtime runs up to 61 tasks; a caller that leaves in this time is not noticed, on a kept connection or while a connection to the target is being opened.

Change: each attempt asks the kernel (poll, RDHUP) immediately before it takes a connection and again after it has opened one; the request ends instead of being sent. This covers first sends, retries and hedges alike. Event 506 records each such request.

Ruled out: connections to targets are reset when the caller leaves (tests in node.rs), and no retry is sent once the end is reported, since both are polled in one task, the caller first.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -84,6 +84,8 @@
     AttemptFailed = 504,
     /// A response was cut while its body was sent to the caller.
     ResponseCut = 505,
+    /// A request was not sent, or not sent again, because its caller had disconnected.
+    SendSkipped = 506,
     /// Similar requests crashed several targets and are refused temporarily.
     RequestQuarantined = 510,
     /// A target failed repeatedly and gets no requests temporarily.
@@ -115,7 +117,7 @@
             Self::WorkCut | Self::ViewStale => Level::Warn,
             Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
-            Self::RequestRefused => Level::Debug,
+            Self::RequestRefused | Self::SendSkipped => Level::Debug,
             Self::TableDown | Self::TableWriteFailed => Level::Warn,
             Self::OrderFailed | Self::PeerLost => Level::Warn,
             _ => Level::Info,
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -8,6 +8,7 @@
 use tokio::io::AsyncWriteExt;
 
 use crate::node::fleet::Target;
+use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::headers::HeaderNames;
 use crate::node::proxy::pool::Pool;
@@ -51,6 +52,8 @@
     },
     /// No connection to the target could be opened, so nothing was sent.
     NotSent,
+    /// The caller disconnected before the request was sent.
+    CallerLeft,
     /// The request was sent, but no valid response was received; it may have run. Contains the
     /// reason for the log.
     NoValidResponse(&'static str),
@@ -90,6 +93,8 @@
     pub idempotent: bool,
     /// When the caller stops waiting; sent to the target as the remaining time.
     pub deadline: Instant,
+    /// The caller's connection.
+    pub caller: CallerStatus<'a>,
 }
 
 /// Sends a request to a target and reads the response.
@@ -98,11 +103,18 @@
     request: &Request,
     target: &Rc<Target>,
 ) -> AttemptOutcome {
+    if context.caller.has_left() {
+        return AttemptOutcome::CallerLeft;
+    }
     let now = Instant::now();
     let pooled = context.pool.take(target, context.idempotent, now);
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match context.pool.open(target).await {
+            Ok(connection) if context.caller.has_left() => {
+                context.pool.put(connection, None, Instant::now());
+                return AttemptOutcome::CallerLeft;
+            }
             Ok(connection) => connection,
             Err(_) => return AttemptOutcome::NotSent,
         },
--- a/src/node/proxy/conn.rs
+++ b/src/node/proxy/conn.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -38,6 +41,28 @@
     }
 }
 
+/// Tells whether a caller has disconnected, even while its connection is read.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerStatus<'a>(&'a TcpStream);
+
+impl<'a> CallerStatus<'a> {
+    /// Creates the status of the caller at the other end of a connection.
+    pub fn new(write: &'a WriteHalf<'_>) -> Self {
+        Self(write.as_ref())
+    }
+
+    /// Returns true if the caller has closed or reset its connection. This asks the kernel directly:
+    /// the runtime reads an accepted connection before it learns of its state, and reports no change
+    /// while other tasks run.
+    pub fn has_left(self) -> bool {
+        let mut descriptors = [PollFd::new(self.0, PollFlags::RDHUP)];
+        let no_wait = Timespec::default();
+        let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        rustix::event::poll(&mut descriptors, Some(&no_wait)).is_ok()
+            && descriptors[0].revents().intersects(ended)
+    }
+}
+
 /// Bytes that were received but not consumed yet.
 #[derive(Debug, Default)]
 pub struct ReadBuffer {
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::node::proxy::attempt::Response;
 use crate::node::proxy::attempt::ResponseStream;
 use crate::node::proxy::attempt::attempt;
+use crate::node::proxy::conn::CallerStatus;
 use crate::node::rules::RequestKind;
 use crate::node::state::State;
 use crate::route::Verdict;
@@ -76,6 +77,8 @@
     Stream(Response, Box<ResponseStream>),
     /// No target's response is available.
     Refused(Refusal),
+    /// The caller has disconnected.
+    CallerLeft,
 }
 
 /// Why a request received no response from a target.
@@ -114,6 +117,7 @@
     state: &'a Rc<State>,
     routed: &'a RoutedRequest,
     request: &'a Request,
+    caller: CallerStatus<'a>,
     tried: Vec<TargetId>,
     first_send_recorded: bool,
     sends: u32,
@@ -149,7 +153,12 @@
 }
 
 /// Sends a request to targets until there is a result for its caller.
-pub async fn dispatch(state: &Rc<State>, routed: &RoutedRequest, request: &Request) -> Outcome {
+pub async fn dispatch(
+    state: &Rc<State>,
+    routed: &RoutedRequest,
+    request: &Request,
+    caller: CallerStatus<'_>,
+) -> Outcome {
     if let Verdict::Quarantined = state.crashes.verdict(routed.fingerprint, Instant::now()) {
         return Outcome::Refused(Refusal::Quarantined);
     }
@@ -157,6 +166,7 @@
         state,
         routed,
         request,
+        caller,
         tried: Vec::new(),
         first_send_recorded: false,
         waiting_since: routed.started,
@@ -301,6 +311,7 @@
             names: &state.conf.headers,
             idempotent: routed.kind.is_idempotent(),
             deadline: routed.deadline,
+            caller: self.caller,
         };
         let attempt = async move {
             let was_saturated = target.load() >= target.entry.slots;
@@ -405,15 +416,13 @@
                 None
             }
             AttemptOutcome::NotSent => {
-                self.possible_runs -= 1;
-                self.sends -= 1;
-                target.eject(now);
-                self.state.pool.remove_target(target);
-                self.log_failure(target, "not-sent", 0);
-                self.wait_reason = self.routed.key.map(|_| Refusal::NoOwner);
-                self.paused_until = self.routed.key.map(|_| now + OWNER_RETRY_DELAY);
+                self.handle_not_sent(target, now);
                 None
             }
+            AttemptOutcome::CallerLeft => {
+                self.log_send_skipped();
+                Some(Outcome::CallerLeft)
+            }
             AttemptOutcome::NoValidResponse(reason) => {
                 self.waiting_since = now;
                 target.record_failure(now);
@@ -426,6 +435,16 @@
         }
     }
 
+    fn handle_not_sent(&mut self, target: &Target, now: Instant) {
+        self.possible_runs -= 1;
+        self.sends -= 1;
+        target.eject(now);
+        self.state.pool.remove_target(target);
+        self.log_failure(target, "not-sent", 0);
+        self.wait_reason = self.routed.key.map(|_| Refusal::NoOwner);
+        self.paused_until = self.routed.key.map(|_| now + OWNER_RETRY_DELAY);
+    }
+
     fn handle_not_run(&mut self, target: &Target, status: u16, now: Instant) {
         if status != 421 {
             target.record_refusal(now);
@@ -466,6 +485,16 @@
         Outcome::Refused(Refusal::Late)
     }
 
+    fn log_send_skipped(&self) {
+        self.state.log.record(Event::SendSkipped, |line| {
+            line.text("id", &String::from_utf8_lossy(&self.request.id));
+            line.text("service", self.routed.service.as_str());
+            line.number("sends", (self.sends - 1).into());
+            let age = self.routed.started.elapsed();
+            line.number("age_ms", age.as_millis() as u64);
+        });
+    }
+
     fn log_failure(&self, target: &Target, reason: &str, status: u16) {
         self.state.log.record(Event::AttemptFailed, |line| {
             line.text("id", &String::from_utf8_lossy(&self.request.id));
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
 use tokio::time::timeout;
 
 use crate::events::Event;
@@ -13,7 +14,9 @@
 use crate::node::log::Line;
 use crate::node::proxy::attempt::Request;
 use crate::node::proxy::attempt::ResponseStream;
+use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::Conn;
+use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::dispatch::Outcome;
 use crate::node::proxy::dispatch::RoutedRequest;
 use crate::node::proxy::dispatch::dispatch;
@@ -216,15 +219,13 @@
     request: &Request,
     close: bool,
 ) -> NextStep {
+    let (mut read, write, buffer) = conn.split();
+    let caller = CallerStatus::new(&write);
     let outcome = tokio::select! {
         biased;
         // Polled first, since the caller may have disconnected before its request was read.
-        () = caller_disconnected(conn) => {
-            count_request(state, routed, "caller-gone");
-            state.counters.add(Counter::CallersGone);
-            return NextStep::Abort;
-        }
-        outcome = dispatch(state, routed, request) => outcome,
+        () = caller_disconnected(&mut read, buffer) => Outcome::CallerLeft,
+        outcome = dispatch(state, routed, request, caller) => outcome,
     };
     let close = close || state.stage() > ShutdownStage::Serving;
     match outcome {
@@ -250,6 +251,11 @@
                 }
             }
         }
+        Outcome::CallerLeft => {
+            count_request(state, routed, "caller-gone");
+            state.counters.add(Counter::CallersGone);
+            NextStep::Abort
+        }
         Outcome::Refused(refusal) => {
             let reason: &'static str = refusal.into();
             count_request(state, routed, reason);
@@ -309,9 +315,9 @@
 }
 
 /// Completes when the caller closes its connection; buffers pipelined requests meanwhile.
-async fn caller_disconnected(conn: &mut Conn) {
-    while conn.data().len() < MAX_PIPELINED_BYTES {
-        if !matches!(conn.fill().await, Ok(1..)) {
+async fn caller_disconnected(read: &mut ReadHalf<'_>, buffer: &mut ReadBuffer) {
+    while buffer.data().len() < MAX_PIPELINED_BYTES {
+        if !matches!(buffer.fill(read).await, Ok(1..)) {
             return;
         }
     }
@@ -359,6 +365,7 @@
             return Err("the caller does not read");
         }
         out.clear();
+        let (mut read, _, buffer) = conn.split();
         let next = tokio::select! {
             biased;
             // Checked before each part: a target may send without end.
@@ -366,7 +373,7 @@
                 return Err("the body did not end in time");
             }
             next = body_stream.next() => next,
-            () = caller_disconnected(conn) => return Err("the caller has disconnected"),
+            () = caller_disconnected(&mut read, buffer) => return Err("the caller has disconnected"),
         };
         match next {
             Ok(Some(body)) => respond::append_body(&mut out, &body, chunked),
