Notice callers that leave behind unread pipelined requests

Callers saw: the request at the head of a full buffer of pipelined requests was worked on to its end although its caller had left, and the next one was run as well.

Cause: the node stops reading a caller's connection at 32 KB of pipelined requests, and the end of the stream was noticed by reading only.

Change: while the buffer is full, the kernel is asked every 100 ms.

--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -7,6 +7,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::events::Event;
@@ -46,6 +47,8 @@
 const NO_RULES_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum number of bytes of pipelined requests that are buffered while a request is served.
 const MAX_PIPELINED_BYTES: usize = 32 << 10;
+/// How often the caller's connection is checked while that buffer is full.
+const CALLER_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// How long a connection that was accepted late in a graceful shutdown waits for its first request,
 /// which may still be in transit.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(400);
@@ -224,7 +227,7 @@
     let outcome = tokio::select! {
         biased;
         // Polled first, since the caller may have disconnected before its request was read.
-        () = caller_disconnected(&mut read, buffer) => Outcome::CallerLeft,
+        () = caller_disconnected(&mut read, buffer, caller) => Outcome::CallerLeft,
         outcome = dispatch(state, routed, request, caller) => outcome,
     };
     let close = close || state.stage() > ShutdownStage::Serving;
@@ -315,13 +318,20 @@
 }
 
 /// Completes when the caller closes its connection; buffers pipelined requests meanwhile.
-async fn caller_disconnected(read: &mut ReadHalf<'_>, buffer: &mut ReadBuffer) {
+async fn caller_disconnected(
+    read: &mut ReadHalf<'_>,
+    buffer: &mut ReadBuffer,
+    caller: CallerStatus<'_>,
+) {
     while buffer.data().len() < MAX_PIPELINED_BYTES {
         if !matches!(buffer.fill(read).await, Ok(1..)) {
             return;
         }
     }
-    std::future::pending().await
+    // The end of the stream is behind bytes that are not read.
+    while !caller.has_left() {
+        sleep(CALLER_CHECK_PERIOD).await;
+    }
 }
 
 async fn send_error(
@@ -365,7 +375,8 @@
             return Err("the caller does not read");
         }
         out.clear();
-        let (mut read, _, buffer) = conn.split();
+        let (mut read, write, buffer) = conn.split();
+        let caller = CallerStatus::new(&write);
         let next = tokio::select! {
             biased;
             // Checked before each part: a target may send without end.
@@ -373,7 +384,7 @@
                 return Err("the body did not end in time");
             }
             next = body_stream.next() => next,
-            () = caller_disconnected(&mut read, buffer) => return Err("the caller has disconnected"),
+            () = caller_disconnected(&mut read, buffer, caller) => return Err("the caller has disconnected"),
         };
         match next {
             Ok(Some(body)) => respond::append_body(&mut out, &body, chunked),
