Don't skip changes whose versions restored data gives out again

Cause: a position in the change history was a bare version. After a restore, versions go back and are given out again; a position of before the restore then stands for other data, and the poll after it skips what was written up to it, without a 410. Among nodes such positions compared as newer, so that a node ignored the reports of the node that had read the restored data.

Change: a position names the generation of the data, and positions compare by generation first.

The two new tests of node_reader.rs can't be compiled before, as positions had no generation.

--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -13,10 +13,19 @@
 use crate::node::keys::leader::Order;
 use crate::node::keys::leader::OrderOutcome;
 use crate::node::rules::Rules;
+use crate::platform::Generation;
 
-/// Position of a reader in the platform's change history.
+/// Position of a reader in the platform's change history. Positions are ordered by generation first:
+/// restored data gives out versions again, so that they are comparable only within a generation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Cursor(pub u64);
+pub struct Cursor {
+    /// The generation of the data that was read.
+    #[serde(rename = "g")]
+    pub generation: Generation,
+    /// The version up to which changes have been read.
+    #[serde(rename = "v")]
+    pub version: u64,
+}
 
 /// The result of reading the list of targets.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,7 +42,8 @@
     /// The platform did not respond, refused the call or sent malformed data; contains the cause.
     #[error("the platform did not respond ({0}); check that it is up and reachable")]
     Unavailable(String),
-    /// The platform no longer has the changes after the cursor; the complete list must be read.
+    /// The platform does not have the changes after the cursor, because its history was truncated or
+    /// its data restored from an older copy; the complete list must be read.
     #[error("the change history is no longer available; read the complete list again")]
     HistoryDropped,
 }
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -273,7 +273,8 @@
     line.number("age_ms", routed.started.elapsed().as_millis() as u64);
     line.number("rules", state.rules_version());
     let list = state.list_schedule.borrow().position(now);
-    line.number("list", list.cursor.0);
+    line.number("list", list.cursor.version);
+    line.number("generation", list.cursor.generation.0);
     line.number("list_age_ms", list.age_ms.into());
     let fleet = state.fleet.borrow();
     let Some(key) = routed.key else {
--- a/tests/node_reader.rs
+++ b/tests/node_reader.rs
@@ -12,6 +12,7 @@
 use gooseberryloft::node::platform::Cursor;
 use gooseberryloft::node::reader::Neighbour;
 use gooseberryloft::node::reader::is_reader;
+use gooseberryloft::platform::Generation;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -50,9 +51,16 @@
     }
 }
 
-fn position(cursor: u64, age: u16) -> ListPosition {
+fn cursor(generation: u64, version: u64) -> Cursor {
+    Cursor {
+        generation: Generation(generation),
+        version,
+    }
+}
+
+fn position(version: u64, age: u16) -> ListPosition {
     ListPosition {
-        cursor: Cursor(cursor),
+        cursor: cursor(1, version),
         digest: ListDigest::default(),
         age_ms: age,
     }
@@ -97,7 +105,7 @@
 fn rules_are_not_read_while_a_neighbour_reads_the_list() {
     let now = Instant::now() + MS(10_000);
     let mut schedule = ListSchedule::new(now);
-    schedule.record_read(Cursor(5), ListDigest::default(), now);
+    schedule.record_read(cursor(1, 5), ListDigest::default(), now);
     schedule.record_peer(position(5, 200), now + MS(3_000));
     expect_that!(schedule.next_rules_read(now), ge(now + MS(4_000)));
 }
@@ -106,7 +114,7 @@
 fn rules_are_read_when_no_neighbour_has_read_the_list_for_long() {
     let now = Instant::now() + MS(10_000);
     let mut schedule = ListSchedule::new(now);
-    schedule.record_read(Cursor(5), ListDigest::default(), now);
+    schedule.record_read(cursor(1, 5), ListDigest::default(), now);
     // A neighbour is alive but has not reached the table since.
     schedule.record_peer(position(5, 3_000), now + MS(3_000));
     expect_that!(schedule.next_rules_read(now), le(now + MS(2_000)));
@@ -120,3 +128,36 @@
     let now = Instant::now();
     expect_that!(ListSchedule::new(now).next_read(false), eq(now));
 }
+
+#[googletest::test]
+fn a_lower_version_of_restored_data_confirms_the_list() {
+    let now = Instant::now() + MS(10_000);
+    let mut schedule = ListSchedule::new(now);
+    schedule.record_read(cursor(1, 80), ListDigest::default(), now);
+    let restored = ListPosition {
+        cursor: cursor(2, 50),
+        ..position(0, 100)
+    };
+    schedule.record_peer(restored, now + MS(3_000));
+    expect_that!(schedule.next_read(false), ge(now + MS(4_000)));
+    expect_that!(schedule.next_rules_read(now), ge(now + MS(4_000)));
+}
+
+#[googletest::test]
+fn a_higher_version_from_before_a_restore_confirms_nothing() {
+    let now = Instant::now() + MS(10_000);
+    let mut schedule = ListSchedule::new(now);
+    schedule.record_read(cursor(2, 50), ListDigest::default(), now);
+    schedule.record_peer(position(80, 0), now + MS(1_000));
+    expect_that!(schedule.next_read(false), le(now + MS(1_500)));
+    let other = ListPosition {
+        digest: ListDigest {
+            all: 1,
+            leaving: 1,
+            staying: 1,
+        },
+        ..position(80, 0)
+    };
+    schedule.record_peer(other, now + MS(1_000));
+    expect_that!(schedule.next_read(false), eq(now + MS(1_500)));
+}
