Don't take restored data for newer than what was read before

In tests with a store that was restored from an older copy, requests went to a target that had announced that it leaves and to one that had left, and a live target that had registered since the copy got none.

Cause: a complete list replaced what the node knew. Restored data lists a leaving target as ready, names processes that are gone or replaced, and lacks those that registered since. Missing entries got a grace period only on nodes that had seen a call fail.

Change: a process that is leaving does not return, whatever a later entry says. For 4 s after the first read of a later generation, entries of a complete list that name a process that left or was replaced are withheld; they apply when the entry changes, or if it is still listed afterwards, as a silent process loses its entry after three missed updates. A change of generation starts the grace period of missing entries. The digest of the list depends on the list alone, so that nodes with and without such memory agree. Event 603 table-restored.

Ruled out: a target that was cut off from the store and comes back keeps its process, so departed processes can't be refused for good.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -98,7 +98,8 @@
     TableUp = 601,
     /// A write of a row failed, or its outcome is unknown.
     TableWriteFailed = 602,
-    /// The table was restored from an older copy; a leader writes its lease again.
+    /// The table was restored from an older copy; the list of targets is read and leases are written
+    /// again.
     TableRestored = 603,
 }
 
--- a/src/node/control/watch.rs
+++ b/src/node/control/watch.rs
@@ -23,6 +23,7 @@
 use crate::node::rules_lag::RereadPause;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
+use crate::platform::Generation;
 
 /// Long-poll timeout for rules on the node that reads for its data centre. A dead connection is
 /// detected only after this time.
@@ -215,6 +216,7 @@
             Ok((next, update)) => {
                 health.record_success(&state);
                 cursor = Some(next);
+                record_generation(&state, next.generation, now);
                 apply_targets(&state, &peers, update, now);
                 let digest = state.fleet.borrow().digest();
                 state
@@ -231,10 +233,25 @@
     }
 }
 
-/// Removes the targets that have expired because the list could not be read.
+/// Prepares the list of targets for data that was restored from an older copy since the last read.
+fn record_generation(state: &State, generation: Generation, now: Instant) {
+    let before = state.list_schedule.borrow().position(now).cursor;
+    if before == Cursor::default() || generation <= before.generation {
+        return;
+    }
+    state.fleet.borrow_mut().record_restore(now);
+    state.log.record(Event::TableRestored, |line| {
+        line.text("what", "targets");
+        line.number("generation", generation.0);
+        line.number("before", before.generation.0);
+    });
+}
+
+/// Removes the targets that have expired because the list could not be read, and adds those whose
+/// restored entries are still listed.
 pub fn expire_targets(state: &State) {
-    let expired = state.fleet.borrow_mut().expire(Instant::now());
-    log_changes(state, &expired);
+    let changes = state.fleet.borrow_mut().expire(Instant::now());
+    handle_changes(state, &changes);
 }
 
 /// Waits until this node has to read the list of targets.
@@ -263,7 +280,7 @@
                 let before = state.fleet.borrow().digest();
                 let changes = state.fleet.borrow_mut().update(chunk.to_vec(), now);
                 handle_changes(state, &changes);
-                if !changes.is_empty() && state.is_reader.get() {
+                if state.fleet.borrow().digest() != before && state.is_reader.get() {
                     peers.send_target_updates(before, chunk);
                 }
             }
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -26,6 +26,12 @@
 const LAPSED_TARGET_GRACE: Duration = Duration::from_millis(1_900);
 /// How long after a failed read of the list a removal is attributed to the outage.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(3_000);
+/// How long after a restore an entry that contradicts what was read before may be outdated: a target
+/// that is gone is removed after three missed updates of its entry, which are less than 1 s apart.
+const OUTDATED_ENTRY_TIME: Duration = Duration::from_millis(4_000);
+/// How long processes that left the list are remembered, which is longer than data is old from which
+/// the list is restored.
+const DEPARTED_MEMORY: Duration = Duration::from_secs(60);
 /// Weight of the newest sample in exponentially weighted moving averages.
 const EWMA_WEIGHT: f64 = 0.15;
 /// Consecutive failures after which a target is ejected for a while.
@@ -238,6 +244,24 @@
     Lapsed,
 }
 
+/// An entry of the list, as far as its digest depends on it.
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    hash: u32,
+    draining: bool,
+}
+
+/// A process that left the list.
+#[derive(Clone, Debug)]
+struct Departed {
+    /// Its last entry.
+    entry: TargetEntry,
+    /// Whether it had announced that it was leaving.
+    was_leaving: bool,
+    /// When it left the list.
+    at: Instant,
+}
+
 /// All targets, grouped by service.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -247,6 +271,14 @@
     /// Targets that disappeared during an outage and are still in use.
     lapsed: BTreeSet<TargetId>,
     last_list_failure: Option<Instant>,
+    /// What the list contains, from which the digest is computed.
+    listed: BTreeMap<TargetId, Listed>,
+    /// Processes that left the list.
+    departed: BTreeMap<TargetId, Departed>,
+    /// Entries of restored data that contradict what was read before and have not changed since.
+    withheld: BTreeMap<TargetId, TargetEntry>,
+    /// When the list was first read after its data was restored from an older copy.
+    restored: Option<Instant>,
     loaded: bool,
     digest: ListDigest,
 }
@@ -287,6 +319,13 @@
         self.last_list_failure = Some(now);
     }
 
+    /// Records that the list will next be read from data restored from an older copy: live targets may
+    /// be missing for a while, and entries may be outdated.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.last_list_failure = Some(now);
+        self.restored = Some(now);
+    }
+
     /// Applies a complete list; targets missing from it are removed.
     pub fn replace(
         &mut self,
@@ -297,8 +336,19 @@
         let listed: BTreeSet<_> = entries.iter().map(|e| e.id.clone()).collect();
         let absent = self.by_id.keys().filter(|id| !listed.contains(*id));
         let absent: Vec<_> = absent.cloned().map(TargetUpdate::Absent).collect();
-        let present = entries.into_iter().map(TargetUpdate::Present);
-        self.update(present.chain(absent).collect(), now)
+        self.listed.retain(|id, _| listed.contains(id));
+        self.withheld.clear();
+        let (outdated, current): (Vec<_>, Vec<_>) = entries
+            .into_iter()
+            .partition(|entry| self.may_be_outdated(entry, now));
+        let present = current.into_iter().map(TargetUpdate::Present);
+        let changes = self.update(present.chain(absent).collect(), now);
+        for entry in outdated {
+            self.listed.insert(entry.id.clone(), Listed::new(&entry));
+            self.withheld.insert(entry.id.clone(), entry);
+        }
+        self.digest = self.compute_digest();
+        changes
     }
 
     /// Applies changes of the list.
@@ -310,42 +360,52 @@
         let mut changes = Vec::new();
         for update in updates {
             let change = match update {
-                TargetUpdate::Present(entry) => self.upsert(entry, now),
-                TargetUpdate::Absent(id) => self.delist(id, now),
+                TargetUpdate::Present(entry) => {
+                    self.listed.insert(entry.id.clone(), Listed::new(&entry));
+                    self.withheld.remove(&entry.id);
+                    self.upsert(entry, now)
+                }
+                TargetUpdate::Absent(id) => {
+                    self.listed.remove(&id);
+                    self.withheld.remove(&id);
+                    self.delist(id, now)
+                }
             };
             changes.extend(change);
         }
-        if !changes.is_empty() {
-            self.digest = self.compute_digest();
-        }
+        self.digest = self.compute_digest();
         changes
     }
 
-    /// Removes the targets that were not listed again in time after an outage.
+    /// Removes the targets that were not listed again in time after an outage, and applies the entries
+    /// of restored data that are still listed.
     pub fn expire(&mut self, now: Instant) -> Vec<(TargetId, FleetChange)> {
+        let mut changes = Vec::new();
         let is_recent = |at: Instant| now.saturating_duration_since(at) <= LAPSED_TARGET_GRACE;
-        if self.lapsed.is_empty() || self.last_list_failure.is_some_and(is_recent) {
-            return Vec::new();
+        if !self.last_list_failure.is_some_and(is_recent) {
+            for id in std::mem::take(&mut self.lapsed) {
+                self.depart(&id, now);
+                changes.push((id, FleetChange::Gone));
+            }
         }
-        let expired = std::mem::take(&mut self.lapsed);
-        let drop_one = |id: TargetId| {
-            self.remove(&id);
-            (id, FleetChange::Gone)
-        };
-        expired.into_iter().map(drop_one).collect()
+        if !self.is_restored_recently(now) {
+            for (_, entry) in std::mem::take(&mut self.withheld) {
+                changes.extend(self.upsert(entry, now));
+            }
+        }
+        self.departed
+            .retain(|_, departed| now.saturating_duration_since(departed.at) <= DEPARTED_MEMORY);
+        changes
     }
 
-    /// Combines the hashes with XOR, so that the order of the targets does not matter.
+    /// Combines the hashes with XOR, so that the order of the targets does not matter. The digest
+    /// depends on nothing but the list, so that nodes that read the same list agree.
     fn compute_digest(&self) -> ListDigest {
         let mut digest = ListDigest::default();
-        let listed = self.iter().filter(|t| !self.lapsed.contains(&t.entry.id));
-        for target in listed {
-            let entry = &target.entry;
-            let text = format!("{}/{}/{}", entry.id, entry.incarnation, entry.address);
-            let hash = xxh3_64(text.as_bytes()) as u32;
-            digest.all ^= hash;
-            if target.leaving.get() {
-                digest.leaving ^= hash;
+        for listed in self.listed.values() {
+            digest.all ^= listed.hash;
+            if listed.draining {
+                digest.leaving ^= listed.hash;
             } else {
                 digest.staying += 1;
             }
@@ -353,19 +413,41 @@
         digest
     }
 
+    fn is_restored_recently(&self, now: Instant) -> bool {
+        self.restored
+            .is_some_and(|at| now.saturating_duration_since(at) <= OUTDATED_ENTRY_TIME)
+    }
+
+    /// Returns true if an entry of a complete list may be older than what was read before: soon after
+    /// a restore, if it names a process that left the list or that a later one replaced.
+    fn may_be_outdated(&self, entry: &TargetEntry, now: Instant) -> bool {
+        let Some(restored) = self.restored.filter(|_| self.is_restored_recently(now)) else {
+            return false;
+        };
+        let existing = self.get(&entry.id);
+        let is_replaced =
+            existing.is_some_and(|target| target.entry.incarnation > entry.incarnation);
+        let departed = self.departed.get(&entry.id);
+        let departed = departed.filter(|departed| departed.at < restored);
+        is_replaced
+            || departed.is_some_and(|departed| departed.entry.incarnation >= entry.incarnation)
+    }
+
     /// Adds a target, replaces it if its entry describes another process, or updates whether it is
-    /// leaving.
-    fn upsert(&mut self, entry: TargetEntry, now: Instant) -> Option<(TargetId, FleetChange)> {
+    /// leaving. A process that is leaving does not return.
+    fn upsert(&mut self, mut entry: TargetEntry, now: Instant) -> Option<(TargetId, FleetChange)> {
         let id = entry.id.clone();
         self.lapsed.remove(&id);
         if let Some(existing) = self.get(&id) {
             if is_same_process(&existing.entry, &entry) {
-                let was_leaving = existing.leaving.replace(entry.draining);
-                let starts_leaving = entry.draining && !was_leaving;
+                let starts_leaving = entry.draining && !existing.leaving.replace(true);
                 return starts_leaving.then_some((id, FleetChange::Leaving));
             }
             self.remove(&id);
         }
+        if let Some(departed) = self.departed.remove(&id) {
+            entry.draining |= departed.was_leaving && is_same_process(&departed.entry, &entry);
+        }
         let service = entry.service.clone();
         let target = Rc::new(Target::new(entry, now));
         self.by_id.insert(id.clone(), target.clone());
@@ -384,10 +466,23 @@
             let is_new = self.lapsed.insert(id.clone());
             return is_new.then_some((id, FleetChange::Lapsed));
         }
-        self.remove(&id);
+        self.depart(&id, now);
         Some((id, FleetChange::Gone))
     }
 
+    /// Removes a target, and remembers it as having left the list.
+    fn depart(&mut self, id: &TargetId, now: Instant) {
+        if let Some(target) = self.get(id) {
+            let departed = Departed {
+                entry: target.entry.clone(),
+                was_leaving: target.leaving.get(),
+                at: now,
+            };
+            self.departed.insert(id.clone(), departed);
+        }
+        self.remove(id);
+    }
+
     fn remove(&mut self, id: &TargetId) {
         self.lapsed.remove(id);
         let Some(target) = self.by_id.remove(id) else {
@@ -401,6 +496,16 @@
     }
 }
 
+impl Listed {
+    fn new(entry: &TargetEntry) -> Self {
+        let text = format!("{}/{}/{}", entry.id, entry.incarnation, entry.address);
+        Self {
+            hash: xxh3_64(text.as_bytes()) as u32,
+            draining: entry.draining,
+        }
+    }
+}
+
 fn is_same_process(old: &TargetEntry, entry: &TargetEntry) -> bool {
     old.incarnation == entry.incarnation
         && old.address == entry.address
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -123,3 +123,116 @@
     two.update(removal("a"), now);
     expect_that!(two.digest().staying, lt(one.digest().staying));
 }
+
+fn draining(id: &str, incarnation: u64) -> TargetEntry {
+    TargetEntry {
+        draining: true,
+        ..entry(id, incarnation)
+    }
+}
+
+fn is_usable(fleet: &Fleet, id: &str) -> bool {
+    let target = fleet.get(&TargetId::from(id));
+    target.is_some_and(|target| !target.leaving.get())
+}
+
+#[googletest::test]
+fn a_process_that_is_leaving_does_not_return() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.update(vec![TargetUpdate::Present(draining("a", 1))], now);
+    fleet.record_restore(now + MS(1_000));
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now + MS(1_000));
+    expect_that!(is_usable(&fleet, "a"), eq(false));
+    // It was removed, and is back in restored data.
+    fleet.update(removal("a"), now + MS(2_000));
+    fleet.record_restore(now + MS(3_000));
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now + MS(3_000));
+    fleet.expire(now + MS(20_000));
+    expect_that!(is_usable(&fleet, "a"), eq(false));
+    // Another process under the same name is used.
+    fleet.update(vec![TargetUpdate::Present(entry("a", 2))], now + MS(20_000));
+    expect_that!(is_usable(&fleet, "a"), eq(true));
+}
+
+#[googletest::test]
+fn a_target_that_left_is_used_again_only_if_restored_data_goes_on_listing_it() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.update(removal("a"), now);
+    fleet.record_restore(now + MS(1_000));
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now + MS(1_000));
+    fleet.expire(now + MS(3_500));
+    expect_that!(is_usable(&fleet, "a"), eq(false));
+    fleet.expire(now + MS(6_000));
+    expect_that!(is_usable(&fleet, "a"), eq(true));
+}
+
+#[googletest::test]
+fn a_target_that_left_and_writes_its_entry_again_is_used_at_once() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.update(removal("a"), now);
+    fleet.record_restore(now + MS(1_000));
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now + MS(1_000));
+    fleet.update(vec![TargetUpdate::Present(entry("a", 1))], now + MS(1_200));
+    expect_that!(is_usable(&fleet, "a"), eq(true));
+}
+
+#[googletest::test]
+fn an_entry_that_disappears_from_restored_data_is_never_used() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.update(removal("a"), now);
+    fleet.record_restore(now + MS(1_000));
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now + MS(1_000));
+    fleet.update(removal("a"), now + MS(3_000));
+    fleet.expire(now + MS(6_000));
+    expect_that!(contains(&fleet, "a"), eq(false));
+}
+
+#[googletest::test]
+fn an_earlier_process_in_restored_data_does_not_replace_a_later_one() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.update(vec![TargetUpdate::Present(entry("a", 5))], now);
+    fleet.record_restore(now + MS(1_000));
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now + MS(1_000));
+    let later = fleet.get(&TargetId::from("a")).expect("a target").clone();
+    expect_that!(later.entry.incarnation, eq(5));
+    fleet.update(vec![TargetUpdate::Present(entry("a", 5))], now + MS(2_000));
+    fleet.expire(now + MS(6_000));
+    expect_that!(is_usable(&fleet, "a"), eq(true));
+    expect_that!(later.leaving.get(), eq(false));
+}
+
+#[googletest::test]
+fn a_target_that_restored_data_does_not_list_stays_for_the_grace_period() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.record_restore(now);
+    fleet.replace(vec![entry("b", 1)], now);
+    fleet.expire(now + MS(1_500));
+    expect_that!(is_usable(&fleet, "a"), eq(true));
+    fleet.expire(now + MS(2_000));
+    expect_that!(contains(&fleet, "a"), eq(false));
+    // It registers again late.
+    fleet.replace(vec![entry("a", 1), entry("b", 1)], now + MS(3_000));
+    expect_that!(is_usable(&fleet, "a"), eq(true));
+}
+
+#[googletest::test]
+fn nodes_that_read_the_same_restored_list_have_the_same_digest() {
+    let now = Instant::now();
+    let mut old = fleet(now);
+    old.update(
+        vec![
+            TargetUpdate::Present(draining("b", 1)),
+            TargetUpdate::Absent(TargetId::from("a")),
+        ],
+        now,
+    );
+    old.record_restore(now);
+    old.replace(vec![entry("a", 1), entry("b", 1)], now);
+    expect_that!(old.digest(), eq(fleet(now).digest()));
+}
