Write the row of a node again if a restore lost it

What callers saw: nothing. Two nodes that started since the copy don't find each other after a restore, as each learns of the other from its row; they read the rows every 20 s and only while some node is silent.

Cause: a node wrote its row once, at its start, and looked at it again only in that scan.

Change: when a node learns of a later generation of the table's data, by its own calls or by heartbeats, it reads its row after a random delay of up to 5 ms a node, at least 0.5 s, and writes it if it is missing or differs.

--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -237,6 +237,9 @@
             peer.cpu_capacity = heartbeat.cpu_capacity;
             peer.table_fails = heartbeat.table_fails;
         }
+        let generation = heartbeat.list.cursor.generation;
+        let newest = self.state.generation.get().max(generation);
+        self.state.generation.set(newest);
         self.compare_rules(heartbeat.rules, now);
         self.record_table_read(heartbeat.list, now);
         self.record_list(node, heartbeat.list, now);
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -30,6 +30,7 @@
 use crate::node::proxy::serve::serve;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
+use crate::platform::Generation;
 use crate::platform::Table;
 use crate::platform::Transaction;
 use crate::platform::WriteId;
@@ -63,6 +64,12 @@
 const MAX_ROW_DOUBLINGS: u32 = 4;
 /// How often the rows of nodes are read while some nodes send no heartbeats.
 const NODE_ROWS_PERIOD: Duration = Duration::from_secs(20);
+/// How often a node checks whether its row may have been lost in a restore of the table's data.
+const RESTORE_CHECK_PERIOD: Duration = Duration::from_secs(1);
+/// Time over which the nodes spread their reads after a restore, for each node and at least, so that
+/// all of them together stay below the table's limit of calls per second.
+const RESTORE_SPREAD_PER_NODE: Duration = Duration::from_millis(5);
+const MIN_RESTORE_SPREAD: Duration = Duration::from_millis(500);
 /// How long a connection to the ready or the metrics address may last.
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -221,6 +228,7 @@
         write_row(&state, &*table, &key, &row).await;
     }
     let mut attempt = 0;
+    let mut generation = table.generation();
     while state.stage() < ShutdownStage::Ended {
         state.counters.add(Counter::TableCalls);
         match table.scan(rows::NODE_PREFIX).await {
@@ -240,10 +248,51 @@
                 continue;
             }
         }
-        tokio::time::sleep(NODE_ROWS_PERIOD).await;
-        while peers.all_alive(Instant::now()) {
-            tokio::time::sleep(NODE_ROWS_PERIOD).await;
+        if generation == Generation::default() {
+            generation = table.generation();
         }
+        let mut next_scan = Instant::now() + NODE_ROWS_PERIOD;
+        loop {
+            tokio::time::sleep(RESTORE_CHECK_PERIOD).await;
+            let newest = table.generation().max(state.generation.get());
+            if newest > generation {
+                tokio::time::sleep(restore_delay(state.nodes.get())).await;
+                restore_row(&state, &*table, &key, &row).await;
+                generation = newest;
+            }
+            let now = Instant::now();
+            if now < next_scan {
+                continue;
+            }
+            if !peers.all_alive(now) {
+                break;
+            }
+            next_scan = now + NODE_ROWS_PERIOD;
+        }
+    }
+}
+
+/// Returns a random delay before a node reads its row after a restore.
+fn restore_delay(nodes: usize) -> Duration {
+    let spread = RESTORE_SPREAD_PER_NODE.saturating_mul(nodes as u32);
+    spread.max(MIN_RESTORE_SPREAD).mul_f64(rand::random())
+}
+
+/// Writes the node's own row if it is missing in the restored data; retries until that is known.
+async fn restore_row<T: Table>(state: &State, table: &T, key: &str, row: &NodeRow) {
+    for attempt in 0.. {
+        state.counters.add(Counter::TableCalls);
+        match table.get(key).await {
+            Ok(found) => {
+                let found = found.and_then(|found| rows::decode(&found.value));
+                if found.as_ref() != Some(row) {
+                    write_row(state, table, key, row).await;
+                }
+                return;
+            }
+            Err(error) => log_row_failure(state, &error),
+        }
+        back_off(attempt).await;
     }
 }
 
--- a/src/node/control/watch.rs
+++ b/src/node/control/watch.rs
@@ -235,6 +235,8 @@
 
 /// Prepares the list of targets for data that was restored from an older copy since the last read.
 fn record_generation(state: &State, generation: Generation, now: Instant) {
+    let newest = state.generation.get().max(generation);
+    state.generation.set(newest);
     let before = state.list_schedule.borrow().position(now).cursor;
     if before == Cursor::default() || generation <= before.generation {
         return;
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -28,6 +28,7 @@
 use crate::node::retry_budget::RetryBudgetLimits;
 use crate::node::rules::Router;
 use crate::node::rules::Rules;
+use crate::platform::Generation;
 use crate::route::CrashTracker;
 
 /// Fraction of a target's connection limit that the nodes use together. The rest is for health
@@ -94,6 +95,8 @@
     pub fleet: RefCell<Fleet>,
     /// Schedules reads of the list of targets.
     pub list_schedule: RefCell<ListSchedule>,
+    /// The newest generation of the table's data that this node or another one has seen.
+    pub generation: Cell<Generation>,
     /// Whether this node polls the platform for rules and targets for its data centre.
     pub is_reader: Cell<bool>,
     /// Notified when the time of the next read of rules or targets may have changed.
@@ -139,6 +142,7 @@
             router: RefCell::default(),
             fleet: RefCell::default(),
             list_schedule: RefCell::new(ListSchedule::new(Instant::now())),
+            generation: Cell::default(),
             is_reader: Cell::new(false),
             list_check: Notify::new(),
             pool: Pool::default(),
