--- a/src/node/control/watch.rs
+++ b/src/node/control/watch.rs
@@ -20,8 +20,10 @@
 use crate::node::platform::PlatformError;
 use crate::node::platform::TargetListUpdate;
 use crate::node::rules::Rules;
+use crate::node::rules_lag::RereadPause;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
+use crate::platform::Generation;
 
 /// Long-poll timeout for rules on the node that reads for its data centre. A dead connection is
 /// detected only after this time.
@@ -90,9 +92,14 @@
     let mut health = CallHealth::new("rules", MAX_RULES_DOUBLINGS);
     let mut cursor: Option<Cursor> = None;
     let mut read = Instant::now();
+    let mut pause = RereadPause::default();
+    let mut is_hinted = false;
     loop {
-        if cursor.is_some() && wait_for_rules(&state, &hint, read).await == RulesChange::Newer {
+        if cursor.is_some()
+            && wait_for_rules(&state, &hint, &pause, read).await == RulesChange::Newer
+        {
             cursor = None;
+            is_hinted = true;
         }
         let wait = match state.is_reader.get() {
             true => READER_POLL_TIMEOUT,
@@ -102,8 +109,9 @@
             update = platform.rules(cursor, wait) => update,
             // The long poll may wait on a dead connection. A call without a cursor reads the
             // complete rules and answers soon, even if the store is slow.
-            () = hint.notified(), if cursor.is_some() => {
+            () = wait_for_hint(&hint, &pause), if cursor.is_some() => {
                 cursor = None;
+                is_hinted = true;
                 continue;
             }
         };
@@ -113,8 +121,9 @@
                 read = Instant::now();
                 health.record_success(&state);
                 cursor = Some(next);
-                if let Some(rules) = rules {
-                    apply_rules(&state, rules);
+                let found_newer = rules.is_some_and(|rules| apply_rules(&state, rules));
+                if std::mem::take(&mut is_hinted) || found_newer {
+                    pause.record_read(found_newer, read);
                 }
             }
             Err(PlatformError::HistoryDropped) => cursor = None,
@@ -142,10 +151,25 @@
     Unknown,
 }
 
+/// Waits until another node is known to have newer rules, outside the pause.
+async fn wait_for_hint(hint: &Notify, pause: &RereadPause) {
+    loop {
+        hint.notified().await;
+        if pause.is_over(Instant::now()) {
+            return;
+        }
+    }
+}
+
 /// Waits until this node has to read the rules that it last read at `read`; on the reader, at once.
-async fn wait_for_rules(state: &State, hint: &Notify, read: Instant) -> RulesChange {
+async fn wait_for_rules(
+    state: &State,
+    hint: &Notify,
+    pause: &RereadPause,
+    read: Instant,
+) -> RulesChange {
     loop {
-        let newer = hint.notified();
+        let newer = wait_for_hint(hint, pause);
         let rescheduled = state.list_check.notified();
         let due = state.list_schedule.borrow().next_rules_read(read);
         if state.is_reader.get() || Instant::now() >= due {
@@ -160,16 +184,19 @@
     }
 }
 
-fn apply_rules(state: &State, rules: Rules) {
+/// Puts rules in force; returns false if they are not newer.
+fn apply_rules(state: &State, rules: Rules) -> bool {
     let (version, before) = (rules.version, state.rules_version());
     let routes = rules.routes.len() as u64;
-    if state.put_in_force(rules) {
-        state.log.record(Event::RulesInForce, |line| {
-            line.number("version", version);
-            line.number("before", before);
-            line.number("routes", routes);
-        });
+    if !state.put_in_force(rules) {
+        return false;
     }
+    state.log.record(Event::RulesInForce, |line| {
+        line.number("version", version);
+        line.number("before", before);
+        line.number("routes", routes);
+    });
+    true
 }
 
 /// Polls for targets until the process ends.
@@ -189,6 +216,7 @@
             Ok((next, update)) => {
                 health.record_success(&state);
                 cursor = Some(next);
+                record_generation(&state, next.generation, now);
                 apply_targets(&state, &peers, update, now);
                 let digest = state.fleet.borrow().digest();
                 state
@@ -205,10 +233,27 @@
     }
 }
 
-/// Removes the targets that have expired because the list could not be read.
+/// Prepares the list of targets for data that was restored from an older copy since the last read.
+fn record_generation(state: &State, generation: Generation, now: Instant) {
+    let newest = state.generation.get().max(generation);
+    state.generation.set(newest);
+    let before = state.list_schedule.borrow().position(now).cursor;
+    if before == Cursor::default() || generation <= before.generation {
+        return;
+    }
+    state.fleet.borrow_mut().record_restore(now);
+    state.log.record(Event::TableRestored, |line| {
+        line.text("what", "targets");
+        line.number("generation", generation.0);
+        line.number("before", before.generation.0);
+    });
+}
+
+/// Removes the targets that have expired because the list could not be read, and adds those whose
+/// restored entries are still listed.
 pub fn expire_targets(state: &State) {
-    let expired = state.fleet.borrow_mut().expire(Instant::now());
-    log_changes(state, &expired);
+    let changes = state.fleet.borrow_mut().expire(Instant::now());
+    handle_changes(state, &changes);
 }
 
 /// Waits until this node has to read the list of targets.
@@ -237,7 +282,7 @@
                 let before = state.fleet.borrow().digest();
                 let changes = state.fleet.borrow_mut().update(chunk.to_vec(), now);
                 handle_changes(state, &changes);
-                if !changes.is_empty() && state.is_reader.get() {
+                if state.fleet.borrow().digest() != before && state.is_reader.get() {
                     peers.send_target_updates(before, chunk);
                 }
             }
