Limit the warm-up time that an entry may state

Cause here: the remaining warm-up time of an entry was added to the clock unchecked. Between about 9.3e21 and 1.8e22 ms it fits into a Duration but not into an Instant, and the addition panics. The panic ends the task that follows the list, on nodes that read it and on those that get target changes in datagrams; they go on with a frozen list.

Change: at most one hour of warm-up counts.

--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -38,6 +38,9 @@
 /// Ejection of a target that refused a request because all its slots were busy.
 const REFUSAL_EJECTION: Duration = Duration::from_millis(60);
 
+/// Longest warm-up that counts. An entry may state one that the clock cannot represent.
+const MAX_WARM_UP: Duration = Duration::from_secs(3_600);
+
 /// A target's entry in the list, as the target registered it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetEntry {
@@ -107,7 +110,9 @@
             consecutive_failures: Cell::new(0),
             failure_rate: Cell::new(0.0),
             ejected_until: Cell::new(None),
-            warm_at: Cell::new((!entry.warm_up.is_zero()).then(|| now + entry.warm_up)),
+            warm_at: Cell::new(
+                (!entry.warm_up.is_zero()).then(|| now + entry.warm_up.min(MAX_WARM_UP)),
+            ),
             entry,
         }
     }
