Limit the idle timeout that a target may announce

Cause: Keep-Alive with timeout= is kept as a Duration and multiplied by a fraction when the connection is to be used again; the product does not fit, and the caller's task panics.

Change: at most an hour counts.

--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -26,6 +26,9 @@
 /// Maximum number of responses (to other requests, or interim ones) read for one request.
 const MAX_RESPONSES_READ: usize = 4;
 
+/// Longest idle timeout that is taken from a target.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// A caller's request with its complete body.
 #[derive(Debug)]
 pub struct Request {
@@ -354,5 +357,5 @@
     let parameters = text.split(',').map(str::trim);
     let seconds = parameters.filter_map(|part| part.strip_prefix("timeout="));
     let seconds: Option<u64> = seconds.filter_map(|text| text.parse().ok()).next();
-    seconds.map(Duration::from_secs)
+    seconds.map(|seconds| Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
