Retry a refused request on a new connection

Cause: a request that the owner of its key refuses is sent to the owner again, with the same request id and on the connection of the refusal. If the instance writes the refusal once more after it has received the second attempt, the copy has the right id and counts as the second attempt's refusal. The request is then sent a third time, or the caller gets 503.

Ruled out by late_copies.rs: copies with another request's id, on an idle connection and before an answer. Requests without a key are not sent to a target twice.

Change: a request is sent on a new connection to a target that has refused it. Such a connection has carried no earlier attempt of it.

Evidence: on the sources of the three tests of late_refusals.rs failed (no answer with 200; the copy arrives before the request is read, while it runs, and in two parts; 503, 429 and 421); they pass now.

--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -91,6 +91,9 @@
     pub names: &'a HeaderNames,
     /// True if the request may run more than once.
     pub idempotent: bool,
+    /// True if the target has refused the request before. The attempt then needs a new connection: a
+    /// copy of the refusal, which has the same request ID, may arrive on the previous one.
+    pub refused_before: bool,
     /// When the caller stops waiting; sent to the target as the remaining time.
     pub deadline: Instant,
 }
@@ -102,7 +105,10 @@
     target: &Rc<Target>,
 ) -> AttemptOutcome {
     let now = Instant::now();
-    let pooled = context.pool.take(target, context.idempotent, now);
+    let pooled = match context.refused_before {
+        true => None,
+        false => context.pool.take(target, context.idempotent, now),
+    };
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match context.pool.open(target).await {
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -115,6 +115,8 @@
     routed: &'a RoutedRequest,
     request: &'a Request,
     tried: Vec<TargetId>,
+    /// Targets that refused the request.
+    refused_by: Vec<TargetId>,
     first_send_recorded: bool,
     sends: u32,
     /// Number of sends after which the request may have run.
@@ -158,6 +160,7 @@
         routed,
         request,
         tried: Vec::new(),
+        refused_by: Vec::new(),
         first_send_recorded: false,
         waiting_since: routed.started,
         sends: 0,
@@ -300,6 +303,7 @@
             pool: &state.pool,
             names: &state.conf.headers,
             idempotent: routed.kind.is_idempotent(),
+            refused_before: self.refused_by.contains(&target.entry.id),
             deadline: routed.deadline,
         };
         let attempt = async move {
@@ -400,6 +404,7 @@
             }
             AttemptOutcome::NotRun { status } => {
                 self.possible_runs -= 1;
+                self.refused_by.push(target.entry.id.clone());
                 self.log_failure(target, "not-run", status);
                 self.handle_not_run(target, status, now);
                 None
