Report a failure rather than the refusal of a later attempt

Cause: the failed response was dropped when no further attempt was permitted and another one was running. When that one was refused, nothing showed any more that the request had run.

Change: the failure is kept in each case and returned when no attempt brings a better response.

--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -389,11 +389,11 @@
                 self.waiting_since = now;
                 target.record_failure(now);
                 self.log_failure(target, "failed", response.head.status);
-                if self.routed.kind.is_idempotent() && self.may_retry() {
-                    self.last_response = Some(response);
-                    return None;
-                }
-                none_running.then_some(Outcome::Response(response))
+                // Kept while another attempt runs, so that its refusal is not reported for a request
+                // that has run.
+                self.last_response = Some(response);
+                let retry = self.routed.kind.is_idempotent() && self.may_retry();
+                (!retry && none_running).then(|| self.give_up(Refusal::Lost))
             }
             AttemptOutcome::Streaming(response, stream) => {
                 target.record_response(latency, was_saturated);
