Send releases on connections of their own

Cause: orders are sent on kept connections, and nothing tells which order an answer is for. A copy of a grant's answer that arrived after the next release on its connection counted as the end of that release. A copy of a 409 would count as the refusal of a later grant, which shortens the time for which the keys are known to be held.

Ruled out: an id in each order.

Change: a release is sent on a new connection, which is closed afterwards; a connection that carried a refusal is not kept. Calls of the store reuse connections as before. A copy of a grant's 200 can still be taken as the answer to a later grant on the connection (docs/incidents/late-refusals.md).

--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -37,6 +37,18 @@
     pub opened: Instant,
 }
 
+/// Which connections may carry a call. Nothing tells a late copy of the answer to an earlier call on
+/// the same connection from the answer to this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any idle connection, which is kept afterwards.
+    Any,
+    /// Any idle connection, which is kept only if the server does what the call asks (status 2xx).
+    UntilRefused,
+    /// A new connection, which is closed afterwards.
+    Never,
+}
+
 /// A request to send.
 #[derive(Clone, Copy, Debug)]
 pub struct Call<'a> {
@@ -48,6 +60,8 @@
     pub content_type: Option<&'a str>,
     /// The body; empty if there is none.
     pub body: &'a [u8],
+    /// Which connections may carry the call.
+    pub reuse: Reuse,
 }
 
 /// An idle connection.
@@ -74,11 +88,15 @@
         }
     }
 
-    /// Sends a call, on an idle connection if there is one, and reads the response within
+    /// Sends a call, on an idle connection if there is one that the call may use, and reads the response within
     /// `timeout`.
     pub async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Reply, CallError> {
         let deadline = Instant::now() + timeout;
-        let (conn, opened) = match self.take(None) {
+        let idle = match call.reuse {
+            Reuse::Any | Reuse::UntilRefused => self.take(None),
+            Reuse::Never => None,
+        };
+        let (conn, opened) = match idle {
             Some(idle) => idle,
             None => (self.open(deadline).await?, Instant::now()),
         };
@@ -117,7 +135,12 @@
             }
         };
         conn.end_exchange();
-        if head.keep_alive && conn.data().is_empty() {
+        let keep = match call.reuse {
+            Reuse::Any => true,
+            Reuse::UntilRefused => (200..300).contains(&head.status),
+            Reuse::Never => false,
+        };
+        if keep && head.keep_alive && conn.data().is_empty() {
             self.keep(conn, opened);
         }
         Ok(Reply { head, body, opened })
