--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -27,6 +27,9 @@
 /// Maximum number of responses (to other requests, or interim ones) read for one request.
 const MAX_RESPONSES_READ: usize = 4;
 
+/// Longest idle timeout that is taken from a target.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// A caller's request with its complete body.
 #[derive(Debug)]
 pub struct Request {
@@ -91,6 +94,9 @@
     pub names: &'a HeaderNames,
     /// True if the request may run more than once.
     pub idempotent: bool,
+    /// True if the target has refused the request before. The attempt then needs a new connection: a
+    /// copy of the refusal, which has the same request ID, may arrive on the previous one.
+    pub refused_before: bool,
     /// When the caller stops waiting; sent to the target as the remaining time.
     pub deadline: Instant,
     /// The caller's connection.
@@ -107,7 +113,10 @@
         return AttemptOutcome::CallerLeft;
     }
     let now = Instant::now();
-    let pooled = context.pool.take(target, context.idempotent, now);
+    let pooled = match context.refused_before {
+        true => None,
+        false => context.pool.take(target, context.idempotent, now),
+    };
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match context.pool.open(target).await {
@@ -366,5 +375,5 @@
     let parameters = text.split(',').map(str::trim);
     let seconds = parameters.filter_map(|part| part.strip_prefix("timeout="));
     let seconds: Option<u64> = seconds.filter_map(|text| text.parse().ok()).next();
-    seconds.map(Duration::from_secs)
+    seconds.map(|seconds| Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -119,6 +119,8 @@
     request: &'a Request,
     caller: CallerStatus<'a>,
     tried: Vec<TargetId>,
+    /// Targets that refused the request.
+    refused_by: Vec<TargetId>,
     first_send_recorded: bool,
     sends: u32,
     /// Number of sends after which the request may have run.
@@ -168,6 +170,7 @@
         request,
         caller,
         tried: Vec::new(),
+        refused_by: Vec::new(),
         first_send_recorded: false,
         waiting_since: routed.started,
         sends: 0,
@@ -310,6 +313,7 @@
             pool: &state.pool,
             names: &state.conf.headers,
             idempotent: routed.kind.is_idempotent(),
+            refused_before: self.refused_by.contains(&target.entry.id),
             deadline: routed.deadline,
             caller: self.caller,
         };
@@ -396,11 +400,11 @@
                 self.waiting_since = now;
                 target.record_failure(now);
                 self.log_failure(target, "failed", response.head.status);
-                if self.routed.kind.is_idempotent() && self.may_retry() {
-                    self.last_response = Some(response);
-                    return None;
-                }
-                none_running.then_some(Outcome::Response(response))
+                // Kept while another attempt runs, so that its refusal is not reported for a request
+                // that has run.
+                self.last_response = Some(response);
+                let retry = self.routed.kind.is_idempotent() && self.may_retry();
+                (!retry && none_running).then(|| self.give_up(Refusal::Lost))
             }
             AttemptOutcome::Streaming(response, stream) => {
                 target.record_response(latency, was_saturated);
@@ -411,6 +415,7 @@
             }
             AttemptOutcome::NotRun { status } => {
                 self.possible_runs -= 1;
+                self.refused_by.push(target.entry.id.clone());
                 self.log_failure(target, "not-run", status);
                 self.handle_not_run(target, status, now);
                 None
