Do not renew grants by a lease that expired before a restore

Callers would see: two targets hold the same keys (OWNER), after a restore from a copy that is older than LEASE_VALIDITY and a grant.

Cause: a leader that was frozen for longer than its lease was valid found its lease again in the restored table, wrote it again, and thereby sent orders in its former term. Meanwhile another leader had waited until the grants of that term expired, and had granted keys on whose former owner it could not reach; that owner had seen no higher fence and accepted the renewal.

Change: such a leader steps down, also if its lease expires before it is written again.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -261,7 +261,10 @@
             .and_then(|row| rows::decode::<Lease>(&row.value));
         let revision = row.as_ref().map_or(0, |row| row.revision);
         let generation = self.table.generation();
-        match leading.tenure.check((revision, lease.as_ref()), generation) {
+        match leading
+            .tenure
+            .check((revision, lease.as_ref()), generation, now)
+        {
             LeaseCheck::Held => leading.tenure.leader.lease_confirmed(started_at),
             LeaseCheck::Restored => {
                 leading.check_pending = true;
@@ -273,7 +276,7 @@
                 if let Some(lease) = &lease {
                     self.election.record_lease(lease, now);
                 }
-                self.step_down("another node holds the lease", now);
+                self.step_down("another node holds the lease, or may have held it", now);
             }
         }
     }
@@ -305,6 +308,9 @@
             return;
         };
         leading.check_pending = false;
+        if !leading.tenure.leader.is_lease_valid(now) {
+            return self.step_down("the lease expired after the table was restored", now);
+        }
         // If the write did not take effect, the row is read again soon.
         if let Some(revision) = revision {
             leading
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -41,7 +41,7 @@
     Held,
     /// The table was restored, and the leader must write its lease again.
     Restored,
-    /// Another node leads, or did so when the table was restored.
+    /// Another node leads or may have led, so that this one must stop.
     Lost,
 }
 
@@ -100,6 +100,7 @@
         &self,
         (revision, lease): (u64, Option<&Lease>),
         generation: Generation,
+        now: Instant,
     ) -> LeaseCheck {
         if !self.is_outdated(generation) {
             return match revision == self.revision {
@@ -111,6 +112,8 @@
         let is_later = |lease: &Lease| lease.term > self.leader.term() && !is_own(lease);
         match lease {
             Some(lease) if is_later(lease) => LeaseCheck::Lost,
+            // A lost leader may have granted keys on that this one would renew.
+            _ if !self.leader.is_lease_valid(now) => LeaseCheck::Lost,
             _ => LeaseCheck::Restored,
         }
     }
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -93,6 +93,30 @@
     expect_that!(simulation.held_share(), gt(0.999));
 }
 
+#[googletest::test]
+fn a_leader_with_an_expired_lease_does_not_renew_grants_after_a_restore() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let paused = simulation.leader().expect("a node leads");
+    let backup = simulation.backup();
+    simulation.nodes[paused].running = false;
+    for node in 0..3 {
+        if node != paused {
+            simulation.nodes[node].unreachable.push(1);
+        }
+    }
+    simulation.run(MS(30_000));
+    simulation.restore(&backup);
+    for node in 0..3 {
+        if node != paused {
+            simulation.restart_node(node);
+        }
+    }
+    simulation.nodes[paused].running = true;
+    simulation.run(MS(50_000));
+    expect_that!(simulation.violations, is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+}
+
 #[googletest::test]
 fn keys_are_held_again_after_a_restore_to_an_empty_table() {
     let mut simulation = Simulation::new(4, 3, 1);
