Accept reports only of processes known when the lease was confirmed

Callers would see: two targets hold the same keys (OWNER), after a restore beside a leader that was away and the loss of all nodes that knew its successor.

Cause: a suspended leader waits until the processes that it knew report that they do not lead. It took the list when it noticed the restore. If heartbeats of restarted nodes arrived first, or the nodes had been removed as unresponsive, the list contained later processes, which do not know what their predecessors led. The leader then began its new term with owners that its successor had replaced.

Change: the list contains the processes known when the check began that last confirmed the lease. A second restore also replaces an entry without a process by one with it.

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -15,6 +15,7 @@
 use crate::node::keys::leader::Inherited;
 use crate::node::keys::leader::Leader;
 use crate::node::keys::map::KeyMap;
+use crate::node::keys::tenure::KnownNodes;
 use crate::node::keys::tenure::Tenure;
 use crate::node::platform::Platform;
 use crate::node::state::State;
@@ -132,6 +133,7 @@
             tenure: Tenure::new(leader, lease, revision, nodes, now),
             map_revision: Rc::new(std::cell::Cell::new(stored.map_or(0, |row| row.revision))),
             last_check: now,
+            checked_nodes: KnownNodes::new(),
             check_pending: false,
         });
         self.check_previous_leaders(now);
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -229,6 +229,7 @@
             return;
         }
         leading.last_check = self.clock.now();
+        leading.checked_nodes = self.peers.processes();
         let (table, handle) = (self.table.clone(), self.handle.clone());
         let (state, started_at) = (self.state.clone(), leading.last_check);
         tokio::task::spawn_local(async move {
@@ -265,7 +266,10 @@
             .tenure
             .check((revision, lease.as_ref()), generation, now)
         {
-            LeaseCheck::Held => leading.tenure.leader.lease_confirmed(started_at),
+            LeaseCheck::Held => {
+                let nodes = std::mem::take(&mut leading.checked_nodes);
+                leading.tenure.confirm(started_at, nodes);
+            }
             LeaseCheck::Restored => {
                 leading.check_pending = true;
                 let nodes = self.peers.processes();
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -27,6 +27,7 @@
 use crate::node::keys::leader::OrderId;
 use crate::node::keys::leader::OrderOutcome;
 use crate::node::keys::map::KeyMap;
+use crate::node::keys::tenure::KnownNodes;
 use crate::node::keys::tenure::Tenure;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
@@ -122,6 +123,8 @@
     map_revision: Rc<std::cell::Cell<u64>>,
     /// When the last check of the lease began.
     last_check: Instant,
+    /// The nodes that were known then.
+    checked_nodes: KnownNodes,
     check_pending: bool,
 }
 
--- a/src/node/keys/recovery.rs
+++ b/src/node/keys/recovery.rs
@@ -40,7 +40,8 @@
     ) {
         self.since = now;
         for (node, boot) in nodes {
-            self.unheard.entry(node).or_insert(boot);
+            let expected = self.unheard.entry(node).or_insert(boot);
+            *expected = expected.or(boot);
         }
     }
 
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -5,6 +5,7 @@
 //! Until it knows that no other node has led meanwhile, it continues in its previous term, in which
 //! it only renews grants and completes moves: its fences are lower than those of any later leader.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use crate::ids::BootId;
@@ -26,6 +27,8 @@
     pub leader: Leader,
     lease: Lease,
     revision: u64,
+    /// The nodes and processes known when the lease was last confirmed.
+    known: KnownNodes,
     /// When the lease was known to be written.
     held_since: Instant,
     /// Set until no unknown leader remains, after a restore of the table's data.
@@ -54,12 +57,13 @@
         nodes: KnownNodes,
         now: Instant,
     ) -> Self {
-        let nodes = nodes.into_iter().map(|(node, _)| (node, None));
-        let recovery = lease.lost_leader().map(|_| Recovery::new(nodes, now));
+        let unheard = nodes.iter().map(|(node, _)| (node.clone(), None));
+        let recovery = lease.lost_leader().map(|_| Recovery::new(unheard, now));
         Self {
             leader,
             lease,
             revision,
+            known: nodes,
             held_since: now,
             recovery,
             suspended_at: None,
@@ -88,6 +92,10 @@
             return;
         }
         self.leader.suspend_writes();
+        // A process that was first heard from after the lease was confirmed may follow one that led.
+        let heard = |(_, boot): &(VmId, Option<BootId>)| boot.is_some();
+        let known = self.known.iter().filter(|node| heard(node)).cloned();
+        let nodes: BTreeMap<_, _> = nodes.into_iter().chain(known).collect();
         match &mut self.recovery {
             Some(recovery) => recovery.restart(nodes, now),
             None => self.recovery = Some(Recovery::new(nodes, now)),
@@ -118,6 +126,13 @@
         }
     }
 
+    /// Records that the table confirmed the lease by its answer to a call that began at `begun`, when
+    /// `nodes` were known.
+    pub fn confirm(&mut self, begun: Instant, nodes: KnownNodes) {
+        self.known = nodes;
+        self.leader.lease_confirmed(begun);
+    }
+
     /// Records that the lease was written again after a restore, in a call that began at `begun`.
     pub fn record_lease(&mut self, lease: Lease, revision: u64, begun: Instant, now: Instant) {
         self.lease = lease;
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -93,6 +93,34 @@
     expect_that!(simulation.held_share(), gt(0.999));
 }
 
+#[googletest::test]
+fn a_resumed_leader_that_first_hears_of_restarted_nodes_does_not_trust_them() {
+    for offset in 0..16 {
+        let mut simulation = simulation_with_held_keys(4, 3);
+        let paused = simulation.leader().expect("a node leads");
+        let backup = simulation.backup();
+        simulation.nodes[paused].running = false;
+        simulation.run(MS(3_000));
+        simulation.targets[0].leaving = true;
+        simulation.targets[1].leaving = true;
+        simulation.run(MS(3_000 + 50 * offset));
+        simulation.restore(&backup);
+        for node in 0..3 {
+            if node != paused {
+                simulation.restart_node(node);
+            }
+        }
+        simulation.targets[0].leaving = false;
+        // Heartbeats of the new processes arrive before the table answers.
+        simulation.nodes[paused].reaches_table = false;
+        simulation.nodes[paused].running = true;
+        simulation.run(MS(200));
+        simulation.nodes[paused].reaches_table = true;
+        simulation.run(MS(50_000));
+        expect_that!(simulation.violations.first(), none(), "offset {offset}");
+    }
+}
+
 #[googletest::test]
 fn a_leader_with_an_expired_lease_does_not_renew_grants_after_a_restore() {
     let mut simulation = simulation_with_held_keys(4, 3);
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -515,7 +515,7 @@
         let revision = row.as_ref().map_or(0, |(revision, _)| *revision);
         let lease = row.as_ref().map(|(_, lease)| lease);
         match leading.tenure.check((revision, lease), generation, now) {
-            LeaseCheck::Held => leading.tenure.leader.lease_confirmed(now),
+            LeaseCheck::Held => leading.tenure.confirm(now, nodes),
             LeaseCheck::Lost => self.step_down(node),
             LeaseCheck::Restored => {
                 leading.tenure.suspend(generation, nodes, now);
