--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -237,6 +237,7 @@
             return;
         }
         leading.last_check = self.clock.now();
+        leading.checked_nodes = self.peers.processes();
         let (table, handle) = (self.table.clone(), self.handle.clone());
         let (state, started_at) = (self.state.clone(), leading.last_check);
         tokio::task::spawn_local(async move {
@@ -269,8 +270,14 @@
             .and_then(|row| rows::decode::<Lease>(&row.value));
         let revision = row.as_ref().map_or(0, |row| row.revision);
         let generation = self.table.generation();
-        match leading.tenure.check((revision, lease.as_ref()), generation) {
-            LeaseCheck::Held => leading.tenure.leader.lease_confirmed(started_at),
+        match leading
+            .tenure
+            .check((revision, lease.as_ref()), generation, now)
+        {
+            LeaseCheck::Held => {
+                let nodes = std::mem::take(&mut leading.checked_nodes);
+                leading.tenure.confirm(started_at, nodes);
+            }
             LeaseCheck::Restored => {
                 leading.check_pending = true;
                 let nodes = self.peers.processes();
@@ -318,6 +325,9 @@
             return;
         };
         leading.check_pending = false;
+        if !leading.tenure.leader.is_lease_valid(now) {
+            return self.step_down("the lease expired after the table was restored", now);
+        }
         // If the write did not take effect, the row is read again soon.
         if let Some(revision) = revision {
             leading
