Do not replace a leader that recovers from a restore of the table

Callers saw keyed requests refused for many seconds after a restore, when a node started meanwhile: the new node took the lease from a live leader and had to wait for all grants to expire.

Cause: a leader that has written its lease again continues in its previous term until it has excluded other leaders. A node that learned of the new term from the lease row ignored its heartbeats as outdated, and campaigned.

Change: a heartbeat of the process that holds the newest known lease delays campaigns, whatever term it reports.

--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -136,8 +136,15 @@
     }
 
     /// Records a leader's heartbeat; returns false if its term is outdated.
+    ///
+    /// After a restore of the table, the process that holds the newest lease leads in its previous term
+    /// for a while, and must not be replaced meanwhile.
     pub fn record_leader(&mut self, term: u64, node: &VmId, boot: BootId, now: Instant) -> bool {
         if term < self.term {
+            let is_newest = |(name, leading): &(VmId, BootId)| name == node && *leading == boot;
+            if self.leader.as_ref().is_some_and(is_newest) && !self.ended.contains(&self.term) {
+                self.last_heartbeat = now;
+            }
             return false;
         }
         self.term = term;
--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -180,3 +180,15 @@
     expect_that!(next.lost_leader(), some(ge(lost.term)));
     expect_that!(next.lost_leader(), some(lt(next.term)));
 }
+
+#[googletest::test]
+fn a_leader_that_recovers_from_a_restore_is_not_replaced() {
+    let now = start();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    let a = VmId::from("a");
+    election.record_lease(&lease(7, "a", 1), now);
+    election.record_leader(3, &a, BootId(1), now + MS(600));
+    expect_that!(election.should_campaign(0, now + MS(700)), eq(false));
+    election.record_leader(3, &a, BootId(2), now + MS(1_200));
+    expect_that!(election.should_campaign(0, now + MS(1_300)), eq(true));
+}
