--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -20,6 +20,7 @@
 use crate::node::platform::Platform;
 use crate::node::state::State;
 use crate::platform::Condition;
+use crate::platform::Row;
 use crate::platform::Table;
 use crate::platform::TableError;
 use crate::platform::Transaction;
@@ -96,16 +97,9 @@
             }
         };
         let now = self.clock.now();
-        let map = stored
-            .as_ref()
-            .and_then(|row| rows::decode::<KeyMap>(&row.value));
-        if stored.is_some() && map.is_none() {
-            // Without the map, keys could be granted that another target still holds.
-            self.state.log.record(Event::RowMalformed, |line| {
-                line.text("row", &self.map_key())
-            });
+        let Some(map) = self.decode_map(stored.as_ref()) else {
             return self.election.postpone(now);
-        }
+        };
         if self.table.generation() > lease.generation() {
             // The table was restored since, and the rows that were read may be older than the lease.
             return self.election.postpone(now);
@@ -151,6 +145,21 @@
         self.lead(now);
     }
 
+    /// Decodes the row of the map; returns `None` if it is malformed. Without the map, keys could be
+    /// granted that another target still holds.
+    fn decode_map(&self, row: Option<&Row>) -> Option<Option<KeyMap>> {
+        let Some(row) = row else {
+            return Some(None);
+        };
+        let map = rows::decode::<KeyMap>(&row.value);
+        if map.is_none() {
+            self.state.log.record(Event::RowMalformed, |line| {
+                line.text("row", &self.map_key())
+            });
+        }
+        map.map(Some)
+    }
+
     /// Informs the leader once all previous leaders are known to send no more orders.
     pub(super) fn check_previous_leaders(&mut self, now: Instant) {
         let Some(leading) = &mut self.leading else {
