Let owners confirm their grants when nodes restart beside a restore

Cause: a leader begins its new term once every process that it knew has reported that it does not lead; a process that has ended cannot report, so the leader waited until lost leases had expired (31 s) and moved no keys of owners that left. In the second restore it also took its own lease of the first one for that of a later leader, and stepped down.

Change: if such a process has ended, the leader begins the new term once each owner has accepted its former grant again, in an order sent after the new process was heard from. An owner whose keys a later leader has taken refuses that, since it has seen a higher fence. The tenure knows the terms of all its own leases.

--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -177,6 +177,7 @@
             left.range.last = right.range.last;
             left.held_until = left.held_until.max(right.held_until);
             left.grant_duration = left.grant_duration.max(right.grant_duration);
+            left.confirmed &= right.confirmed;
             left.set_fence(fence);
             left.next_order_at = now;
             if self.newest_map == self.writing.map_or(self.stored_map, |(number, _)| number) {
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -86,6 +86,8 @@
     /// The number of the last announcement.
     last_announcement: u64,
     last_order_id: u64,
+    /// The last order whose acceptance does not confirm a grant.
+    unconfirmed_order: u64,
     confirmed_at: Instant,
     started_at: Instant,
     /// Until when grants of previous leaders may last; `None` once these are known to have ended.
@@ -152,6 +154,7 @@
             newest_map: 0,
             last_announcement: 0,
             last_order_id: 0,
+            unconfirmed_order: 0,
             confirmed_at: now,
             started_at: now,
             previous_grants_until: None,
@@ -245,6 +248,23 @@
         self.suspended = true;
     }
 
+    /// Requires that every owner confirms its grant again.
+    pub fn require_confirmations(&mut self) {
+        self.unconfirmed_order = self.last_order_id;
+        for state in &mut self.ranges {
+            state.confirmed = false;
+        }
+    }
+
+    /// Returns true if every range has an owner that accepted an order sent after the last
+    /// [`Self::require_confirmations`].
+    pub fn is_confirmed(&self) -> bool {
+        let is_confirmed = |state: &RangeState| {
+            state.confirmed && matches!(state.stage, Stage::Held | Stage::StoringMap(_))
+        };
+        self.ranges.iter().all(is_confirmed)
+    }
+
     /// Continues in a new term, whose fences are higher; stores and announces the map again.
     pub fn begin_term(&mut self, term: u64) {
         self.term = term;
@@ -328,6 +348,8 @@
                 if outcome == OrderOutcome::StaleFence {
                     actions.push(Action::CheckLease);
                 }
+                let is_accepted = matches!(outcome, OrderOutcome::Done(_));
+                self.ranges[at].confirmed |= is_accepted && id.0 > self.unconfirmed_order;
                 self.grant_ended(at, outcome, now, &mut locations);
             }
         }
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -67,6 +67,7 @@
             next_order_at: now,
             unanswered: 0,
             not_sent: 0,
+            confirmed: false,
         }
     }
 
@@ -108,6 +109,7 @@
                 next_order_at: now,
                 unanswered: 0,
                 not_sent: 0,
+                confirmed: false,
             });
         }
         if !self.ranges.is_empty() {
@@ -164,6 +166,7 @@
     pub(super) fn complete_move(&mut self, at: usize, now: Instant) {
         let fence = self.fences.allocate();
         let state = &mut self.ranges[at];
+        state.confirmed = false;
         state.owner = state.next.take();
         state.stage = match state.owner {
             Some(_) => Stage::Granting,
--- a/src/node/keys/leader/range_state.rs
+++ b/src/node/keys/leader/range_state.rs
@@ -39,6 +39,8 @@
     pub(super) unanswered: u32,
     /// Consecutive orders that could not be sent.
     pub(super) not_sent: u32,
+    /// Whether the owner has accepted a grant since confirmations were last required.
+    pub(super) confirmed: bool,
 }
 
 /// The step of a range between one owner and the next.
@@ -82,6 +84,7 @@
             next_order_at: self.next_order_at,
             unanswered: self.unanswered,
             not_sent: self.not_sent,
+            confirmed: self.confirmed,
         }
     }
 }
--- a/src/node/keys/recovery.rs
+++ b/src/node/keys/recovery.rs
@@ -18,9 +18,10 @@
 #[derive(Debug)]
 pub struct Recovery {
     since: Instant,
-    /// The nodes that have not reported that they do not lead. If a process is given, only that
-    /// process can report it: a later one does not know what its predecessor led.
+    /// The nodes that have not reported that they do not lead, with the processes that may lead.
     unheard: BTreeMap<VmId, Option<BootId>>,
+    /// Whether such a process has ended: a later one does not know what it led.
+    has_restarted: bool,
 }
 
 impl Recovery {
@@ -29,6 +30,7 @@
         Self {
             since: now,
             unheard: nodes.into_iter().collect(),
+            has_restarted: false,
         }
     }
 
@@ -45,12 +47,18 @@
         }
     }
 
-    /// Records that a process reported that it does not lead the service.
-    pub fn record_idle(&mut self, node: &VmId, boot: BootId) {
-        let expected = self.unheard.get(node);
-        if expected.is_some_and(|expected| expected.is_none_or(|expected| expected == boot)) {
-            self.unheard.remove(node);
-        }
+    /// Records that a process reported that it does not lead the service. Returns true if it followed
+    /// one that may have led.
+    pub fn record_idle(&mut self, node: &VmId, boot: BootId) -> bool {
+        let expected = self.unheard.remove(node).flatten();
+        let is_later = expected.is_some_and(|expected| expected != boot);
+        self.has_restarted |= is_later;
+        is_later
+    }
+
+    /// Returns true if a process that may have led has ended without a report.
+    pub fn has_restarted(&self) -> bool {
+        self.has_restarted
     }
 
     /// Returns true if no other node leads by a lost lease.
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -6,6 +6,7 @@
 //! it only renews grants and completes moves: its fences are lower than those of any later leader.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use crate::ids::BootId;
@@ -26,6 +27,8 @@
     /// Decides on grants and moves.
     pub leader: Leader,
     lease: Lease,
+    /// The terms of this lease and of those that it replaced after restores.
+    own_terms: BTreeSet<u64>,
     revision: u64,
     /// The nodes and processes known when the lease was last confirmed.
     known: KnownNodes,
@@ -61,6 +64,7 @@
         let recovery = lease.lost_leader().map(|_| Recovery::new(unheard, now));
         Self {
             leader,
+            own_terms: BTreeSet::from([lease.term]),
             lease,
             revision,
             known: nodes,
@@ -135,6 +139,7 @@
 
     /// Records that the lease was written again after a restore, in a call that began at `begun`.
     pub fn record_lease(&mut self, lease: Lease, revision: u64, begun: Instant, now: Instant) {
+        self.own_terms.insert(lease.term);
         self.lease = lease;
         self.revision = revision;
         self.held_since = now;
@@ -143,14 +148,17 @@
 
     /// Returns true if another node's report shows that a later leader exists or existed.
     pub fn is_superseded(&self, term: u64, ended: Option<u64>) -> bool {
-        let is_later = |term: u64| term > self.leader.term() && term != self.lease.term;
+        let is_later = |term: u64| term > self.leader.term() && !self.own_terms.contains(&term);
         is_later(term) || ended.is_some_and(is_later)
     }
 
     /// Records that a process reported that it does not lead the service.
     pub fn record_idle(&mut self, node: &VmId, boot: BootId) {
-        if let Some(recovery) = &mut self.recovery {
-            recovery.record_idle(node, boot);
+        if let Some(recovery) = &mut self.recovery
+            && recovery.record_idle(node, boot)
+        {
+            // The process may have moved keys until it ended.
+            self.leader.require_confirmations();
         }
     }
 
@@ -190,10 +198,13 @@
         let Some(recovery) = &self.recovery else {
             return false;
         };
+        // An owner refuses its former grant if a later leader has taken the keys from it.
+        let is_confirmed = !recovery.has_restarted() || self.leader.is_confirmed();
         let has_expired = || {
             let grants = self.leader.longest_hold();
             recovery.elapsed(now) >= LEASE_VALIDITY + grants
         };
-        self.lease.term > self.leader.term() && (recovery.is_complete(now) || has_expired())
+        let is_excluded = recovery.is_complete(now) && is_confirmed;
+        self.lease.term > self.leader.term() && (is_excluded || has_expired())
     }
 }
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -4,6 +4,7 @@
 mod keys_simulation;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -12,6 +13,15 @@
 use crate::keys_simulation::Faults;
 use crate::keys_simulation::Simulation;
 use crate::keys_simulation::TestRng;
+use gooseberryloft::ids::BootId;
+use gooseberryloft::ids::ServiceId;
+use gooseberryloft::ids::VmId;
+use gooseberryloft::node::keys::election::Election;
+use gooseberryloft::node::keys::election::Lease;
+use gooseberryloft::node::keys::leader::Inherited;
+use gooseberryloft::node::keys::leader::Leader;
+use gooseberryloft::node::keys::tenure::Tenure;
+use gooseberryloft::platform::Generation;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -51,6 +61,50 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+#[googletest::test]
+fn nodes_that_restart_beside_restores_do_not_delay_moves() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    for target in [1, 2] {
+        let backup = simulation.backup();
+        simulation.run(MS(2_000));
+        for node in (0..3).filter(|node| *node != leader) {
+            simulation.restart_node(node);
+        }
+        simulation.restore(&backup);
+        simulation.run(MS(5_000));
+        expect_that!(simulation.leader(), some(eq(leader)));
+        simulation.targets[target].leaving = true;
+        simulation.run(MS(2_000));
+        expect_that!(simulation.held_by(target), is_empty());
+        simulation.targets[target].leaving = false;
+    }
+    expect_that!(simulation.held_share(), gt(0.999));
+    expect_that!(simulation.violations, is_empty());
+}
+
+#[googletest::test]
+fn a_leader_is_not_superseded_by_its_own_lease_of_an_earlier_restore() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let election = Election::new(ServiceId::from("search"), now);
+    let (node, boot) = (VmId::from("a"), BootId(1));
+    let next = |held: Option<&Lease>, generation: u64| {
+        election.next_lease(held, Generation(generation), &node, boot)
+    };
+    let first = next(None, 1);
+    let leader = Leader::new(first.term, Inherited::Nothing, MS(10_000), now);
+    let mut tenure = Tenure::new(leader, first.clone(), 1, Vec::new(), now);
+    let second = next(Some(&first), 2);
+    let third = next(Some(&second), 3);
+    for (generation, lease) in [(2, &second), (3, &third)] {
+        tenure.suspend(Generation(generation), Vec::new(), now);
+        tenure.record_lease(lease.clone(), 1, now, now);
+    }
+    expect_that!(tenure.is_superseded(second.term, None), eq(false));
+    expect_that!(tenure.is_superseded(third.term, None), eq(false));
+    expect_that!(tenure.is_superseded(second.term + 1, None), eq(true));
+}
+
 #[googletest::test]
 fn a_new_leader_does_not_grant_keys_by_a_map_that_lacks_a_move() {
     let mut simulation = simulation_with_held_keys(4, 3);
