Decide in one place what a leader inherits, and clarify names

What a leader takes over from the stored map was decided in the group's task and again in the simulation of the tests, so the tests ran a copy; node/keys/tenure.rs now has the one function that both use.

No decision and no check changes; a test is renamed (a_resumed_leader_does_not_grant_keys_that_a_lost_ leader_moved).

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -94,7 +94,7 @@
     TargetEjected = 511,
     /// A target joined, is leaving or was removed.
     TargetChanged = 512,
-    /// A target said in a response that it is shutting down, before the list did.
+    /// A target announced in a response that it is shutting down, before the list showed it.
     LeavingAnnounced = 513,
     /// The table service does not respond.
     TableDown = 600,
--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -11,12 +11,12 @@
 use crate::node::control::rows;
 use crate::node::counters::Counter;
 use crate::node::keys::election::Lease;
-use crate::node::keys::election::generation_of;
 use crate::node::keys::leader::Inherited;
 use crate::node::keys::leader::Leader;
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::tenure::KnownNodes;
 use crate::node::keys::tenure::Tenure;
+use crate::node::keys::tenure::inherit;
 use crate::node::platform::Platform;
 use crate::node::state::State;
 use crate::platform::Condition;
@@ -104,13 +104,7 @@
             // The table was restored since, and the rows that were read may be older than the lease.
             return self.election.postpone(now);
         }
-        let inherited = inherited(&lease, map.as_ref());
-        if matches!(inherited, Inherited::Map(_))
-            && let Some(lost) = lease.lost_leader()
-        {
-            // The leader that stored this map knew that no leader of an earlier generation remained.
-            self.election.record_end(lost, now);
-        }
+        let inherited = inherit(&lease, map.as_ref(), &mut self.election, now);
         let max_grant = self.state.conf.max_grant;
         let mut leader = Leader::new(lease.term, inherited, max_grant, now);
         leader.lease_confirmed(started_at);
@@ -195,17 +189,6 @@
     }
 }
 
-/// Returns what a leader with this lease takes over from the stored map.
-fn inherited<'a>(lease: &Lease, map: Option<&'a KeyMap>) -> Inherited<'a> {
-    let is_current = |map: &KeyMap| generation_of(map.version.term) == lease.generation();
-    match map {
-        Some(map) if is_current(map) => Inherited::Map(map),
-        map if lease.lost_leader().is_some() => Inherited::Outdated(map),
-        Some(map) => Inherited::Map(map),
-        None => Inherited::Nothing,
-    }
-}
-
 /// Writes a lease, if its row still has `revision`; returns the new revision if the write took
 /// effect in the generation of the lease.
 pub(super) async fn write_lease(
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -198,8 +198,8 @@
         }
     }
 
-    /// Sends the targets that said that they are shutting down to the leaders that assign their keys.
-    /// Sent in each period, since datagrams get lost, until the targets are gone.
+    /// Sends the targets that announced that they are shutting down to the leaders that assign their
+    /// keys; in each period, since datagrams get lost, until the targets are gone.
     fn send_leaving(&self) {
         for (service, group) in &*self.groups.borrow() {
             let fleet = self.state.fleet.borrow();
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -35,7 +35,7 @@
     MovesAnnounced,
     /// Callers that disconnected before their response.
     CallersGone,
-    /// Targets whose responses said that they are shutting down before the list did.
+    /// Targets that announced in responses that they are shutting down, before the list showed it.
     LeavingAnnounced,
     /// Log lines dropped because of the rate or buffer limit.
     LogLinesDropped,
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -66,7 +66,7 @@
     /// Changes of the list of targets; they apply only to a list with the given digest.
     #[serde(rename = "l")]
     TargetUpdates(ListDigest, Vec<TargetUpdate>),
-    /// Targets whose responses said that they are shutting down, with their incarnations.
+    /// Targets that announced in responses that they are shutting down, with their incarnations.
     #[serde(rename = "g")]
     Leaving(Vec<(Tag, u64)>),
 }
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -83,7 +83,7 @@
     pub entry: TargetEntry,
     /// Whether the target gets no new requests.
     pub leaving: Cell<bool>,
-    /// Whether the target's own responses said so before the list did.
+    /// Whether the target's own responses announced it before the list showed it.
     pub announced_leaving: Cell<bool>,
     /// Requests in flight from this node.
     pub in_flight: Cell<u32>,
@@ -165,8 +165,8 @@
         self.warm_at.get().is_some_and(|at| now < at)
     }
 
-    /// Records that the target's process said in a response that it is shutting down; returns true
-    /// if that was not known.
+    /// Records that the target's process announced in a response that it is shutting down; returns
+    /// true if that was not known.
     pub fn record_leaving(&self) -> bool {
         let is_new = !self.leaving.replace(true);
         self.announced_leaving
--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -37,8 +37,8 @@
     pub opened: Instant,
 }
 
-/// Which connections may carry a call. Nothing tells a late copy of the answer to an earlier call on
-/// the same connection from the answer to this one.
+/// Which connections may carry a call. On the connection of an earlier call, a late copy of its
+/// answer cannot be distinguished from the answer to this one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
     /// Any idle connection, which is kept afterwards.
@@ -93,8 +93,8 @@
         self.address
     }
 
-    /// Sends a call, on an idle connection that it may use if there is one, and reads the response within
-    /// `timeout`.
+    /// Sends a call, on an idle connection that it may use if there is one, and reads the response
+    /// within `timeout`.
     pub async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Reply, CallError> {
         let deadline = Instant::now() + timeout;
         let idle = match call.reuse {
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -71,15 +71,15 @@
     }
 
     /// Returns the term that stands for all leaders of earlier generations, if they may be active.
-    pub fn lost_leader(&self) -> Option<u64> {
-        let lost = lost_term(self.generation());
+    pub fn lost_term(&self) -> Option<u64> {
+        let lost = last_term_before(self.generation());
         let mut terms = self.maybe_active.iter().map(|previous| previous.term);
         terms.find(|term| *term == lost)
     }
 }
 
 /// Returns the highest term before a generation.
-fn lost_term(generation: Generation) -> u64 {
+fn last_term_before(generation: Generation) -> u64 {
     (generation.0 * TERMS_PER_GENERATION).saturating_sub(1)
 }
 
@@ -209,7 +209,7 @@
         let is_restored = held.is_some_and(|held| held.generation() < generation);
         let mut maybe_active: Vec<PreviousLeader> = match held {
             Some(_) if is_restored => vec![PreviousLeader {
-                term: lost_term(generation),
+                term: last_term_before(generation),
                 node: VmId::from(""),
                 boot: BootId(0),
             }],
--- a/src/node/keys/recovery.rs
+++ b/src/node/keys/recovery.rs
@@ -13,14 +13,14 @@
 
 /// The search for unknown leaders after the table's data was restored.
 ///
-/// A node that took the lease just before the restore is in no row. It is found by its heartbeats,
-/// or no longer leads once its lease has expired.
+/// No row names a node that took the lease just before the restore. Its heartbeats show it; without
+/// them, it has stopped leading once its lease has expired.
 #[derive(Debug)]
 pub struct Recovery {
     since: Instant,
     /// The nodes that have not reported that they do not lead, with the processes that may lead.
-    unheard: BTreeMap<VmId, Option<BootId>>,
-    /// Whether such a process has ended: a later one does not know what it led.
+    unreported: BTreeMap<VmId, Option<BootId>>,
+    /// Whether such a process has ended without a report; a later process of its node cannot make it.
     has_restarted: bool,
 }
 
@@ -29,7 +29,7 @@
     pub fn new(nodes: impl IntoIterator<Item = (VmId, Option<BootId>)>, now: Instant) -> Self {
         Self {
             since: now,
-            unheard: nodes.into_iter().collect(),
+            unreported: nodes.into_iter().collect(),
             has_restarted: false,
         }
     }
@@ -42,7 +42,7 @@
     ) {
         self.since = now;
         for (node, boot) in nodes {
-            let expected = self.unheard.entry(node).or_insert(boot);
+            let expected = self.unreported.entry(node).or_insert(boot);
             *expected = expected.or(boot);
         }
     }
@@ -50,7 +50,7 @@
     /// Records that a process reported that it does not lead the service. Returns true if it followed
     /// one that may have led.
     pub fn record_idle(&mut self, node: &VmId, boot: BootId) -> bool {
-        let expected = self.unheard.remove(node).flatten();
+        let expected = self.unreported.remove(node).flatten();
         let is_later = expected.is_some_and(|expected| expected != boot);
         self.has_restarted |= is_later;
         is_later
@@ -63,7 +63,7 @@
 
     /// Returns true if no other node leads by a lost lease.
     pub fn is_complete(&self, now: Instant) -> bool {
-        self.unheard.is_empty() && self.elapsed(now) >= HEARTBEAT_DELAY
+        self.unreported.is_empty() && self.elapsed(now) >= HEARTBEAT_DELAY
     }
 
     /// Returns the time since the restore was noticed.
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -1,9 +1,11 @@
 //! A node's leadership of a service and the lease that it is based on, also across restores of the
 //! table's data.
 //!
-//! A restore may lose the lease and the newest key map. The leader then acquires the lease again.
-//! Until it knows that no other node has led meanwhile, it continues in its previous term, in which
-//! it only renews grants and completes moves: its fences are lower than those of any later leader.
+//! A restore may lose the lease and the newest key map. The leader then writes its lease again, with a
+//! new term. Until it knows that no other node has led meanwhile, it continues in its previous term:
+//! it renews grants and completes moves, with fences lower than those of any later leader. So the
+//! term of the lease is higher than the leader's term while the leader is suspended, and equal to it
+//! otherwise.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,8 +15,11 @@
 use crate::ids::VmId;
 use crate::node::keys::election::Election;
 use crate::node::keys::election::Lease;
+use crate::node::keys::election::generation_of;
+use crate::node::keys::leader::Inherited;
 use crate::node::keys::leader::LEASE_VALIDITY;
 use crate::node::keys::leader::Leader;
+use crate::node::keys::map::KeyMap;
 use crate::node::keys::recovery::Recovery;
 use crate::platform::Generation;
 
@@ -40,6 +45,27 @@
     suspended_at: Option<Generation>,
 }
 
+/// Returns what a leader with this lease takes over from the stored map, and records the end of the
+/// leaders of earlier generations if the map shows it.
+pub fn inherit<'a>(
+    lease: &Lease,
+    map: Option<&'a KeyMap>,
+    election: &mut Election,
+    now: Instant,
+) -> Inherited<'a> {
+    let is_current = |map: &KeyMap| generation_of(map.version.term) == lease.generation();
+    match (map, lease.lost_term()) {
+        (Some(map), Some(lost)) if is_current(map) => {
+            // A leader stores its map only after it has excluded the leaders of earlier generations.
+            election.record_end(lost, now);
+            Inherited::Map(map)
+        }
+        (map, Some(_)) => Inherited::Outdated(map),
+        (Some(map), None) => Inherited::Map(map),
+        (None, None) => Inherited::Nothing,
+    }
+}
+
 /// What the lease row means for the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseCheck {
@@ -60,8 +86,8 @@
         nodes: KnownNodes,
         now: Instant,
     ) -> Self {
-        let unheard = nodes.iter().map(|(node, _)| (node.clone(), None));
-        let recovery = lease.lost_leader().map(|_| Recovery::new(unheard, now));
+        let unreported = nodes.iter().map(|(node, _)| (node.clone(), None));
+        let recovery = lease.lost_term().map(|_| Recovery::new(unreported, now));
         Self {
             leader,
             own_terms: BTreeSet::from([lease.term]),
@@ -96,9 +122,9 @@
             return;
         }
         self.leader.suspend_writes();
-        // A process that was first heard from after the lease was confirmed may follow one that led.
-        let heard = |(_, boot): &(VmId, Option<BootId>)| boot.is_some();
-        let known = self.known.iter().filter(|node| heard(node)).cloned();
+        // A process whose first heartbeat came after the lease was confirmed may follow one that led.
+        let has_process = |(_, boot): &(VmId, Option<BootId>)| boot.is_some();
+        let known = self.known.iter().filter(|node| has_process(node)).cloned();
         let nodes: BTreeMap<_, _> = nodes.into_iter().chain(known).collect();
         match &mut self.recovery {
             Some(recovery) => recovery.restart(nodes, now),
@@ -124,7 +150,7 @@
         let is_later = |lease: &Lease| lease.term > self.leader.term() && !is_own(lease);
         match lease {
             Some(lease) if is_later(lease) => LeaseCheck::Lost,
-            // A lost leader may have granted keys on that this one would renew.
+            // A leader whose lease was lost may have moved keys whose grants this one would renew.
             _ if !self.leader.is_lease_valid(now) => LeaseCheck::Lost,
             _ => LeaseCheck::Restored,
         }
@@ -177,7 +203,7 @@
         let is_complete = |recovery: &Recovery| recovery.is_complete(now);
         if begins || self.recovery.as_ref().is_some_and(is_complete) {
             self.recovery = None;
-            if let Some(term) = self.lease.lost_leader() {
+            if let Some(term) = self.lease.lost_term() {
                 election.record_end(term, now);
             }
         }
--- a/src/node/leaving.rs
+++ b/src/node/leaving.rs
@@ -1,5 +1,5 @@
-//! Targets that say in their own responses that they are shutting down. The list may show it later,
-//! or not at all while the store is unavailable.
+//! Targets that announce in their own responses that they are shutting down. The list may show it
+//! later, or not at all while the store is unavailable.
 
 use strum::IntoStaticStr;
 
@@ -20,8 +20,9 @@
     OtherNode,
 }
 
-/// Sends no more requests to a target that said that it is shutting down. This holds for its process
-/// until that is removed from the list; another process with its id or address is another target.
+/// Sends no more requests to a target that announced that it is shutting down. This holds for its
+/// process until that is removed from the list; another process with its id or address is another
+/// target.
 pub fn record_leaving(state: &State, target: &Target, source: LeavingSource) {
     if !target.record_leaving() {
         return;
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -53,7 +53,7 @@
 pub struct OrderAnswer {
     /// The outcome of the order.
     pub outcome: OrderOutcome,
-    /// Whether the target said in its reply that it is shutting down.
+    /// Whether the target announced in its reply that it is shutting down.
     pub target_leaving: bool,
 }
 
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -60,7 +60,7 @@
     NotSent,
     /// The caller disconnected before the request was sent.
     CallerLeft,
-    /// The target said while a connection was being opened that it wants no requests.
+    /// The target announced that it is shutting down while a connection to it was opened.
     Withheld,
     /// The request was sent, but no valid response was received; it may have run. Contains the
     /// reason for the log.
@@ -93,7 +93,7 @@
 /// Everything an attempt needs besides the request and the target.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptContext<'a> {
-    /// The node, which learns what the response says about the target.
+    /// The node's state, in which announcements of the target are recorded.
     pub state: &'a State,
     /// Idle connections to reuse.
     pub pool: &'a Pool,
@@ -285,7 +285,7 @@
     Err("only responses to other requests")
 }
 
-/// Records what a response says about the target that sent it.
+/// Records what the target announces in the head of a response.
 fn record_notices(context: AttemptContext<'_>, target: &Target, head: &ResponseHead) {
     let (state, names) = (context.state, context.names);
     let other = head.fields.only(names.target);
--- a/src/node/proxy/conn.rs
+++ b/src/node/proxy/conn.rs
@@ -41,7 +41,7 @@
     }
 }
 
-/// Tells whether a caller has disconnected, even while its connection is read.
+/// Shows whether a caller has disconnected, even while its connection is read.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerStatus<'a>(&'a TcpStream);
 
--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -177,8 +177,8 @@
     let lost = election.next_lease(Some(&backup), generation, &b, BootId(2));
     let next = election.next_lease(Some(&backup), Generation(2), &a, BootId(3));
     expect_that!(next.term, gt(lost.term));
-    expect_that!(next.lost_leader(), some(ge(lost.term)));
-    expect_that!(next.lost_leader(), some(lt(next.term)));
+    expect_that!(next.lost_term(), some(ge(lost.term)));
+    expect_that!(next.lost_term(), some(lt(next.term)));
 }
 
 #[googletest::test]
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -124,13 +124,13 @@
 }
 
 #[googletest::test]
-fn a_resumed_leader_does_not_grant_keys_that_a_forgotten_leader_moved() {
+fn a_resumed_leader_does_not_grant_keys_that_a_lost_leader_moved() {
     let mut simulation = simulation_with_held_keys(4, 3);
     let paused = simulation.leader().expect("a node leads");
     let backup = simulation.backup();
     simulation.nodes[paused].running = false;
     simulation.run(MS(3_000));
-    let forgotten = simulation.leader().expect("another node leads");
+    let lost = simulation.leader().expect("another node leads");
     simulation.targets[1].leaving = true;
     simulation.run(MS(3_000));
     simulation.restore(&backup);
@@ -139,7 +139,7 @@
             simulation.restart_node(node);
         }
     }
-    expect_that!(forgotten, not(eq(paused)));
+    expect_that!(lost, not(eq(paused)));
     simulation.targets[1].leaving = false;
     simulation.nodes[paused].running = true;
     simulation.run(MS(50_000));
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -14,11 +14,9 @@
 use gooseberryloft::ids::VmId;
 use gooseberryloft::node::keys::election::Election;
 use gooseberryloft::node::keys::election::Lease;
-use gooseberryloft::node::keys::election::generation_of;
 use gooseberryloft::node::keys::key_load::KeyLoad;
 use gooseberryloft::node::keys::leader::Action;
 use gooseberryloft::node::keys::leader::Command;
-use gooseberryloft::node::keys::leader::Inherited;
 use gooseberryloft::node::keys::leader::Leader;
 use gooseberryloft::node::keys::leader::Order;
 use gooseberryloft::node::keys::leader::OrderOutcome;
@@ -30,6 +28,7 @@
 use gooseberryloft::node::keys::table_health::TableHealth;
 use gooseberryloft::node::keys::tenure::LeaseCheck;
 use gooseberryloft::node::keys::tenure::Tenure;
+use gooseberryloft::node::keys::tenure::inherit;
 use gooseberryloft::platform::Generation;
 
 /// The time by which each step advances the virtual clock.
@@ -428,16 +427,8 @@
         }
         let map = self.map.as_ref();
         let fake = &mut self.nodes[node];
-        let is_current = |map: &KeyMap| generation_of(map.version.term) == generation;
-        let inherited = match map {
-            Some((_, map)) if is_current(map) => Inherited::Map(map),
-            map if lease.lost_leader().is_some() => Inherited::Outdated(map.map(|(_, map)| map)),
-            Some((_, map)) => Inherited::Map(map),
-            None => Inherited::Nothing,
-        };
-        if let (Inherited::Map(_), Some(lost)) = (inherited, lease.lost_leader()) {
-            fake.election.record_end(lost, now);
-        }
+        let stored = map.map(|(_, map)| map);
+        let inherited = inherit(&lease, stored, &mut fake.election, now);
         let mut leader = Leader::new(lease.term, inherited, Duration::from_secs(10), now);
         leader.lease_confirmed(now);
         fake.election.record_leader(lease.term, &name, boot, now);
