Record the limits that targets name, and log their changes

Change: a node records limits from responses to its own requests; event 514 shows each change with its source, event 515 a value that is no such number; counter limit_changes. The limit is not enforced yet. A response ends a limit only if its request was sent after the limit was last named, since one that was written before the limit began may be read later.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -96,6 +96,10 @@
     TargetChanged = 512,
     /// A target announced in a response that it is shutting down, before the list showed it.
     LeavingAnnounced = 513,
+    /// A target named a limit on its requests, another one, or none any more.
+    LimitChanged = 514,
+    /// A header field of a target's response has an invalid value and was ignored.
+    FieldInvalid = 515,
     /// The table service does not respond.
     TableDown = 600,
     /// The table service responds again.
@@ -125,6 +129,7 @@
             Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused | Self::SendSkipped => Level::Debug,
+            Self::FieldInvalid => Level::Warn,
             Self::TableDown | Self::TableWriteFailed | Self::TableRestored => Level::Warn,
             Self::OrderFailed | Self::PeerLost => Level::Warn,
             _ => Level::Info,
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -27,8 +27,8 @@
 use crate::node::keys::tenure::LeaseCheck;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
-use crate::node::leaving::LeavingSource;
-use crate::node::leaving::record_leaving;
+use crate::node::notices::NoticeSource;
+use crate::node::notices::record_leaving;
 use crate::node::platform::Platform;
 use crate::platform::Condition;
 use crate::platform::Row;
@@ -141,7 +141,7 @@
                 let target = state.fleet.borrow().get(&order.to.id).cloned();
                 let target = target.filter(|t| t.entry.incarnation == order.to.incarnation);
                 if let Some(target) = target {
-                    record_leaving(&state, &target, LeavingSource::OrderReply);
+                    record_leaving(&state, &target, NoticeSource::OrderReply);
                 }
             }
             let outcome = answer.outcome;
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -33,8 +33,8 @@
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::election::Election;
 use crate::node::keys::tenure::KnownNodes;
-use crate::node::leaving::LeavingSource;
-use crate::node::leaving::record_leaving;
+use crate::node::notices::NoticeSource;
+use crate::node::notices::record_leaving;
 use crate::node::platform::Cursor;
 use crate::node::reader;
 use crate::node::reader::Neighbour;
@@ -262,7 +262,7 @@
         for (tag, incarnation) in targets {
             let target = self.state.fleet.borrow().by_tag(*tag).cloned();
             if let Some(target) = target.filter(|t| t.entry.incarnation == *incarnation) {
-                record_leaving(&self.state, &target, LeavingSource::OtherNode);
+                record_leaving(&self.state, &target, NoticeSource::OtherNode);
             }
         }
     }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -37,6 +37,8 @@
     CallersGone,
     /// Targets that announced in responses that they are shutting down, before the list showed it.
     LeavingAnnounced,
+    /// Limits that targets began to name, changed or no longer name, as this node learned it.
+    LimitChanges,
     /// Log lines dropped because of the rate or buffer limit.
     LogLinesDropped,
 }
@@ -53,7 +55,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 10],
+    unlabelled: [Cell<u64>; 11],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -19,6 +19,7 @@
 use crate::node::datagram::ListDigest;
 use crate::node::datagram::Tag;
 use crate::node::datagram::target_tag;
+use crate::node::limit::TargetLimit;
 
 /// How long after the last failed read of the list a target that disappeared from it stays in use.
 /// Live targets are listed again within about two seconds, and 3 s after an outage targets that are
@@ -85,6 +86,8 @@
     pub leaving: Cell<bool>,
     /// Whether the target's own responses announced it before the list showed it.
     pub announced_leaving: Cell<bool>,
+    /// The limit that the target names in its responses.
+    pub limit: TargetLimit,
     /// Requests in flight from this node.
     pub in_flight: Cell<u32>,
     /// Requests in flight from other nodes, by their latest reports.
@@ -110,6 +113,7 @@
         Self {
             leaving: Cell::new(entry.draining),
             announced_leaving: Cell::new(false),
+            limit: TargetLimit::default(),
             in_flight: Cell::new(0),
             peer_in_flight: Cell::new(0),
             connections: Cell::new(0),
--- /dev/null
+++ b/src/node/notices.rs
@@ -0,0 +1,64 @@
+//! What targets announce of themselves in their responses: that they are shutting down, and how many
+//! requests per second they accept. The list may show the former later, or not at all while the store
+//! is unavailable, and never shows the latter.
+
+use strum::IntoStaticStr;
+
+use crate::events::Event;
+use crate::node::counters::Counter;
+use crate::node::fleet::Target;
+use crate::node::limit::Evidence;
+use crate::node::state::State;
+
+/// Where a node learned what a target announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum NoticeSource {
+    /// A response to a request.
+    Response,
+    /// A reply to a grant or release.
+    OrderReply,
+    /// Another node that read such a response.
+    OtherNode,
+}
+
+/// Sends no more requests to a target that announced that it is shutting down. This holds for its
+/// process until that is removed from the list; another process with its id or address is another
+/// target.
+pub fn record_leaving(state: &State, target: &Target, source: NoticeSource) {
+    if !target.record_leaving() {
+        return;
+    }
+    state.pool.remove_target(target);
+    state.counters.add(Counter::LeavingAnnounced);
+    state.log.record(Event::LeavingAnnounced, |line| {
+        line.text("target", target.entry.id.as_str());
+        line.number("incarnation", target.entry.incarnation);
+        line.text("service", target.entry.service.as_str());
+        line.text("source", source.into());
+    });
+    state.routing_changed.notify_waiters();
+}
+
+/// Records evidence of a target's limit, or of its absence.
+pub fn record_limit(state: &State, target: &Target, evidence: Evidence, source: NoticeSource) {
+    let before = target.limit.rate();
+    if !target.limit.merge(evidence) {
+        return;
+    }
+    state.counters.add(Counter::LimitChanges);
+    state.log.record(Event::LimitChanged, |line| {
+        line.text("target", target.entry.id.as_str());
+        line.number("incarnation", target.entry.incarnation);
+        line.text("service", target.entry.service.as_str());
+        if let Some(before) = before {
+            line.show("before", before);
+        }
+        if let Some(rate) = evidence.rate {
+            line.show("rate", rate);
+        }
+        line.text("source", source.into());
+        let age = evidence.at.elapsed();
+        line.number("age_ms", age.as_millis() as u64);
+    });
+}
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -7,9 +7,14 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
+use crate::events::Event;
 use crate::node::fleet::Target;
-use crate::node::leaving::LeavingSource;
-use crate::node::leaving::record_leaving;
+use crate::node::limit::Evidence;
+use crate::node::limit::InvalidRate;
+use crate::node::limit::RequestRate;
+use crate::node::notices::NoticeSource;
+use crate::node::notices::record_leaving;
+use crate::node::notices::record_limit;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::headers::HeaderNames;
@@ -139,10 +144,12 @@
         return AttemptOutcome::Withheld;
     }
     let out = encode_request(context, request, target);
+    let sent_at = Instant::now();
     connection.conn.begin_exchange();
     let (read, request_sent) = exchange(context, &mut connection, &out, request, target).await;
     match read {
         Ok((response, partial)) => {
+            note_limit(context, target, &response.head, sent_at);
             if request_sent && partial.is_none() {
                 connection.conn.end_exchange();
             }
@@ -285,17 +292,62 @@
     Err("only responses to other requests")
 }
 
+/// Returns true if the response names another process, which has the target's address.
+fn is_from_other(names: &HeaderNames, target: &Target, head: &ResponseHead) -> bool {
+    let id = head.fields.only(names.target);
+    id.is_some_and(|id| id != target.entry.id.as_str().as_bytes())
+}
+
 /// Records what the target announces in the head of a response.
 fn record_notices(context: AttemptContext<'_>, target: &Target, head: &ResponseHead) {
     let (state, names) = (context.state, context.names);
-    let other = head.fields.only(names.target);
-    if other.is_some_and(|id| id != target.entry.id.as_str().as_bytes()) {
-        // Another process has the target's address.
+    if is_from_other(names, target, head) {
         return;
     }
     if head.fields.all(names.leaving).any(|value| value == b"1") {
-        record_leaving(state, target, LeavingSource::Response);
+        record_leaving(state, target, NoticeSource::Response);
+    }
+}
+
+/// Records the limit that the target names in its response to a request that was sent at `sent_at`,
+/// or that it names none.
+fn note_limit(context: AttemptContext<'_>, target: &Target, head: &ResponseHead, sent_at: Instant) {
+    let (state, names) = (context.state, context.names);
+    if is_from_other(names, target, head) {
+        return;
     }
+    let mut values = head.fields.all(names.limit);
+    let evidence = match (values.next(), values.next()) {
+        (None, _) => Evidence {
+            rate: None,
+            at: sent_at,
+        },
+        (Some(value), None) => match parse_rate(value) {
+            Ok(rate) => Evidence {
+                rate: Some(rate),
+                at: Instant::now(),
+            },
+            Err(error) => return log_invalid(state, target, names.limit, value, error),
+        },
+        (Some(value), Some(_)) => {
+            return log_invalid(state, target, names.limit, value, InvalidRate);
+        }
+    };
+    record_limit(state, target, evidence, NoticeSource::Response);
+}
+
+fn parse_rate(value: &[u8]) -> Result<RequestRate, InvalidRate> {
+    let text = std::str::from_utf8(value).map_err(|_| InvalidRate)?;
+    text.parse()
+}
+
+fn log_invalid(state: &State, target: &Target, field: &str, value: &[u8], error: InvalidRate) {
+    state.log.record(Event::FieldInvalid, |line| {
+        line.text("target", target.entry.id.as_str());
+        line.text("field", field);
+        line.text("value", &String::from_utf8_lossy(value));
+        line.show("error", error);
+    });
 }
 
 async fn read_head(
--- a/src/node/proxy/headers.rs
+++ b/src/node/proxy/headers.rs
@@ -19,6 +19,8 @@
     pub target: &'static str,
     /// Has the value `1` in every response of a target that is shutting down.
     pub leaving: &'static str,
+    /// The requests per second that a target which is overloaded accepts from all nodes together.
+    pub limit: &'static str,
     /// The key, required in requests to services whose keys have exclusive owners.
     pub key: &'static str,
 }
