Keep the limits that targets name, for all nodes together

Cause: no node read the limit, and nothing limits the requests of all nodes together. Class of fault: a quantity of the whole system that each node decides from its own requests. Ruled out: equal shares of a limit. With 58 to 295 nodes a share is one request in 7 to 70 s; most of the limit is lost, and unused shares of all nodes add up to a burst above the rule. Change: before each request to a target that has named a limit, a node asks for a permit. One node issues the permits of a target, found by a hash over the nodes, at the named rate with a burst of 0.25 s; its answer is one datagram. A node that does not know all nodes may ask the wrong one, which passes the request on. Without an answer in 100 ms a node uses its share. A limit that a response names is sent to all nodes; its end, too. The newest observation wins, and permits start at none, so that a new issuer adds nothing. The leader of a keyed service takes the limit as the capacity of an owner, so that keys move. What cannot be served is refused at once, and Retry-After says when a permit is expected. Nodes that know nothing of each other: after a restore of the table each node reads the rows of the others once more when all have been written again, and a node that knows no other reads them after 1, 2, 4 ... s instead of 20 s.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -27,9 +27,14 @@
 use crate::node::keys::tenure::LeaseCheck;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
+use crate::node::limit::Evidence;
+use crate::node::limit::issue_rate;
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_leaving;
+use crate::node::notices::record_limit;
+use crate::node::platform::OrderAnswer;
 use crate::node::platform::Platform;
+use crate::node::state::State;
 use crate::platform::Condition;
 use crate::platform::Row;
 use crate::platform::Table;
@@ -137,13 +142,7 @@
         let (state, service) = (self.state.clone(), self.service.clone());
         tokio::task::spawn_local(async move {
             let answer = platform.order(&order).await;
-            if answer.target_leaving {
-                let target = state.fleet.borrow().get(&order.to.id).cloned();
-                let target = target.filter(|t| t.entry.incarnation == order.to.incarnation);
-                if let Some(target) = target {
-                    record_leaving(&state, &target, NoticeSource::OrderReply);
-                }
-            }
+            record_notices(&state, &order.to, &answer);
             let outcome = answer.outcome;
             if !matches!(outcome, OrderOutcome::Done(_) | OrderOutcome::Reconnected) {
                 state.counters.add(Counter::OrderFailures);
@@ -378,6 +377,25 @@
     }
 }
 
+/// Records what a target announced in its reply to an order. A reply that names no limit says
+/// nothing: limits are named in responses to requests.
+fn record_notices(state: &State, holder: &Holder, answer: &OrderAnswer) {
+    let target = state.fleet.borrow().get(&holder.id).cloned();
+    let Some(target) = target.filter(|t| t.entry.incarnation == holder.incarnation) else {
+        return;
+    };
+    if answer.target_leaving {
+        record_leaving(state, &target, NoticeSource::OrderReply);
+    }
+    if answer.limit.is_some() {
+        let evidence = Evidence {
+            rate: answer.limit,
+            at: Instant::now(),
+        };
+        record_limit(state, &target, evidence, NoticeSource::OrderReply);
+    }
+}
+
 /// Returns the name of an outcome in log lines.
 fn outcome_name(outcome: &OrderOutcome) -> &'static str {
     match outcome {
@@ -391,13 +409,18 @@
 
 /// Returns a target as a candidate to own keys; `ms` is its service time.
 fn candidate(target: &Target, ms: f64) -> Candidate {
+    let capacity = f64::from(target.entry.slots.max(1)) * 1e3 / ms;
+    let capacity = match target.limit.rate() {
+        Some(limit) => capacity.min(issue_rate(limit)),
+        None => capacity,
+    };
     Candidate {
         holder: Holder {
             id: target.entry.id.clone(),
             incarnation: target.entry.incarnation,
         },
         address: target.entry.address,
-        capacity: f64::from(target.entry.slots.max(1)) * 1e3 / ms,
+        capacity,
         leaving: target.leaving.get(),
         on_probation: false,
     }
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -1,5 +1,6 @@
 //! The other nodes: tracks which are alive, and dispatches the datagrams that they send.
 
+mod limits;
 mod send;
 
 use std::cell::Cell;
@@ -63,6 +64,8 @@
     table_fails: bool,
     /// Its requests in flight by target.
     loads: Vec<(Tag, u16)>,
+    /// When it was first asked for a permit since it last sent a datagram.
+    asked_since: Option<Instant>,
 }
 
 /// The other nodes, and the socket on which datagrams are exchanged with them.
@@ -78,6 +81,8 @@
     pub rules_hint: Rc<Notify>,
     rules_lag: RefCell<RulesLag>,
     crashes_sent: Cell<u64>,
+    /// Whether the rows of the other nodes have been read.
+    rows_read: Cell<bool>,
     period_count: Cell<u64>,
     /// When another node last read the list of targets from the platform.
     last_table_read: Cell<Option<Instant>>,
@@ -95,6 +100,7 @@
             rules_hint: Rc::default(),
             rules_lag: RefCell::default(),
             crashes_sent: Cell::new(0),
+            rows_read: Cell::new(false),
             period_count: Cell::new(0),
             last_table_read: Cell::new(None),
         }
@@ -112,6 +118,7 @@
 
     /// Adds the nodes whose rows were read from the table.
     pub fn add_rows(&self, listed: &[Row], now: Instant) {
+        self.rows_read.set(true);
         for row in listed {
             let name = row.key.trim_start_matches(rows::NODE_PREFIX);
             match rows::decode::<NodeRow>(&row.value) {
@@ -189,6 +196,7 @@
             last_heartbeat: None,
             table_fails: false,
             loads: Vec::new(),
+            asked_since: None,
         };
         if let Some(old) = peers.insert(name.clone(), peer) {
             self.remove_loads(&old);
@@ -204,6 +212,9 @@
         if node == self.state.conf.name {
             return;
         }
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&node) {
+            peer.asked_since = None;
+        }
         match message {
             Message::Heartbeat(heartbeat) => {
                 self.handle_heartbeat(&node, boot, heartbeat, from, now)
@@ -219,6 +230,9 @@
                 watch::apply_updates(&self.state, before, updates, now);
             }
             Message::Leaving(targets) => self.record_leaving(&targets),
+            Message::Limits(reports) => self.handle_limits(&reports, now),
+            Message::PermitRequest(request) => self.handle_permit_request(request, from, now),
+            Message::Permit(number, wait_ms) => self.handle_permit(number, wait_ms),
         }
     }
 
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -55,6 +55,7 @@
                 self.send_key_loads();
             }
             self.send_crashes(now);
+            self.send_limits(now);
             self.update_counts();
         }
     }
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -123,6 +123,7 @@
     ));
     spawn(peers.clone().receive());
     spawn(peers.clone().send());
+    spawn(peers.clone().pass_on_asks());
     spawn(serve_ready(state.clone(), ready));
     if let Some(metrics) = metrics {
         spawn(serve_ready(state.clone(), metrics));
@@ -145,7 +146,9 @@
                 start_groups(&state, &peers, &table, &platform, &mut groups);
                 watch::expire_targets(&state);
                 if maintenance_runs.is_multiple_of(SWEEP_PERIODS) {
-                    state.pool.sweep(Instant::now());
+                    let now = Instant::now();
+                    state.pool.sweep(now);
+                    state.desk.expire(now);
                     reload();
                 }
                 state.log.flush();
@@ -228,6 +231,7 @@
         write_row(&state, &*table, &key, &row).await;
     }
     let mut attempt = 0;
+    let mut scans = 0;
     let mut generation = table.generation();
     while state.stage() < ShutdownStage::Ended {
         state.counters.add(Counter::TableCalls);
@@ -251,20 +255,26 @@
         if generation == Generation::default() {
             generation = table.generation();
         }
-        let mut next_scan = Instant::now() + NODE_ROWS_PERIOD;
+        let mut next_scan = Instant::now() + scan_period(&state, scans);
+        scans += 1;
+        let mut is_restored = false;
         loop {
             tokio::time::sleep(RESTORE_CHECK_PERIOD).await;
             let newest = table.generation().max(state.generation.get());
             if newest > generation {
-                tokio::time::sleep(restore_delay(state.nodes.get())).await;
+                let delay = max_restore_delay(state.nodes.get());
+                tokio::time::sleep(delay.mul_f64(rand::random())).await;
                 restore_row(&state, &*table, &key, &row).await;
                 generation = newest;
+                // A node that started before the rows were written again knows none of the others.
+                next_scan = Instant::now() + delay + delay.mul_f64(rand::random());
+                is_restored = true;
             }
             let now = Instant::now();
             if now < next_scan {
                 continue;
             }
-            if !peers.all_alive(now) {
+            if is_restored || !peers.all_alive(now) {
                 break;
             }
             next_scan = now + NODE_ROWS_PERIOD;
@@ -272,10 +282,20 @@
     }
 }
 
-/// Returns a random delay before a node reads its row after a restore.
-fn restore_delay(nodes: usize) -> Duration {
+/// Returns the time over which the nodes spread their reads after a restore.
+fn max_restore_delay(nodes: usize) -> Duration {
     let spread = RESTORE_SPREAD_PER_NODE.saturating_mul(nodes as u32);
-    spread.max(MIN_RESTORE_SPREAD).mul_f64(rand::random())
+    spread.max(MIN_RESTORE_SPREAD)
+}
+
+/// Returns how long after a read of the rows of nodes they are read again: soon at first on a node
+/// that knows no other node.
+fn scan_period(state: &State, scans: u32) -> Duration {
+    if state.nodes.get() > 1 {
+        return NODE_ROWS_PERIOD;
+    }
+    let period = RESTORE_CHECK_PERIOD.saturating_mul(2u32.saturating_pow(scans));
+    period.min(NODE_ROWS_PERIOD)
 }
 
 /// Writes the node's own row if it is missing in the restored data; retries until that is known.
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -39,6 +39,10 @@
     LeavingAnnounced,
     /// Limits that targets began to name, changed or no longer name, as this node learned it.
     LimitChanges,
+    /// Requests that were not sent to a target because of its limit.
+    PermitsDenied,
+    /// Requests for a permit that were not answered in time.
+    PermitTimeouts,
     /// Log lines dropped because of the rate or buffer limit.
     LogLinesDropped,
 }
@@ -55,7 +59,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 11],
+    unlabelled: [Cell<u64>; 13],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -1,6 +1,10 @@
 //! Datagrams between nodes: heartbeats, load of targets and keys, and locations of moved keys. Any
 //! datagram may be lost, so state that must survive is kept in the table store.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
 use ciborium::de::from_reader;
 use ciborium::ser::into_writer;
 use serde::Deserialize;
@@ -15,6 +19,9 @@
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
+use crate::node::limit::Evidence;
+use crate::node::limit::ProcessTag;
+use crate::node::limit::RequestRate;
 use crate::node::platform::Cursor;
 use crate::route::CrashReport;
 
@@ -69,6 +76,73 @@
     /// Targets that announced in responses that they are shutting down, with their incarnations.
     #[serde(rename = "g")]
     Leaving(Vec<(Tag, u64)>),
+    /// Limits that targets named, or that they no longer name.
+    #[serde(rename = "n")]
+    Limits(Vec<LimitReport>),
+    /// A request for a permit.
+    #[serde(rename = "a")]
+    PermitRequest(PermitRequest),
+    /// The answer to the request for a permit with this number: 0, or the time in milliseconds after
+    /// which the next permit is expected.
+    #[serde(rename = "y")]
+    Permit(u64, u32),
+}
+
+/// What a node knows of a target's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// The target's process.
+    #[serde(rename = "p")]
+    pub process: ProcessTag,
+    /// The limit, or `None` if the target names none any more.
+    #[serde(rename = "r")]
+    pub rate: Option<RequestRate>,
+    /// Time since the observation, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+}
+
+/// A request for a permit to send one request to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Identifies the request within the node that asks.
+    #[serde(rename = "q")]
+    pub number: u64,
+    /// The target's process, with the limit as the asking node knows it.
+    #[serde(rename = "l")]
+    pub limit: LimitReport,
+    /// The node that asks, if another one has passed the request on.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<SocketAddr>,
+}
+
+/// Upper bound of the time that a datagram takes, which is not part of the ages that it reports.
+const MAX_DELAY: Duration = Duration::from_millis(100);
+
+impl LimitReport {
+    /// Reports an observation.
+    pub fn new(process: ProcessTag, evidence: Evidence, now: Instant) -> Self {
+        let age = now.saturating_duration_since(evidence.at).as_millis();
+        Self {
+            process,
+            rate: evidence.rate,
+            age_ms: age.min(u32::MAX.into()) as u32,
+        }
+    }
+
+    /// Returns the reported observation. The end of a limit may have been observed earlier than its
+    /// age says, and must not hide a later observation of the limit.
+    pub fn evidence(&self, now: Instant) -> Evidence {
+        let age = Duration::from_millis(self.age_ms.into());
+        let age = match self.rate {
+            Some(_) => age,
+            None => age + MAX_DELAY,
+        };
+        Evidence {
+            rate: self.rate,
+            at: now.checked_sub(age).unwrap_or(now),
+        }
+    }
 }
 
 /// The periodic heartbeat of a node.
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -19,6 +19,7 @@
 use crate::node::datagram::ListDigest;
 use crate::node::datagram::Tag;
 use crate::node::datagram::target_tag;
+use crate::node::limit::ProcessTag;
 use crate::node::limit::TargetLimit;
 
 /// How long after the last failed read of the list a target that disappeared from it stays in use.
@@ -105,6 +106,8 @@
     /// Moving average of the fraction of requests that failed, 0 to 1.
     failure_rate: Cell<f64>,
     ejected_until: Cell<Option<Instant>>,
+    /// Until when no permit for the target is expected.
+    withheld_until: Cell<Option<Instant>>,
     warm_at: Cell<Option<Instant>>,
 }
 
@@ -123,6 +126,7 @@
             consecutive_failures: Cell::new(0),
             failure_rate: Cell::new(0.0),
             ejected_until: Cell::new(None),
+            withheld_until: Cell::new(None),
             warm_at: Cell::new(
                 (!entry.warm_up.is_zero()).then(|| now + entry.warm_up.min(MAX_WARM_UP)),
             ),
@@ -164,6 +168,35 @@
         self.ejected_until.get().is_some_and(|until| now < until)
     }
 
+    /// Returns the name of the target's process in datagrams.
+    pub fn process_tag(&self) -> ProcessTag {
+        ProcessTag {
+            target: target_tag(&self.entry.id),
+            incarnation: self.entry.incarnation,
+        }
+    }
+
+    /// Returns until when the target gets no requests because of its limit, if it does not get any now.
+    pub fn withheld_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.withheld_until.get().filter(|until| now < *until);
+        until.filter(|_| self.limit.rate().is_some())
+    }
+
+    /// Returns true while the target gets no requests because of its limit.
+    pub fn is_withheld(&self, now: Instant) -> bool {
+        self.withheld_until(now).is_some()
+    }
+
+    /// Ends the time in which the target is withheld.
+    pub fn end_withholding(&self) {
+        self.withheld_until.set(None);
+    }
+
+    /// Withholds the target from requests until a permit is expected.
+    pub fn withhold(&self, until: Instant) {
+        self.withheld_until.set(Some(until));
+    }
+
     /// Returns true while the target is slower because it has just started.
     pub fn is_warming_up(&self, now: Instant) -> bool {
         self.warm_at.get().is_some_and(|at| now < at)
--- /dev/null
+++ b/src/node/limit/desk.rs
@@ -0,0 +1,185 @@
+//! A node's side of permits: its requests for them, those that it issues, and what it has learned of
+//! limits and not passed on yet.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::node::counters::Counter;
+use crate::node::fleet::Target;
+use crate::node::limit::Evidence;
+use crate::node::limit::Permits;
+use crate::node::limit::ProcessTag;
+use crate::node::limit::Verdict;
+use crate::node::limit::issue_rate;
+use crate::node::state::State;
+
+/// How long a request for a permit may take; nodes usually answer within milliseconds.
+pub const PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
+/// How often news of a limit is sent, since datagrams get lost.
+const NEWS_REPEATS: u32 = 2;
+
+/// A request for a permit that has not been passed on yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Identifies the request within this node.
+    pub number: u64,
+    /// The process that a request is to be sent to.
+    pub process: ProcessTag,
+    /// What this node knows of its limit.
+    pub evidence: Evidence,
+}
+
+/// A change of a limit that the other nodes should know.
+#[derive(Clone, Copy, Debug)]
+struct News {
+    evidence: Evidence,
+    repeats: u32,
+}
+
+/// The state of a node's permits.
+#[derive(Debug, Default)]
+pub struct Desk {
+    asks: RefCell<VecDeque<Ask>>,
+    /// Notified when a request for a permit is to be passed on.
+    pub asked: Notify,
+    last_number: Cell<u64>,
+    waiting: RefCell<BTreeMap<u64, oneshot::Sender<Verdict>>>,
+    /// Permits that this node issues to all nodes.
+    issued: RefCell<Permits>,
+    /// Permits that this node issues to itself while it does not reach the node that issues them.
+    own_share: RefCell<Permits>,
+    news: RefCell<BTreeMap<ProcessTag, News>>,
+}
+
+/// Forgets a request for a permit when its caller no longer waits.
+struct WaitGuard<'a> {
+    desk: &'a Desk,
+    number: u64,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.desk.waiting.borrow_mut().remove(&self.number);
+    }
+}
+
+/// Returns true if a request may be sent to the target now. Otherwise the target is withheld from
+/// this node's requests until a permit is expected.
+pub async fn obtain_permit(state: &State, target: &Target) -> bool {
+    let Some(evidence) = target.limit.evidence().filter(|e| e.rate.is_some()) else {
+        return true;
+    };
+    if target.is_withheld(Instant::now()) {
+        return false;
+    }
+    let process = target.process_tag();
+    let (number, answer) = state.desk.ask(process, evidence);
+    let _guard = WaitGuard {
+        desk: &state.desk,
+        number,
+    };
+    let verdict = match timeout(PERMIT_TIMEOUT, answer).await {
+        Ok(Ok(verdict)) => verdict,
+        Ok(Err(_)) | Err(_) => {
+            state.counters.add(Counter::PermitTimeouts);
+            state
+                .desk
+                .take_own_share(process, evidence, state.nodes.get())
+        }
+    };
+    match verdict {
+        Verdict::Granted => true,
+        Verdict::Denied(wait) => {
+            state.counters.add(Counter::PermitsDenied);
+            target.withhold(Instant::now() + wait);
+            false
+        }
+    }
+}
+
+impl Desk {
+    fn ask(&self, process: ProcessTag, evidence: Evidence) -> (u64, oneshot::Receiver<Verdict>) {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(number, sender);
+        self.asks.borrow_mut().push_back(Ask {
+            number,
+            process,
+            evidence,
+        });
+        self.asked.notify_one();
+        (number, receiver)
+    }
+
+    /// Returns the next request for a permit that is to be passed on.
+    pub fn next_ask(&self) -> Option<Ask> {
+        self.asks.borrow_mut().pop_front()
+    }
+
+    /// Answers a request for a permit, unless its caller no longer waits.
+    pub fn answer(&self, number: u64, verdict: Verdict) {
+        if let Some(sender) = self.waiting.borrow_mut().remove(&number) {
+            // The caller may have stopped waiting just now.
+            let _ = sender.send(verdict);
+        }
+    }
+
+    /// Issues a permit for any node.
+    pub fn issue(&self, process: ProcessTag, evidence: Evidence, now: Instant) -> Verdict {
+        match evidence.rate {
+            Some(limit) => {
+                let mut issued = self.issued.borrow_mut();
+                issued.take(process, issue_rate(limit), now)
+            }
+            None => Verdict::Granted,
+        }
+    }
+
+    /// Issues a permit from the share of this node, which is one of `nodes`.
+    pub fn take_own_share(&self, process: ProcessTag, evidence: Evidence, nodes: usize) -> Verdict {
+        match evidence.rate {
+            Some(limit) => {
+                let share = issue_rate(limit) / nodes.max(1) as f64;
+                let mut own_share = self.own_share.borrow_mut();
+                own_share.take(process, share, Instant::now())
+            }
+            None => Verdict::Granted,
+        }
+    }
+
+    /// Records a change of a limit that the other nodes should know.
+    pub fn add_news(&self, process: ProcessTag, evidence: Evidence) {
+        let news = News {
+            evidence,
+            repeats: NEWS_REPEATS,
+        };
+        self.news.borrow_mut().insert(process, news);
+    }
+
+    /// Returns the changes that are to be sent to the other nodes now.
+    pub fn take_news(&self) -> Vec<(ProcessTag, Evidence)> {
+        let mut news = self.news.borrow_mut();
+        let due = news.iter().map(|(process, news)| (*process, news.evidence));
+        let due = due.collect();
+        news.retain(|_, news| {
+            news.repeats -= 1;
+            news.repeats > 0
+        });
+        due
+    }
+
+    /// Forgets targets for which no permits were requested for long.
+    pub fn expire(&self, now: Instant) {
+        self.issued.borrow_mut().expire(now);
+        self.own_share.borrow_mut().expire(now);
+    }
+}
--- a/src/node/limit/mod.rs
+++ b/src/node/limit/mod.rs
@@ -1,9 +1,24 @@
 //! Limits that targets name in their responses: the requests per second that a target accepts from
 //! all nodes together, for as long as its responses name one.
+//!
+//! A node that knows of a limit asks for a permit before each request to the target. The node that
+//! issues the permits for a target is found by a hash, so that all nodes with the same members agree
+//! on it. While it does not answer, a node uses its share of the limit.
 
+mod desk;
 mod evidence;
+mod permits;
 
+pub use desk::Ask;
+pub use desk::Desk;
+pub use desk::PERMIT_TIMEOUT;
+pub use desk::obtain_permit;
 pub use evidence::Evidence;
 pub use evidence::InvalidRate;
 pub use evidence::RequestRate;
 pub use evidence::TargetLimit;
+pub use permits::Permits;
+pub use permits::ProcessTag;
+pub use permits::Verdict;
+pub use permits::issue_rate;
+pub use permits::issuer;
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -46,6 +46,11 @@
     if !target.limit.merge(evidence) {
         return;
     }
+    if source != NoticeSource::OtherNode {
+        state.desk.add_news(target.process_tag(), evidence);
+    }
+    // Requests that wait for a permit under the previous limit may be sent earlier.
+    target.end_withholding();
     state.counters.add(Counter::LimitChanges);
     state.log.record(Event::LimitChanged, |line| {
         line.text("target", target.entry.id.as_str());
--- a/src/node/pick.rs
+++ b/src/node/pick.rs
@@ -22,6 +22,8 @@
 const QUEUE_COST: f64 = 1.5;
 /// Cost of a target with a failure rate of 1.
 const FAILURE_COST: f64 = 8.0;
+/// Cost of a target that names a limit, so that others are preferred to it.
+const LIMIT_COST: f64 = 0.5;
 /// Factor on the latency of a target that has just started.
 const WARM_UP_FACTOR: f64 = 2.0;
 /// Relative latency assumed for a target without samples: below the mean, so that it gets requests.
@@ -82,6 +84,12 @@
     targets.iter().any(|target| !target.leaving.get())
 }
 
+/// Returns true if the limits of all targets that are not leaving are used up.
+pub fn all_withheld(targets: &[Rc<Target>], now: Instant) -> bool {
+    let mut staying = targets.iter().filter(|target| !target.leaving.get());
+    staying.all(|target| target.is_withheld(now))
+}
+
 /// Returns true if a target has capacity for one more request. `sharers` is the number of data
 /// centres that send requests to it. They do not know each other's load, so each uses an equal share
 /// and, since their peaks seldom coincide, the standard deviation of a load of that size.
@@ -107,6 +115,7 @@
 fn is_eligible(target: &Target, context: &PickContext<'_>) -> bool {
     !target.leaving.get()
         && !context.tried.contains(&target.entry.id)
+        && !target.is_withheld(context.now)
         && target.in_flight.get() < context.max_connections
         && has_capacity(target, context.objective, 1)
 }
@@ -129,8 +138,13 @@
         RequestKind::Download => REMOTE_DOWNLOAD_COST,
         RequestKind::Safe | RequestKind::Unsafe => REMOTE_COST,
     };
+    let limited = match target.limit.rate() {
+        Some(_) => LIMIT_COST,
+        None => 0.0,
+    };
     relative_latency * (1.0 + BUSY_COST * utilisation * utilisation + QUEUE_COST * queued)
         + remote
+        + limited
         + FAILURE_COST * target.failure_rate()
 }
 
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -12,6 +12,7 @@
 use crate::node::fleet::TargetUpdate;
 use crate::node::keys::leader::Order;
 use crate::node::keys::leader::OrderOutcome;
+use crate::node::limit::RequestRate;
 use crate::node::rules::Rules;
 use crate::platform::Generation;
 
@@ -49,12 +50,14 @@
 }
 
 /// What an order resulted in.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OrderAnswer {
     /// The outcome of the order.
     pub outcome: OrderOutcome,
     /// Whether the target announced in its reply that it is shutting down.
     pub target_leaving: bool,
+    /// The limit on its requests that the target named in its reply.
+    pub limit: Option<RequestRate>,
 }
 
 impl From<OrderOutcome> for OrderAnswer {
@@ -63,6 +66,7 @@
         Self {
             outcome,
             target_leaving: false,
+            limit: None,
         }
     }
 }
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -12,6 +12,7 @@
 use crate::node::limit::Evidence;
 use crate::node::limit::InvalidRate;
 use crate::node::limit::RequestRate;
+use crate::node::limit::obtain_permit;
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_leaving;
 use crate::node::notices::record_limit;
@@ -67,6 +68,8 @@
     CallerLeft,
     /// The target announced that it is shutting down while a connection to it was opened.
     Withheld,
+    /// The target has named a limit, and no permit to send the request was available.
+    RateLimited,
     /// The request was sent, but no valid response was received; it may have run. Contains the
     /// reason for the log.
     NoValidResponse(&'static str),
@@ -121,6 +124,9 @@
     request: &Request,
     target: &Rc<Target>,
 ) -> AttemptOutcome {
+    if !obtain_permit(context.state, target).await {
+        return AttemptOutcome::RateLimited;
+    }
     if context.caller.has_left() {
         return AttemptOutcome::CallerLeft;
     }
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -89,6 +89,8 @@
     NoTarget,
     /// No target has free capacity.
     Busy,
+    /// The targets that could run the request have named limits, which are used up.
+    RateLimited,
     /// No target holds the key at present.
     NoOwner,
     /// No attempt succeeded, and the retry limits do not permit another.
@@ -254,7 +256,11 @@
             tried: &self.tried,
             max_connections: self.state.max_connections(&self.routed.service),
         };
-        pick::choose(targets, &context, rand::random).ok_or(Refusal::Busy)
+        let chosen = pick::choose(targets, &context, rand::random);
+        chosen.ok_or_else(|| match pick::all_withheld(targets, now) {
+            true => Refusal::RateLimited,
+            false => Refusal::Busy,
+        })
     }
 
     fn find_owner(&self, key: u16, now: Instant) -> Result<Rc<Target>, Refusal> {
@@ -275,6 +281,9 @@
         {
             return Err(Refusal::NoOwner);
         }
+        if owner.is_withheld(now) {
+            return Err(Refusal::RateLimited);
+        }
         let max_connections = self.state.max_connections(&self.routed.service);
         let data_centres = self.state.data_centres.get();
         if !pick::has_capacity(owner, self.routed.objective, data_centres)
@@ -359,6 +368,8 @@
     fn max_wait(&self, reason: Refusal) -> Duration {
         match reason {
             Refusal::NoOwner => self.routed.objective.mul_f64(MOVE_WAIT_FRACTION),
+            // More requests are made than the targets accept, so others take the next permits.
+            Refusal::RateLimited => Duration::ZERO,
             _ => self.routed.objective.mul_f64(QUEUE_WAIT_FRACTION),
         }
     }
@@ -426,6 +437,12 @@
                 self.sends -= 1;
                 None
             }
+            AttemptOutcome::RateLimited => {
+                self.possible_runs -= 1;
+                self.sends -= 1;
+                self.wait_reason = Some(Refusal::RateLimited);
+                None
+            }
             AttemptOutcome::CallerLeft => {
                 self.log_send_skipped();
                 Some(Outcome::CallerLeft)
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -11,9 +11,10 @@
 /// `Retry-After` as a fraction of the caller's remaining time or of the objective; callers accept up
 /// to a third of their time.
 const RETRY_AFTER_FRACTION: f64 = 0.25;
-/// Bounds of the `Retry-After` sent to callers.
+/// Shortest `Retry-After` sent to callers.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Longest `Retry-After` sent to callers.
+pub const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Encodes a target's complete response.
 pub fn encode_response(response: &Response, close: bool) -> Vec<u8> {
@@ -106,6 +107,10 @@
             Refusal::Busy | Refusal::Shed => {
                 Self::not_run("all targets are busy; come back later", retry_after)
             }
+            Refusal::RateLimited => Self::not_run(
+                "the targets limit their requests; come back later",
+                retry_after,
+            ),
             Refusal::NoOwner => {
                 Self::not_run("the key is on the move; come back later", retry_after)
             }
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -12,6 +12,7 @@
 
 use crate::events::Event;
 use crate::node::counters::Counter;
+use crate::node::fleet::Target;
 use crate::node::log::Line;
 use crate::node::proxy::attempt::Request;
 use crate::node::proxy::attempt::ResponseStream;
@@ -19,6 +20,7 @@
 use crate::node::proxy::conn::Conn;
 use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::dispatch::Outcome;
+use crate::node::proxy::dispatch::Refusal;
 use crate::node::proxy::dispatch::RoutedRequest;
 use crate::node::proxy::dispatch::dispatch;
 use crate::node::proxy::request::fingerprint;
@@ -29,6 +31,7 @@
 use crate::node::proxy::respond;
 use crate::node::proxy::respond::LAST_CHUNK;
 use crate::node::proxy::respond::LocalResponse;
+use crate::node::proxy::respond::MAX_RETRY_AFTER;
 use crate::node::proxy::respond::retry_after;
 use crate::node::rules::Limits;
 use crate::node::state::ShutdownStage;
@@ -269,13 +272,34 @@
                 log_refusal_state(state, routed, line);
             });
             let time_left = routed.deadline.saturating_duration_since(Instant::now());
-            let pause = retry_after(time_left, routed.objective);
+            let mut pause = retry_after(time_left, routed.objective);
+            if refusal == Refusal::RateLimited {
+                pause = pause.max(next_permit(state, routed));
+            }
             let out = LocalResponse::refusal(refusal, pause).encode(close);
             send(conn, &out, close).await
         }
     }
 }
 
+/// Returns when the next permit for a target of the request is expected, spread over as much time
+/// again, since others who were refused return as well.
+fn next_permit(state: &State, routed: &RoutedRequest) -> Duration {
+    let now = Instant::now();
+    let fleet = state.fleet.borrow();
+    let views = state.views.borrow();
+    let owner = routed.key.and_then(|key| {
+        let view = views.get(&routed.service)?;
+        view.find(key)?.owner.as_ref()
+    });
+    let is_able = |target: &&Rc<Target>| owner.is_none_or(|owner| target.entry.id == *owner);
+    let able = fleet.of(&routed.service).iter().filter(is_able);
+    let next = able.filter_map(|target| target.withheld_until(now)).min();
+    let wait = next.map_or(Duration::ZERO, |until| until - now);
+    let spread = 1.0 + rand::random::<f64>();
+    wait.mul_f64(spread).min(MAX_RETRY_AFTER)
+}
+
 /// Logs the state on which a refusal was based.
 fn log_refusal_state(state: &State, routed: &RoutedRequest, line: &mut Line) {
     let now = Instant::now();
@@ -309,6 +333,9 @@
         line.text("owner", owner.entry.id.as_str());
         line.number("load", owner.load().into());
         line.number("slots", owner.entry.slots.into());
+        if let Some(limit) = owner.limit.rate() {
+            line.show("limit", limit);
+        }
     }
 }
 
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -20,6 +20,7 @@
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::table_health::TableHealth;
 use crate::node::keys::view::KeyView;
+use crate::node::limit::Desk;
 use crate::node::list_schedule::ListSchedule;
 use crate::node::log::Log;
 use crate::node::proxy::headers::HeaderNames;
@@ -125,6 +126,8 @@
     pub callers: Cell<usize>,
     /// Number of requests in progress.
     pub in_flight: Cell<usize>,
+    /// Permits to send requests to targets that have named a limit.
+    pub desk: Desk,
     /// Metrics for operators.
     pub counters: Counters,
     /// The log of this process.
@@ -157,6 +160,7 @@
             table_health: RefCell::default(),
             callers: Cell::new(0),
             in_flight: Cell::new(0),
+            desk: Desk::default(),
             counters: Counters::default(),
             log,
             retry_budgets: RefCell::default(),
