Serve callers of a node that reaches no target through other nodes

Cause: a node served callers only over its own connections to targets, and judged each target alone, so that it took the loss of its links for the loss of all targets. Class of fault: a node's own fault is seen as a fault of what it depends on. Ruled out: reporting not ready. The load balancer uses all nodes of a zone again when fewer than half are ready, open connections stay with their node, and the two misses it waits for take 2 s. Change: requests and orders without an answer for 0.5 s, or two targets that cannot be connected to, start a check that connects to four targets of any service. If none accepts, the node is stranded: heartbeats say so, event 403 and a counter record it, and requests go to another node that reaches targets, by load and data centre, over TCP on the port of the datagrams. That node does all else (choice, retries, permits); it never passes a request on again and answers 421 if it is stranded itself. A request that was sent before may run on as many targets more as its route leaves, which the request names. The load that a stranded node reports is empty, as its requests did not arrive.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -74,6 +74,8 @@
     PeerSeen = 401,
     /// No heartbeat of a node was received for longer than the timeout.
     PeerLost = 402,
+    /// A node found that it reaches no target, or that it reaches targets again.
+    LinksChanged = 403,
     /// A request was refused.
     RequestRefused = 500,
     /// A graceful shutdown reached its time limit and aborted requests in flight.
@@ -129,7 +131,7 @@
             Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused | Self::SendSkipped => Level::Debug,
-            Self::FieldInvalid => Level::Warn,
+            Self::FieldInvalid | Self::LinksChanged => Level::Warn,
             Self::TableDown | Self::TableWriteFailed | Self::TableRestored => Level::Warn,
             Self::OrderFailed | Self::PeerLost => Level::Warn,
             _ => Level::Info,
--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -185,7 +185,7 @@
             line.text("why", reason);
         });
         self.update_status();
-        self.peers.send_resignation();
+        self.peers.send_heartbeat_to_all();
     }
 }
 
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -141,7 +141,13 @@
         let (platform, handle) = (self.platform.clone(), self.handle.clone());
         let (state, service) = (self.state.clone(), self.service.clone());
         tokio::task::spawn_local(async move {
+            state.reach.record_sent(Instant::now());
             let answer = platform.order(&order).await;
+            match &answer.outcome {
+                OrderOutcome::Done(_) | OrderOutcome::StaleFence => state.reach.record_response(),
+                OrderOutcome::NotSent => state.reach.record_unreachable(&order.to.id),
+                OrderOutcome::Reconnected | OrderOutcome::Unknown => {}
+            }
             record_notices(&state, &order.to, &answer);
             let outcome = answer.outcome;
             if !matches!(outcome, OrderOutcome::Done(_) | OrderOutcome::Reconnected) {
--- a/src/node/control/mod.rs
+++ b/src/node/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod group;
 pub mod peers;
+mod reach;
 pub mod rows;
 pub mod run;
 pub mod watch;
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -39,6 +39,7 @@
 use crate::node::platform::Cursor;
 use crate::node::reader;
 use crate::node::reader::Neighbour;
+use crate::node::relays::RelayNode;
 use crate::node::rules_lag::RulesLag;
 use crate::node::state::State;
 use crate::platform::Row;
@@ -60,6 +61,8 @@
     /// When the node was added.
     added: Instant,
     last_heartbeat: Option<Instant>,
+    /// Whether it reaches no target, by its last heartbeat.
+    stranded: bool,
     /// Whether its calls to the table fail, by its last heartbeat.
     table_fails: bool,
     /// Its requests in flight by target.
@@ -131,7 +134,22 @@
         self.update_counts();
     }
 
-    /// Returns the rank of this node among the nodes that are alive; lower ranks campaign earlier.
+    /// Determines the nodes that pass requests on while this node reaches no target.
+    pub fn update_relays(&self, now: Instant) {
+        let peers = self.peers.borrow();
+        let able = peers.iter().filter(|(_, peer)| {
+            self.state.reach.is_stranded() && peer.is_alive(now) && !peer.stranded
+        });
+        let nodes = able.map(|(name, peer)| RelayNode {
+            name: name.clone(),
+            address: peer.address,
+            data_centre: peer.data_centre.clone(),
+        });
+        self.state.relays.set(nodes.collect(), now);
+    }
+
+    /// Returns the rank of this node among the nodes that are alive and reach targets; lower ranks
+    /// campaign earlier.
     pub fn rank(&self, election: &Election, now: Instant) -> u32 {
         let peers = self.peers.borrow();
         let alive = peers.iter().filter(|(_, peer)| peer.is_alive(now));
@@ -194,6 +212,7 @@
             cpu_capacity: CpuCapacity::default(),
             added: now,
             last_heartbeat: None,
+            stranded: false,
             table_fails: false,
             loads: Vec::new(),
             asked_since: None,
@@ -252,6 +271,7 @@
         self.update_loads(node, heartbeat.loads, now);
         if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
             peer.cpu_capacity = heartbeat.cpu_capacity;
+            peer.stranded = heartbeat.stranded;
             peer.table_fails = heartbeat.table_fails;
         }
         let generation = heartbeat.list.cursor.generation;
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -56,6 +56,7 @@
             }
             self.send_crashes(now);
             self.send_limits(now);
+            self.update_relays(now);
             self.update_counts();
         }
     }
@@ -68,9 +69,8 @@
         period.clamp(MIN_PERIOD, MAX_PERIOD)
     }
 
-    /// Sends a heartbeat to every node at once, so that all learn that this node has stopped
-    /// leading.
-    pub fn send_resignation(&self) {
+    /// Sends a heartbeat to every node at once, so that all learn what has changed on this node.
+    pub fn send_heartbeat_to_all(&self) {
         let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new()));
         let bytes = self.datagram(heartbeat);
         for peer in self.peers.borrow().values() {
@@ -129,6 +129,7 @@
             cpu_capacity: self.state.conf.cpu_capacity,
             rules: self.state.rules_version(),
             list: self.state.list_schedule.borrow().position(Instant::now()),
+            stranded: self.state.reach.is_stranded(),
             table_fails: self.state.table_health.borrow().is_failing(),
             terms: terms.collect(),
             loads,
@@ -161,6 +162,10 @@
     }
 
     pub(super) fn loads(&self) -> Vec<(Tag, u16)> {
+        if self.state.reach.is_stranded() {
+            // The requests in flight did not arrive.
+            return Vec::new();
+        }
         let fleet = self.state.fleet.borrow();
         let busy = fleet.iter().filter(|target| target.in_flight.get() > 0);
         let loads = busy.map(|target| {
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -21,12 +21,14 @@
 use crate::node::control::group::GroupMessage;
 use crate::node::control::group::Groups;
 use crate::node::control::peers::Peers;
+use crate::node::control::reach::check_links;
 use crate::node::control::rows;
 use crate::node::control::rows::NodeRow;
 use crate::node::control::watch;
 use crate::node::counters::Counter;
 use crate::node::platform::Platform;
 use crate::node::proxy::conn::Conn;
+use crate::node::proxy::serve::Origin;
 use crate::node::proxy::serve::serve;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
@@ -82,7 +84,7 @@
     pub ready: SocketAddr,
     /// Metrics at a fixed port, if configured.
     pub metrics: Option<SocketAddr>,
-    /// Datagrams of other nodes.
+    /// Datagrams of other nodes, and the requests that they pass on.
     pub peers: SocketAddr,
 }
 
@@ -104,6 +106,7 @@
     P: Platform,
 {
     let callers = listen(addresses.callers)?;
+    let nodes = listen(addresses.peers)?;
     let ready = listen(addresses.ready)?;
     let metrics = addresses.metrics.map(listen).transpose()?;
     let socket = UdpSocket::bind(addresses.peers).await?;
@@ -124,6 +127,7 @@
     spawn(peers.clone().receive());
     spawn(peers.clone().send());
     spawn(peers.clone().pass_on_asks());
+    spawn(check_links(state.clone(), peers.clone()));
     spawn(serve_ready(state.clone(), ready));
     if let Some(metrics) = metrics {
         spawn(serve_ready(state.clone(), metrics));
@@ -134,7 +138,8 @@
         peers.clone(),
         addresses.peers,
     ));
-    let accepting = spawn(accept(state.clone(), callers));
+    let accepting = [(callers, Origin::Caller), (nodes, Origin::Node)]
+        .map(|(listener, origin)| spawn(accept(state.clone(), listener, origin)));
     let mut groups = Groups::new();
     let mut maintenance_runs = 0u64;
     loop {
@@ -170,7 +175,7 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-async fn accept(state: Rc<State>, listener: TcpListener) {
+async fn accept(state: Rc<State>, listener: TcpListener, origin: Origin) {
     let max_callers = (state.conf.max_sockets as f64 * CALLER_SOCKET_SHARE) as usize;
     let open_connections = Rc::new(());
     loop {
@@ -182,7 +187,7 @@
             Ok((stream, _)) => {
                 let (state, open_connection) = (state.clone(), open_connections.clone());
                 spawn(async move {
-                    serve(state, stream).await;
+                    serve(state, stream, origin).await;
                     drop(open_connection);
                 });
             }
@@ -357,7 +362,11 @@
     grace.mul_f64(LEAVING_SHARE).min(MAX_LEAVING_TIME)
 }
 
-async fn shut_down(state: &Rc<State>, groups: &Groups, accepting: tokio::task::JoinHandle<()>) {
+async fn shut_down(
+    state: &Rc<State>,
+    groups: &Groups,
+    accepting: [tokio::task::JoinHandle<()>; 2],
+) {
     let started = Instant::now();
     state.log.record(Event::Draining, |line| {
         line.number("in_flight", state.in_flight.get() as u64);
@@ -369,7 +378,7 @@
     }
     let grace = state.reloadable().shutdown_grace;
     tokio::time::sleep(accepting_time(grace)).await;
-    accepting.abort();
+    accepting.iter().for_each(tokio::task::JoinHandle::abort);
     state.advance_to(ShutdownStage::Closing);
     let deadline = started + grace.saturating_sub(GRACE_MARGIN);
     while state.callers.get() > 0 {
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -43,6 +43,8 @@
     PermitsDenied,
     /// Requests for a permit that were not answered in time.
     PermitTimeouts,
+    /// How often this node found that it reaches no target.
+    Strandings,
     /// Log lines dropped because of the rate or buffer limit.
     LogLinesDropped,
 }
@@ -59,7 +61,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 13],
+    unlabelled: [Cell<u64>; 14],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -163,6 +163,9 @@
     /// Whether the node's calls to the table fail.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub table_fails: bool,
+    /// Whether the node reaches no target.
+    #[serde(rename = "z", default, skip_serializing_if = "std::ops::Not::not")]
+    pub stranded: bool,
     /// Leader terms of the services whose leader the node knows.
     #[serde(rename = "l")]
     pub terms: Vec<ServiceTerm>,
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -16,6 +16,7 @@
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::ids::VmId;
 use crate::node::datagram::ListDigest;
 use crate::node::datagram::Tag;
 use crate::node::datagram::target_tag;
@@ -87,6 +88,8 @@
     pub leaving: Cell<bool>,
     /// Whether the target's own responses announced it before the list showed it.
     pub announced_leaving: Cell<bool>,
+    /// Whether this is another node, which passes requests on to targets.
+    pub is_relay: bool,
     /// The limit that the target names in its responses.
     pub limit: TargetLimit,
     /// Requests in flight from this node.
@@ -116,6 +119,7 @@
         Self {
             leaving: Cell::new(entry.draining),
             announced_leaving: Cell::new(false),
+            is_relay: false,
             limit: TargetLimit::default(),
             in_flight: Cell::new(0),
             peer_in_flight: Cell::new(0),
@@ -134,6 +138,24 @@
         }
     }
 
+    /// Creates the stand-in for another node, which passes requests on to targets.
+    pub fn relay(node: &VmId, address: SocketAddr, data_centre: DataCentre, now: Instant) -> Self {
+        let entry = TargetEntry {
+            id: TargetId::from(node.as_str()),
+            incarnation: 0,
+            service: ServiceId::from(""),
+            address,
+            data_centre,
+            slots: u32::MAX,
+            draining: false,
+            warm_up: Duration::ZERO,
+        };
+        Self {
+            is_relay: true,
+            ..Self::new(entry, now)
+        }
+    }
+
     /// Returns the known number of requests in flight from all nodes.
     pub fn load(&self) -> u32 {
         self.in_flight.get() + self.peer_in_flight.get()
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -19,6 +19,7 @@
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::headers::HeaderNames;
+use crate::node::proxy::headers::MAX_ATTEMPTS;
 use crate::node::proxy::pool::Pool;
 use crate::node::proxy::pool::TargetConn;
 use crate::node::state::State;
@@ -112,6 +113,8 @@
     /// True if the target has refused the request before. The attempt then needs a new connection: a
     /// copy of the refusal, which has the same request ID, may arrive on the previous one.
     pub refused_before: bool,
+    /// Number of targets that may run the request, if it is sent to another node.
+    pub max_attempts: u32,
     /// When the caller stops waiting; sent to the target as the remaining time.
     pub deadline: Instant,
     /// The caller's connection.
@@ -138,12 +141,22 @@
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match context.pool.open(target).await {
-            Ok(connection) if context.caller.has_left() => {
-                context.pool.put(connection, None, Instant::now());
-                return AttemptOutcome::CallerLeft;
+            Ok(connection) => {
+                if !target.is_relay {
+                    context.state.reach.record_connected();
+                }
+                if context.caller.has_left() {
+                    context.pool.put(connection, None, Instant::now());
+                    return AttemptOutcome::CallerLeft;
+                }
+                connection
+            }
+            Err(_) => {
+                if !target.is_relay {
+                    context.state.reach.record_unreachable(&target.entry.id);
+                }
+                return AttemptOutcome::NotSent;
             }
-            Ok(connection) => connection,
-            Err(_) => return AttemptOutcome::NotSent,
         },
     };
     if target.leaving.get() {
@@ -151,11 +164,16 @@
     }
     let out = encode_request(context, request, target);
     let sent_at = Instant::now();
+    if !target.is_relay {
+        context.state.reach.record_sent(sent_at);
+    }
     connection.conn.begin_exchange();
     let (read, request_sent) = exchange(context, &mut connection, &out, request, target).await;
     match read {
         Ok((response, partial)) => {
-            note_limit(context, target, &response.head, sent_at);
+            if !target.is_relay {
+                note_limit(context, target, &response.head, sent_at);
+            }
             if request_sent && partial.is_none() {
                 connection.conn.end_exchange();
             }
@@ -243,7 +261,7 @@
     let time_left = context.deadline.saturating_duration_since(Instant::now());
     let names = context.names;
     let mut out = Vec::with_capacity(512 + request.body.len());
-    let skip = [names.deadline_ms, names.expected_target];
+    let skip = [names.deadline_ms, names.expected_target, MAX_ATTEMPTS];
     forward::plain_request_head(&mut out, &request.head, &skip);
     let put = forward::put;
     let time_left_ms = time_left.as_millis();
@@ -256,6 +274,10 @@
         &mut out,
         format_args!("{}: {id}\r\n", names.expected_target),
     );
+    if target.is_relay {
+        let max_attempts = context.max_attempts;
+        put(&mut out, format_args!("{MAX_ATTEMPTS}: {max_attempts}\r\n"));
+    }
     if request.head.framing != Framing::Empty {
         let length = request.body.len();
         put(&mut out, format_args!("content-length: {length}\r\n"));
@@ -278,7 +300,10 @@
     let names = context.names;
     for _ in 0..MAX_RESPONSES_READ {
         let head = read_head(reader, buffer, &request.head.method).await?;
-        record_notices(context, target, &head);
+        if !target.is_relay {
+            context.state.reach.record_response();
+            record_notices(context, target, &head);
+        }
         let interim = (100..200).contains(&head.status);
         if interim && head.status != 101 {
             continue;
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::node::proxy::attempt::ResponseStream;
 use crate::node::proxy::attempt::attempt;
 use crate::node::proxy::conn::CallerStatus;
+use crate::node::proxy::serve::Origin;
 use crate::node::rules::RequestKind;
 use crate::node::state::State;
 use crate::route::Verdict;
@@ -66,6 +67,8 @@
     pub deadline: Instant,
     /// Hash of the method, path and body, by which requests that crash targets are recognised.
     pub fingerprint: u64,
+    /// Who sent the request to this node.
+    pub origin: Origin,
 }
 
 /// The result of a request for its caller.
@@ -95,6 +98,8 @@
     NoOwner,
     /// No attempt succeeded, and the retry limits do not permit another.
     Shed,
+    /// Another node passed the request on, and this one reaches no target either.
+    Stranded,
     /// Requests with the same fingerprint crashed targets.
     Quarantined,
     /// The request may have run, but its response was lost.
@@ -133,6 +138,8 @@
     paused_until: Option<Instant>,
     last_response: Option<Response>,
     failure: Option<&'static str>,
+    /// Number of possible runs that are left to another node, once it was asked to serve the request.
+    relayed_runs: Option<u32>,
 }
 
 /// Counts a request as in flight at a target until dropped.
@@ -166,6 +173,9 @@
     if let Verdict::Quarantined = state.crashes.verdict(routed.fingerprint, Instant::now()) {
         return Outcome::Refused(Refusal::Quarantined);
     }
+    if routed.origin == Origin::Node && state.reach.is_stranded() {
+        return Outcome::Refused(Refusal::Stranded);
+    }
     let mut dispatch = Dispatch {
         state,
         routed,
@@ -181,7 +191,13 @@
         paused_until: None,
         last_response: None,
         failure: None,
+        relayed_runs: None,
     };
+    if let Some(key) = routed.key
+        && !dispatch.needs_relay()
+    {
+        state.count_key(&routed.service, key);
+    }
     dispatch.run().await
 }
 
@@ -197,7 +213,7 @@
             if needs_target {
                 match self.next_target(now) {
                     Ok(target) => {
-                        if !self.permit_send(now) {
+                        if !target.is_relay && !self.permit_send(now) {
                             if running.is_empty() {
                                 return self.give_up(Refusal::Shed);
                             }
@@ -219,6 +235,7 @@
                 }
             }
             let until = self.next_wakeup(&running, now);
+            let reach_changed = self.state.reach.changed.notified();
             tokio::select! {
                 biased;
                 Some(finished) = running.next() => {
@@ -227,12 +244,25 @@
                     }
                 }
                 () = tokio::time::sleep_until(until.into()) => {}
+                () = reach_changed => {}
             }
         }
     }
 
+    /// Returns true if another node should serve the request, since this one reaches no target.
+    fn needs_relay(&self) -> bool {
+        self.routed.origin == Origin::Caller && self.state.reach.is_stranded()
+    }
+
     /// Returns the target for the next send, or the reason to wait.
     fn next_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
+        if self.needs_relay() {
+            let own = &self.state.conf.data_centre;
+            let relays = &self.state.relays;
+            if let Some(relay) = relays.choose(own, &self.tried, now, rand::random) {
+                return Ok(relay);
+            }
+        }
         if self.paused_until.is_some_and(|until| now < until) {
             return Err(self.wait_reason.unwrap_or(Refusal::Busy));
         }
@@ -313,8 +343,15 @@
 
     fn launch(&mut self, running: &mut Running<'a>, target: Rc<Target>, now: Instant) {
         self.sends += 1;
-        self.possible_runs += 1;
-        if self.routed.key.is_none() {
+        let runs = match target.is_relay {
+            true => {
+                let left = self.routed.max_attempts.saturating_sub(self.possible_runs);
+                *self.relayed_runs.insert(left.max(1))
+            }
+            false => 1,
+        };
+        self.possible_runs += runs;
+        if self.routed.key.is_none() || target.is_relay {
             self.tried.push(target.entry.id.clone());
         }
         let (state, request, routed): (&'a State, _, _) = (self.state, self.request, self.routed);
@@ -324,6 +361,7 @@
             names: &state.conf.headers,
             idempotent: routed.kind.is_idempotent(),
             refused_before: self.refused_by.contains(&target.entry.id),
+            max_attempts: runs,
             deadline: routed.deadline,
             caller: self.caller,
         };
@@ -342,11 +380,12 @@
     }
 
     fn should_hedge(&self, running: &Running<'a>, now: Instant) -> bool {
-        let single = running.len() == 1 && self.routed.key.is_none();
-        single
+        let is_due = self.needs_relay() || self.routed.key.is_none() && now >= self.hedge_at();
+        is_due
+            && self.relayed_runs.is_none()
+            && running.len() == 1
             && self.routed.kind.is_idempotent()
             && self.possible_runs < self.routed.max_attempts
-            && now >= self.hedge_at()
     }
 
     fn hedge_at(&self) -> Instant {
@@ -399,6 +438,9 @@
         } = finished;
         let target = &target;
         let now = Instant::now();
+        if target.is_relay {
+            return self.handle_relayed(target, outcome, now, none_running);
+        }
         let latency = now.saturating_duration_since(sent_at);
         match outcome {
             AttemptOutcome::Complete(response) if response.head.status < MIN_SERVER_ERROR => {
@@ -459,6 +501,48 @@
         }
     }
 
+    /// Handles the result of another node, which has made all attempts that are useful.
+    fn handle_relayed(
+        &mut self,
+        relay: &Target,
+        outcome: AttemptOutcome,
+        now: Instant,
+        none_running: bool,
+    ) -> Option<Outcome> {
+        match outcome {
+            AttemptOutcome::Complete(response) => {
+                relay.record_response(now.saturating_duration_since(self.routed.started), false);
+                Some(Outcome::Response(response))
+            }
+            AttemptOutcome::Streaming(response, stream) => Some(Outcome::Stream(response, stream)),
+            AttemptOutcome::NotRun { status } if status != 421 => {
+                self.possible_runs -= self.relayed_runs.take().unwrap_or(0);
+                self.log_failure(relay, "not-run", status);
+                none_running.then(|| self.give_up(Refusal::Busy))
+            }
+            AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::NotSent
+            | AttemptOutcome::Withheld
+            | AttemptOutcome::RateLimited => {
+                self.possible_runs -= self.relayed_runs.take().unwrap_or(0);
+                relay.eject(now);
+                self.log_failure(relay, "not-relayed", 0);
+                None
+            }
+            AttemptOutcome::CallerLeft => {
+                self.log_send_skipped();
+                Some(Outcome::CallerLeft)
+            }
+            AttemptOutcome::NoValidResponse(reason) => {
+                relay.record_failure(now);
+                self.failure = Some(reason);
+                self.log_failure(relay, reason, 0);
+                let retry = self.routed.kind.is_idempotent() && self.may_retry();
+                (!retry && none_running).then(|| self.give_up(Refusal::Lost))
+            }
+        }
+    }
+
     fn record_no_crash(&self, now: Instant) {
         let crashes = &self.state.crashes;
         crashes.record_response(self.routed.fingerprint, now);
--- a/src/node/proxy/headers.rs
+++ b/src/node/proxy/headers.rs
@@ -1,6 +1,9 @@
 //! Names of the header fields exchanged with callers and targets. They depend on the platform and
 //! are part of the node's configuration.
 
+/// Header field in requests that a node passes on to another: how many targets may run the request.
+pub const MAX_ATTEMPTS: &str = "gooseberryloft-max-attempts";
+
 /// Header field names in lower case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeaderNames {
--- a/src/node/proxy/request.rs
+++ b/src/node/proxy/request.rs
@@ -10,7 +10,9 @@
 use crate::ids::ServiceId;
 use crate::node::proxy::conn::Conn;
 use crate::node::proxy::dispatch::RoutedRequest;
+use crate::node::proxy::headers::MAX_ATTEMPTS;
 use crate::node::proxy::respond::LocalResponse;
+use crate::node::proxy::serve::Origin;
 use crate::node::rules::Limits;
 use crate::node::rules::Router;
 use crate::node::state::State;
@@ -71,6 +73,7 @@
     router: &Router,
     head: &RequestHead,
     started: Instant,
+    origin: Origin,
 ) -> Result<RoutedRequest, LocalResponse> {
     let host = head.fields.only("host").unwrap_or_default();
     let host = std::str::from_utf8(host).unwrap_or_default();
@@ -87,10 +90,14 @@
         service,
         kind: route.kind,
         objective: route.objective,
-        max_attempts: route.max_attempts,
+        max_attempts: match origin {
+            Origin::Caller => route.max_attempts,
+            Origin::Node => passed_attempts(head, route.max_attempts),
+        },
         started,
         deadline: started + timeout.min(route.timeout),
         fingerprint: 0,
+        origin,
     })
 }
 
@@ -109,10 +116,15 @@
         400,
         "the request carries no key; send one",
     ))?;
-    state.count_key(service, key);
     Ok(Some(key))
 }
 
+/// Returns how many targets may run a request that another node passed on.
+fn passed_attempts(head: &RequestHead, max_attempts: u32) -> u32 {
+    let passed = numeric_field(head, MAX_ATTEMPTS).and_then(|count| u32::try_from(count).ok());
+    passed.map_or(1, |passed| passed.min(max_attempts))
+}
+
 fn numeric_field(head: &RequestHead, name: &str) -> Option<u64> {
     let text = std::str::from_utf8(head.fields.only(name)?).ok()?;
     text.trim().parse().ok()
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -29,6 +29,7 @@
 use crate::node::proxy::request::read_head;
 use crate::node::proxy::request::route;
 use crate::node::proxy::respond;
+use crate::node::proxy::respond::Echo;
 use crate::node::proxy::respond::LAST_CHUNK;
 use crate::node::proxy::respond::LocalResponse;
 use crate::node::proxy::respond::MAX_RETRY_AFTER;
@@ -68,6 +69,15 @@
     Abort,
 }
 
+/// Who sends requests over a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another node, which reaches no target.
+    Node,
+}
+
 /// Counts a request as being served until dropped.
 struct RequestGuard<'a>(&'a State);
 
@@ -104,7 +114,7 @@
 }
 
 /// Serves a caller's connection until it is closed.
-pub async fn serve(state: Rc<State>, stream: TcpStream) {
+pub async fn serve(state: Rc<State>, stream: TcpStream, origin: Origin) {
     let Ok(mut conn) = Conn::new(stream) else {
         return;
     };
@@ -115,7 +125,7 @@
     while wait_for_request(&state, &mut conn, grace).await {
         grace = Duration::ZERO;
         let request_guard = RequestGuard::new(&state);
-        let next_step = serve_request(&state, &mut conn).await;
+        let next_step = serve_request(&state, &mut conn, origin).await;
         drop(request_guard);
         match next_step {
             NextStep::KeepOpen => {}
@@ -173,14 +183,16 @@
     router.map_or(DEFAULT_LIMITS, |router| router.rules().limits.clone())
 }
 
-async fn serve_request(state: &Rc<State>, conn: &mut Conn) -> NextStep {
+async fn serve_request(state: &Rc<State>, conn: &mut Conn, origin: Origin) -> NextStep {
     let started = Instant::now();
     let limits = limits(state);
     let reading = read_head(conn, &limits);
     let head = match timeout(limits.head_time, reading).await {
         Ok(Ok(Some(head))) => head,
         Ok(Ok(None)) => return NextStep::Abort,
-        Ok(Err(error)) => return send_error(state, conn, head_error(error), None, true).await,
+        Ok(Err(error)) => {
+            return send_error(state, conn, origin, head_error(error), None, true).await;
+        }
         Err(_) => return NextStep::Abort,
     };
     let close = !head.keep_alive || state.stage() > ShutdownStage::Serving;
@@ -191,24 +203,26 @@
         );
         // The body is not read, so the connection cannot be reused.
         let close = close || head.framing != Framing::Empty;
-        return send_error(state, conn, response, Some(&head), close).await;
+        return send_error(state, conn, origin, response, Some(&head), close).await;
     };
-    let routed = match route(state, &router, &head, started) {
+    let routed = match route(state, &router, &head, started, origin) {
         Ok(routed) => routed,
         Err(response) => {
             let close = close || head.framing != Framing::Empty;
-            return send_error(state, conn, response, Some(&head), close).await;
+            return send_error(state, conn, origin, response, Some(&head), close).await;
         }
     };
     let body = match read_body(state, conn, &head, &limits, routed.deadline).await {
         Ok(body) => body,
-        Err(Some(response)) => return send_error(state, conn, response, Some(&head), true).await,
+        Err(Some(response)) => {
+            return send_error(state, conn, origin, response, Some(&head), true).await;
+        }
         Err(None) => return NextStep::Abort,
     };
     let id = head.fields.only(state.conf.headers.request_id);
     let Some(id) = id.map(<[u8]>::to_vec) else {
         let response = LocalResponse::error(400, "a request needs one id; send one");
-        return send_error(state, conn, response, Some(&head), close).await;
+        return send_error(state, conn, origin, response, Some(&head), close).await;
     };
     let routed = RoutedRequest {
         fingerprint: fingerprint(&head, &body),
@@ -276,7 +290,9 @@
             if refusal == Refusal::RateLimited {
                 pause = pause.max(next_permit(state, routed));
             }
-            let out = LocalResponse::refusal(refusal, pause).encode(close);
+            let out = LocalResponse::refusal(refusal, pause);
+            let echo = echo(state, routed.origin, Some(&request.id));
+            let out = out.encode(close, echo);
             send(conn, &out, close).await
         }
     }
@@ -365,18 +381,28 @@
 async fn send_error(
     state: &State,
     conn: &mut Conn,
+    origin: Origin,
     response: LocalResponse,
     head: Option<&RequestHead>,
     close: bool,
 ) -> NextStep {
+    let id = head.and_then(|head| head.fields.only(state.conf.headers.request_id));
     state.log.record(Event::RequestRefused, |line| {
-        let id = head.and_then(|head| head.fields.only(state.conf.headers.request_id));
         line.text("id", &String::from_utf8_lossy(id.unwrap_or_default()));
         line.number("status", response.status.into());
         line.text("why", response.text);
         line.number("rules", state.rules_version());
     });
-    send(conn, &response.encode(close), close).await
+    let out = response.encode(close, echo(state, origin, id));
+    send(conn, &out, close).await
+}
+
+fn echo<'a>(state: &'a State, origin: Origin, id: Option<&'a [u8]>) -> Option<Echo<'a>> {
+    let names = &state.conf.headers;
+    match origin {
+        Origin::Caller => None,
+        Origin::Node => id.map(|id| Echo { names, id }),
+    }
 }
 
 async fn send(conn: &mut Conn, out: &[u8], close: bool) -> NextStep {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -25,6 +25,8 @@
 use crate::node::log::Log;
 use crate::node::proxy::headers::HeaderNames;
 use crate::node::proxy::pool::Pool;
+use crate::node::reach::Reach;
+use crate::node::relays::Relays;
 use crate::node::retry_budget::RetryBudget;
 use crate::node::retry_budget::RetryBudgetLimits;
 use crate::node::rules::Router;
@@ -126,6 +128,10 @@
     pub callers: Cell<usize>,
     /// Number of requests in progress.
     pub in_flight: Cell<usize>,
+    /// Whether this node reaches targets.
+    pub reach: Reach,
+    /// The nodes that pass requests on while this node reaches no target.
+    pub relays: Relays,
     /// Permits to send requests to targets that have named a limit.
     pub desk: Desk,
     /// Metrics for operators.
@@ -160,6 +166,8 @@
             table_health: RefCell::default(),
             callers: Cell::new(0),
             in_flight: Cell::new(0),
+            reach: Reach::default(),
+            relays: Relays::default(),
             desk: Desk::default(),
             counters: Counters::default(),
             log,
