Step down as leader when no target is reached and another node reaches some

Cause: a leader gave up its lease only if the store refused it. One that reached the store and no owner kept it: grants expired, and it moved the keys of owners that it took for lost, to owners that it reached no better. Change: a stranded leader steps down if another live node reaches targets, a stranded node does not campaign then, and does not count in the ranks of the others, whose attempts it would delay.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -62,6 +62,9 @@
         if self.should_step_down() {
             return self.step_down("the table refuses only this node", now);
         }
+        if self.is_out_of_reach() {
+            return self.step_down("this node reaches no target", now);
+        }
         self.check_previous_leaders(now);
         let candidates = self.candidates();
         let Some(leading) = &mut self.leading else {
@@ -87,6 +90,11 @@
         self.leading.is_some() && table_health.should_step_down(others_read)
     }
 
+    /// Returns true if this node reaches no target and another one does.
+    pub(super) fn is_out_of_reach(&self) -> bool {
+        self.state.reach.is_stranded() && self.peers.any_reaches_targets(Instant::now())
+    }
+
     pub(super) fn execute(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -264,7 +264,7 @@
         }
         self.catch_up(now);
         let rank = self.peers.rank(&self.election, Instant::now());
-        let eligible = self.state.stage() == ShutdownStage::Serving;
+        let eligible = self.state.stage() == ShutdownStage::Serving && !self.is_out_of_reach();
         if eligible && self.election.should_campaign(rank, now) {
             self.campaign().await;
         }
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -134,6 +134,14 @@
         self.update_counts();
     }
 
+    /// Returns true if another node is alive and reaches targets.
+    pub fn any_reaches_targets(&self, now: Instant) -> bool {
+        let peers = self.peers.borrow();
+        peers
+            .values()
+            .any(|peer| peer.is_alive(now) && !peer.stranded)
+    }
+
     /// Determines the nodes that pass requests on while this node reaches no target.
     pub fn update_relays(&self, now: Instant) {
         let peers = self.peers.borrow();
@@ -152,7 +160,9 @@
     /// campaign earlier.
     pub fn rank(&self, election: &Election, now: Instant) -> u32 {
         let peers = self.peers.borrow();
-        let alive = peers.iter().filter(|(_, peer)| peer.is_alive(now));
+        let alive = peers
+            .iter()
+            .filter(|(_, peer)| peer.is_alive(now) && !peer.stranded);
         let conf = &self.state.conf;
         let alive = alive.map(|(name, peer)| (name, peer.cpu_capacity));
         election.rank((&conf.name, conf.cpu_capacity), alive)
