Refuse late requests that might be cut at the end of the grace period

It can happen here: a request that becomes complete after the node has stopped to accept connections, on a connection that was accepted before, was sent to a target whatever its deadline, and aborted 0.35 s before the end of the grace. Change: from then on a request whose deadline lies after that moment is refused at once with 503 and Retry-After; one that must end earlier is served. Requests that arrive while connections are accepted have at least half of the grace (all of it but 3 s) left and are served as before. Ruled out: an answer of our own at the end of the grace instead of the cut; the target is at work then, and the request lost.

--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -372,15 +372,16 @@
         line.number("in_flight", state.in_flight.get() as u64);
     });
     state.log.flush();
+    let grace = state.reloadable().shutdown_grace;
+    let deadline = started + grace.saturating_sub(GRACE_MARGIN);
+    state.set_abort_time(deadline);
     state.advance_to(ShutdownStage::Leaving);
     for group in groups.values() {
         group.send(GroupMessage::Resign);
     }
-    let grace = state.reloadable().shutdown_grace;
     tokio::time::sleep(accepting_time(grace)).await;
     accepting.iter().for_each(tokio::task::JoinHandle::abort);
     state.advance_to(ShutdownStage::Closing);
-    let deadline = started + grace.saturating_sub(GRACE_MARGIN);
     while state.callers.get() > 0 {
         let turned = state.stage_changed.notified();
         let timed_out = tokio::time::timeout_at(deadline.into(), turned)
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -98,6 +98,8 @@
     NoOwner,
     /// No attempt succeeded, and the retry limits do not permit another.
     Shed,
+    /// The node is shutting down, and the request might not end before that.
+    Stopping,
     /// Another node passed the request on, and this one reaches no target either.
     Stranded,
     /// Requests with the same fingerprint crashed targets.
@@ -173,6 +175,9 @@
     if let Verdict::Quarantined = state.crashes.verdict(routed.fingerprint, Instant::now()) {
         return Outcome::Refused(Refusal::Quarantined);
     }
+    if state.would_abort(routed.deadline) {
+        return Outcome::Refused(Refusal::Stopping);
+    }
     if routed.origin == Origin::Node && state.reach.is_stranded() {
         return Outcome::Refused(Refusal::Stranded);
     }
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -125,6 +125,9 @@
             Refusal::NoOwner => {
                 Self::not_run("the key is on the move; come back later", retry_after)
             }
+            Refusal::Stopping => {
+                Self::not_run("this node is shutting down; ask another one", retry_after)
+            }
             Refusal::Stranded => Self::error(421, "this node reaches no target; ask another one"),
             Refusal::Quarantined => Self {
                 status: 503,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -116,6 +116,8 @@
     pub routing_changed: Notify,
     /// Current stage of the graceful shutdown.
     stage: Cell<ShutdownStage>,
+    /// When requests that are still running are aborted in the graceful shutdown.
+    abort_at: Cell<Option<Instant>>,
     /// Notified when `stage` changes.
     pub stage_changed: Notify,
     /// Number of serving nodes, including this one.
@@ -160,6 +162,7 @@
             crashes: CrashTracker::default(),
             routing_changed: Notify::new(),
             stage: Cell::new(ShutdownStage::Serving),
+            abort_at: Cell::new(None),
             stage_changed: Notify::new(),
             nodes: Cell::new(1),
             data_centres: Cell::new(1),
@@ -202,6 +205,18 @@
         self.stage_changed.notify_waiters();
     }
 
+    /// Sets when requests that are still running are aborted.
+    pub fn set_abort_time(&self, at: Instant) {
+        self.abort_at.set(Some(at));
+    }
+
+    /// Returns true if a request that arrives now and may take until `deadline` would be aborted: one
+    /// that arrived while the node accepted connections has most of the grace period left.
+    pub fn would_abort(&self, deadline: Instant) -> bool {
+        let aborts = self.abort_at.get().is_some_and(|at| deadline > at);
+        aborts && self.stage() >= ShutdownStage::Closing
+    }
+
     /// Returns the router for the rules in force, or `None` if no rules have been read.
     pub fn router(&self) -> Option<Rc<Router>> {
         self.router.borrow().clone()
