Share the descriptor limit of all listeners, and decode named limits in one place

Both listeners now count against the same half. No check is loosened: node_limits compares by reference, since the error now contains the value.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -27,11 +27,10 @@
 use crate::node::keys::tenure::LeaseCheck;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
-use crate::node::limit::Evidence;
 use crate::node::limit::issue_rate;
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_leaving;
-use crate::node::notices::record_limit;
+use crate::node::notices::record_named_limit;
 use crate::node::platform::OrderAnswer;
 use crate::node::platform::Platform;
 use crate::node::state::State;
@@ -401,12 +400,8 @@
     if answer.target_leaving {
         record_leaving(state, &target, NoticeSource::OrderReply);
     }
-    if answer.limit.is_some() {
-        let evidence = Evidence {
-            rate: answer.limit,
-            at: Instant::now(),
-        };
-        record_limit(state, &target, evidence, NoticeSource::OrderReply);
+    if let Some(rate) = answer.limit.clone() {
+        record_named_limit(state, &target, rate, NoticeSource::OrderReply);
     }
 }
 
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::events::Event;
@@ -44,7 +45,7 @@
 const LISTEN_BACKLOG: u32 = 1_024;
 /// Pause before the next accept when an accept failed or callers use all their descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Share of the descriptors that callers may use; the rest is for targets and the platform.
+/// Share of the descriptors that callers and other nodes may use; the rest is for targets and the platform.
 const CALLER_SOCKET_SHARE: f64 = 0.5;
 /// How often the log is flushed, missing groups are started and expired targets are removed.
 const MAINTENANCE_PERIOD: Duration = Duration::from_millis(200);
@@ -138,8 +139,7 @@
         peers.clone(),
         addresses.peers,
     ));
-    let accepting = [(callers, Origin::Caller), (nodes, Origin::Node)]
-        .map(|(listener, origin)| spawn(accept(state.clone(), listener, origin)));
+    let accepting = start_accepting(&state, callers, nodes);
     let mut groups = Groups::new();
     let mut maintenance_runs = 0u64;
     loop {
@@ -164,7 +164,7 @@
     Ok(())
 }
 
-fn spawn<F: Future + 'static>(task: F) -> tokio::task::JoinHandle<F::Output> {
+fn spawn<F: Future + 'static>(task: F) -> JoinHandle<F::Output> {
     tokio::task::spawn_local(task)
 }
 
@@ -175,9 +175,22 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-async fn accept(state: Rc<State>, listener: TcpListener, origin: Origin) {
-    let max_callers = (state.conf.max_sockets as f64 * CALLER_SOCKET_SHARE) as usize;
+/// Accepts connections of callers and of other nodes, up to a common limit.
+fn start_accepting(
+    state: &Rc<State>,
+    callers: TcpListener,
+    nodes: TcpListener,
+) -> [JoinHandle<()>; 2] {
     let open_connections = Rc::new(());
+    [(callers, Origin::Caller), (nodes, Origin::Node)].map(|(listener, origin)| {
+        let open_connections = open_connections.clone();
+        spawn(accept(state.clone(), listener, origin, open_connections))
+    })
+}
+
+/// Accepts connections; each one holds a reference to `open_connections`, which all listeners share.
+async fn accept(state: Rc<State>, listener: TcpListener, origin: Origin, open_connections: Rc<()>) {
+    let max_callers = (state.conf.max_sockets as f64 * CALLER_SOCKET_SHARE) as usize;
     loop {
         if Rc::strong_count(&open_connections) > max_callers {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -362,11 +375,7 @@
     grace.mul_f64(LEAVING_SHARE).min(MAX_LEAVING_TIME)
 }
 
-async fn shut_down(
-    state: &Rc<State>,
-    groups: &Groups,
-    accepting: [tokio::task::JoinHandle<()>; 2],
-) {
+async fn shut_down(state: &Rc<State>, groups: &Groups, accepting: [JoinHandle<()>; 2]) {
     let started = Instant::now();
     state.log.record(Event::Draining, |line| {
         line.number("in_flight", state.in_flight.get() as u64);
@@ -380,7 +389,7 @@
         group.send(GroupMessage::Resign);
     }
     tokio::time::sleep(accepting_time(grace)).await;
-    accepting.iter().for_each(tokio::task::JoinHandle::abort);
+    accepting.iter().for_each(JoinHandle::abort);
     state.advance_to(ShutdownStage::Closing);
     while state.callers.get() > 0 {
         let turned = state.stage_changed.notified();
--- a/src/node/limit/evidence.rs
+++ b/src/node/limit/evidence.rs
@@ -14,12 +14,24 @@
 #[serde(try_from = "f64", into = "f64")]
 pub struct RequestRate(f64);
 
-/// The value is not a number of requests per second.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("a limit is a decimal number that is not negative; send one, or none")]
-pub struct InvalidRate;
+/// The value, which it contains, is not a number of requests per second.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("\"{0}\" is no limit; send one decimal number that is not negative, or none")]
+pub struct InvalidRate(String);
 
 impl RequestRate {
+    /// Decodes the limit from the values of its header field; returns `None` if there are none.
+    pub fn from_field<'a>(
+        values: impl Iterator<Item = &'a [u8]>,
+    ) -> Option<Result<Self, InvalidRate>> {
+        let values: Vec<_> = values.map(String::from_utf8_lossy).collect();
+        match &values[..] {
+            [] => None,
+            [value] => Some(value.parse()),
+            _ => Some(Err(InvalidRate(values.join(", ")))),
+        }
+    }
+
     /// Returns the requests per second.
     pub fn per_second(self) -> f64 {
         self.0
@@ -32,7 +44,7 @@
     fn try_from(rate: f64) -> Result<Self, InvalidRate> {
         match rate.is_finite() && rate >= 0.0 {
             true => Ok(Self(rate)),
-            false => Err(InvalidRate),
+            false => Err(InvalidRate(rate.to_string())),
         }
     }
 }
@@ -47,8 +59,9 @@
     type Err = InvalidRate;
 
     fn from_str(text: &str) -> Result<Self, InvalidRate> {
-        let rate: f64 = text.trim().parse().map_err(|_| InvalidRate)?;
-        Self::try_from(rate)
+        let invalid = || InvalidRate(text.to_owned());
+        let rate: f64 = text.trim().parse().map_err(|_| invalid())?;
+        Self::try_from(rate).map_err(|_| invalid())
     }
 }
 
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -2,12 +2,16 @@
 //! requests per second they accept. The list may show the former later, or not at all while the store
 //! is unavailable, and never shows the latter.
 
+use std::time::Instant;
+
 use strum::IntoStaticStr;
 
 use crate::events::Event;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
 use crate::node::limit::Evidence;
+use crate::node::limit::InvalidRate;
+use crate::node::limit::RequestRate;
 use crate::node::state::State;
 
 /// Where a node learned what a target announced.
@@ -40,6 +44,30 @@
     state.routing_changed.notify_waiters();
 }
 
+/// Records the limit that a target named in a response just now, or logs that its value is invalid.
+pub fn record_named_limit(
+    state: &State,
+    target: &Target,
+    rate: Result<RequestRate, InvalidRate>,
+    source: NoticeSource,
+) {
+    match rate {
+        Ok(rate) => {
+            let evidence = Evidence {
+                rate: Some(rate),
+                at: Instant::now(),
+            };
+            record_limit(state, target, evidence, source);
+        }
+        Err(error) => state.log.record(Event::FieldInvalid, |line| {
+            line.text("target", target.entry.id.as_str());
+            line.text("field", state.conf.headers.limit);
+            line.text("source", source.into());
+            line.show("error", error);
+        }),
+    }
+}
+
 /// Records evidence of a target's limit, or of its absence.
 pub fn record_limit(state: &State, target: &Target, evidence: Evidence, source: NoticeSource) {
     let before = target.limit.rate();
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -12,6 +12,7 @@
 use crate::node::fleet::TargetUpdate;
 use crate::node::keys::leader::Order;
 use crate::node::keys::leader::OrderOutcome;
+use crate::node::limit::InvalidRate;
 use crate::node::limit::RequestRate;
 use crate::node::rules::Rules;
 use crate::platform::Generation;
@@ -56,8 +57,8 @@
     pub outcome: OrderOutcome,
     /// Whether the target announced in its reply that it is shutting down.
     pub target_leaving: bool,
-    /// The limit on its requests that the target named in its reply.
-    pub limit: Option<RequestRate>,
+    /// The limit on its requests that the target named in its reply, if it named one.
+    pub limit: Option<Result<RequestRate, InvalidRate>>,
 }
 
 impl From<OrderOutcome> for OrderAnswer {
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -7,15 +7,14 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
-use crate::events::Event;
 use crate::node::fleet::Target;
 use crate::node::limit::Evidence;
-use crate::node::limit::InvalidRate;
 use crate::node::limit::RequestRate;
 use crate::node::limit::obtain_permit;
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_leaving;
 use crate::node::notices::record_limit;
+use crate::node::notices::record_named_limit;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::headers::HeaderNames;
@@ -347,38 +346,17 @@
     if is_from_other(names, target, head) {
         return;
     }
-    let mut values = head.fields.all(names.limit);
-    let evidence = match (values.next(), values.next()) {
-        (None, _) => Evidence {
-            rate: None,
-            at: sent_at,
-        },
-        (Some(value), None) => match parse_rate(value) {
-            Ok(rate) => Evidence {
-                rate: Some(rate),
-                at: Instant::now(),
-            },
-            Err(error) => return log_invalid(state, target, names.limit, value, error),
-        },
-        (Some(value), Some(_)) => {
-            return log_invalid(state, target, names.limit, value, InvalidRate);
+    let source = NoticeSource::Response;
+    match RequestRate::from_field(head.fields.all(names.limit)) {
+        Some(rate) => record_named_limit(state, target, rate, source),
+        None => {
+            let evidence = Evidence {
+                rate: None,
+                at: sent_at,
+            };
+            record_limit(state, target, evidence, source);
         }
-    };
-    record_limit(state, target, evidence, NoticeSource::Response);
-}
-
-fn parse_rate(value: &[u8]) -> Result<RequestRate, InvalidRate> {
-    let text = std::str::from_utf8(value).map_err(|_| InvalidRate)?;
-    text.parse()
-}
-
-fn log_invalid(state: &State, target: &Target, field: &str, value: &[u8], error: InvalidRate) {
-    state.log.record(Event::FieldInvalid, |line| {
-        line.text("target", target.entry.id.as_str());
-        line.text("field", field);
-        line.text("value", &String::from_utf8_lossy(value));
-        line.show("error", error);
-    });
+    }
 }
 
 async fn read_head(
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -59,8 +59,7 @@
 /// The terminating chunk of a chunked body.
 pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
-/// What a response to another node contains besides, so that it can be told from one to another
-/// request.
+/// What a response to another node contains besides, so that the node can match it to its request.
 #[derive(Clone, Copy, Debug)]
 pub struct Echo<'a> {
     /// Names of the header fields shared with nodes.
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -76,8 +76,8 @@
     for text in ["", "-1", "nan", "inf", "1e999", "4 a second", "4,5"] {
         expect_that!(text.parse::<RequestRate>(), err(anything()), "{text}");
     }
-    expect_that!(" 4.5 ".parse::<RequestRate>(), ok(eq(rate(4.5))));
-    expect_that!("0".parse::<RequestRate>(), ok(eq(rate(0.0))));
+    expect_that!(" 4.5 ".parse::<RequestRate>(), ok(eq(&rate(4.5))));
+    expect_that!("0".parse::<RequestRate>(), ok(eq(&rate(0.0))));
 }
 
 #[googletest::test]
