Take an issuer that answers by way of another node for alive

Callers of a limited instance were refused although permits were left: if the node that was asked for a permit takes another one for the issuer, it passes the request on, and the answer comes from that one. The node that was asked then counted as silent until its next heartbeat, so that after 0.1 s the asker used only its share of the limit.

A node remembers whom it asked for a permit, and an answer ends that node's silence, whoever sends it. Ruled out: to end the silence of all nodes with each answer, since a lost issuer would then cost 0.1 s for each request.

--- a/src/node/control/peers/limits.rs
+++ b/src/node/control/peers/limits.rs
@@ -46,17 +46,20 @@
         } = request;
         let limits = &self.state.limits;
         if !self.rows_read.get() {
-            return limits.answer(number, Verdict::Denied(UNKNOWN_NODES_WAIT));
+            limits.answer(number, Verdict::Denied(UNKNOWN_NODES_WAIT));
+            return;
         }
         let Some(name) = self.issuer(process.target, now) else {
-            return limits.answer(number, limits.issue(process, evidence, now));
+            limits.answer(number, limits.issue(process, evidence, now));
+            return;
         };
         let mut peers = self.peers.borrow_mut();
         let peer = peers.get_mut(&name).expect("the issuer is a known node");
         let asked = *peer.asked_since.get_or_insert(now);
         if now.saturating_duration_since(asked) > PERMIT_TIMEOUT {
             let nodes = self.state.nodes.get();
-            return limits.answer(number, limits.take_own_share(process, evidence, nodes));
+            limits.answer(number, limits.take_own_share(process, evidence, nodes));
+            return;
         }
         let request = PermitRequest {
             number,
@@ -65,6 +68,7 @@
         };
         let bytes = self.datagram(Message::PermitRequest(request));
         self.send_to(peer.address, &bytes);
+        limits.record_asked(number, name);
     }
 
     /// Returns the node that issues the permits for a target, or `None` if it is this one.
@@ -114,7 +118,12 @@
             0 => Verdict::Granted,
             wait => Verdict::Denied(Duration::from_millis(wait.into())),
         };
-        self.state.limits.answer(number, verdict);
+        let asked = self.state.limits.answer(number, verdict);
+        // The node that was asked may have passed the request on to the one that answers.
+        let mut peers = self.peers.borrow_mut();
+        if let Some(peer) = asked.and_then(|name| peers.get_mut(&name)) {
+            peer.asked_since = None;
+        }
     }
 
     pub(super) fn handle_limits(&self, reports: &[LimitReport], now: Instant) {
--- a/src/node/limit/state.rs
+++ b/src/node/limit/state.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::ids::VmId;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
 use crate::node::limit::Evidence;
@@ -44,6 +45,14 @@
     repeats: u32,
 }
 
+/// A request for a permit that has no answer yet.
+#[derive(Debug)]
+struct Waiting {
+    answer: oneshot::Sender<Verdict>,
+    /// The node that was asked.
+    asked: Option<VmId>,
+}
+
 /// The state of a node's permits.
 #[derive(Debug, Default)]
 pub struct LimitState {
@@ -51,7 +60,7 @@
     /// Notified when a request for a permit is to be passed on.
     pub queued: Notify,
     last_number: Cell<u64>,
-    waiting: RefCell<BTreeMap<u64, oneshot::Sender<Verdict>>>,
+    waiting: RefCell<BTreeMap<u64, Waiting>>,
     /// Permits that this node issues to all nodes.
     issued: RefCell<Permits>,
     /// Permits that this node issues to itself while it does not reach the node that issues them.
@@ -113,8 +122,12 @@
     ) -> (u64, oneshot::Receiver<Verdict>) {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().insert(number, sender);
+        let (answer, receiver) = oneshot::channel();
+        let waiting = Waiting {
+            answer,
+            asked: None,
+        };
+        self.waiting.borrow_mut().insert(number, waiting);
         self.queue.borrow_mut().push_back(QueuedRequest {
             number,
             process,
@@ -129,14 +142,22 @@
         self.queue.borrow_mut().pop_front()
     }
 
-    /// Answers a request for a permit, unless its caller no longer waits.
-    pub fn answer(&self, number: u64, verdict: Verdict) {
-        if let Some(sender) = self.waiting.borrow_mut().remove(&number) {
-            // The caller may have stopped waiting just now.
-            let _ = sender.send(verdict);
+    /// Records which node a request for a permit was sent to.
+    pub fn record_asked(&self, number: u64, node: VmId) {
+        if let Some(waiting) = self.waiting.borrow_mut().get_mut(&number) {
+            waiting.asked = Some(node);
         }
     }
 
+    /// Answers a request for a permit, unless its caller no longer waits; returns the node that was
+    /// asked, if any.
+    pub fn answer(&self, number: u64, verdict: Verdict) -> Option<VmId> {
+        let waiting = self.waiting.borrow_mut().remove(&number)?;
+        // The caller may have stopped waiting just now.
+        let _ = waiting.answer.send(verdict);
+        waiting.asked
+    }
+
     /// Issues a permit for any node.
     pub fn issue(&self, process: ProcessTag, evidence: Evidence, now: Instant) -> Verdict {
         match evidence.rate {
