Send nothing to a target until the Retry-After of its 503 has passed

The end of the pause is state of the target's process: no request, retry or hedge is sent to it, also not over a connection that was being opened. The later of two ends counts; a pause lasts 10 s at most; each node adds up to a quarter at random. If all targets or the owner of the key pause, callers are refused at once, and Retry-After follows from the first end. Values that are not a number of seconds are logged and ignored. Each pause and its end is logged (516) and counted. Ruled out: to tell the other nodes, since each learns it from one response, and to pause a target by the 503 of a node that passes requests on, which speaks for itself.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -102,6 +102,8 @@
     LimitChanged = 514,
     /// A header field of a target's response has an invalid value and was ignored.
     FieldInvalid = 515,
+    /// A target asked for a pause in a 503 response, or its pause has ended.
+    TargetPaused = 516,
     /// The table service does not respond.
     TableDown = 600,
     /// The table service responds again.
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -27,6 +27,7 @@
 use crate::node::control::rows::NodeRow;
 use crate::node::control::watch;
 use crate::node::counters::Counter;
+use crate::node::notices::end_pauses;
 use crate::node::platform::Platform;
 use crate::node::proxy::conn::Conn;
 use crate::node::proxy::serve::Origin;
@@ -150,6 +151,7 @@
                 maintenance_runs += 1;
                 start_groups(&state, &peers, &table, &platform, &mut groups);
                 watch::expire_targets(&state);
+                end_pauses(&state, Instant::now());
                 if maintenance_runs.is_multiple_of(SWEEP_PERIODS) {
                     let now = Instant::now();
                     state.pool.sweep(now);
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -43,6 +43,8 @@
     PermitsDenied,
     /// Requests for a permit that were not answered in time.
     PermitTimeouts,
+    /// How often targets began to ask for a pause.
+    Pauses,
     /// How often this node found that it reaches no target.
     Strandings,
     /// Log lines dropped because of the rate or buffer limit.
@@ -61,7 +63,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 14],
+    unlabelled: [Cell<u64>; 15],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -22,6 +22,7 @@
 use crate::node::datagram::target_tag;
 use crate::node::limit::ProcessTag;
 use crate::node::limit::TargetLimit;
+use crate::node::pause::PauseState;
 
 /// How long after the last failed read of the list a target that disappeared from it stays in use.
 /// Live targets are listed again within about two seconds, and 3 s after an outage targets that are
@@ -111,6 +112,8 @@
     ejected_until: Cell<Option<Instant>>,
     /// Until when no permit for the target is expected.
     withheld_until: Cell<Option<Instant>>,
+    /// The pause that the target asked for.
+    pub pause: PauseState,
     warm_at: Cell<Option<Instant>>,
 }
 
@@ -131,6 +134,7 @@
             failure_rate: Cell::new(0.0),
             ejected_until: Cell::new(None),
             withheld_until: Cell::new(None),
+            pause: PauseState::default(),
             warm_at: Cell::new(
                 (!entry.warm_up.is_zero()).then(|| now + entry.warm_up.min(MAX_WARM_UP)),
             ),
@@ -198,18 +202,20 @@
         }
     }
 
-    /// Returns until when the target gets no requests because of its limit, if it does not get any now.
+    /// Returns until when the target gets no requests because of its limit or of a pause that it asked
+    /// for, if it does not get any now.
     pub fn withheld_until(&self, now: Instant) -> Option<Instant> {
         let until = self.withheld_until.get().filter(|until| now < *until);
-        until.filter(|_| self.limit.rate().is_some())
+        let until = until.filter(|_| self.limit.rate().is_some());
+        until.max(self.pause.until(now))
     }
 
-    /// Returns true while the target gets no requests because of its limit.
+    /// Returns true while the target gets no requests because of its limit or of a pause.
     pub fn is_withheld(&self, now: Instant) -> bool {
         self.withheld_until(now).is_some()
     }
 
-    /// Ends the time in which the target is withheld.
+    /// Ends the time in which the target is withheld because of its limit.
     pub fn end_withholding(&self) {
         self.withheld_until.set(None);
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,6 +14,7 @@
 pub mod list_schedule;
 pub mod log;
 pub mod notices;
+pub mod pause;
 pub mod pick;
 pub mod platform;
 pub mod proxy;
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -1,7 +1,8 @@
-//! What targets announce of themselves in their responses: that they are shutting down, and how many
-//! requests per second they accept. The list may show the former later, or not at all while the store
-//! is unavailable, and never shows the latter.
+//! What targets announce of themselves in their responses: that they are shutting down, how many
+//! requests per second they accept, and how long they want none. The list may show the first later, or
+//! not at all while the store is unavailable, and never shows the others.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use strum::IntoStaticStr;
@@ -12,6 +13,7 @@
 use crate::node::limit::Evidence;
 use crate::node::limit::InvalidRate;
 use crate::node::limit::RequestRate;
+use crate::node::pause::InvalidPause;
 use crate::node::state::State;
 
 /// Where a node learned what a target announced.
@@ -68,6 +70,51 @@
     }
 }
 
+/// Records the pause that a target asked for in a response just now, or logs that its value is invalid.
+pub fn record_pause(state: &State, target: &Target, pause: Result<Duration, InvalidPause>) {
+    let pause = match pause {
+        Ok(pause) => pause,
+        Err(error) => {
+            return state.log.record(Event::FieldInvalid, |line| {
+                line.text("target", target.entry.id.as_str());
+                line.text("field", "retry-after");
+                line.text("source", NoticeSource::Response.into());
+                line.show("error", error);
+            });
+        }
+    };
+    let now = Instant::now();
+    if pause.is_zero() || !target.pause.record(pause, now, rand::random()) {
+        return;
+    }
+    state.counters.add(Counter::Pauses);
+    log_pause(state, target, "begins", pause);
+}
+
+/// Logs the pauses of targets that have ended.
+pub fn end_pauses(state: &State, now: Instant) {
+    let fleet = state.fleet.borrow();
+    let ended = fleet.iter().filter(|target| target.pause.take_end(now));
+    let mut count = 0;
+    for target in ended {
+        log_pause(state, target, "ends", Duration::ZERO);
+        count += 1;
+    }
+    if count > 0 {
+        state.routing_changed.notify_waiters();
+    }
+}
+
+fn log_pause(state: &State, target: &Target, change: &'static str, left: Duration) {
+    state.log.record(Event::TargetPaused, |line| {
+        line.text("target", target.entry.id.as_str());
+        line.number("incarnation", target.entry.incarnation);
+        line.text("service", target.entry.service.as_str());
+        line.text("change", change);
+        line.number("left_ms", left.as_millis() as u64);
+    });
+}
+
 /// Records evidence of a target's limit, or of its absence.
 pub fn record_limit(state: &State, target: &Target, evidence: Evidence, source: NoticeSource) {
     let before = target.limit.rate();
--- a/src/node/pick.rs
+++ b/src/node/pick.rs
@@ -84,7 +84,7 @@
     targets.iter().any(|target| !target.leaving.get())
 }
 
-/// Returns true if the limits of all targets that are not leaving are used up.
+/// Returns true if all targets that are not leaving have used up their limits or asked for a pause.
 pub fn all_withheld(targets: &[Rc<Target>], now: Instant) -> bool {
     let mut staying = targets.iter().filter(|target| !target.leaving.get());
     staying.all(|target| target.is_withheld(now))
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -15,6 +15,8 @@
 use crate::node::notices::record_leaving;
 use crate::node::notices::record_limit;
 use crate::node::notices::record_named_limit;
+use crate::node::notices::record_pause;
+use crate::node::pause::pause_from_field;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::headers::HeaderNames;
@@ -68,7 +70,8 @@
     CallerLeft,
     /// The target announced that it is shutting down while a connection to it was opened.
     Withheld,
-    /// The target has named a limit, and no permit to send the request was available.
+    /// The target has named a limit, and no permit to send the request was available, or it asked for a
+    /// pause while a connection to it was opened.
     RateLimited,
     /// The request was sent, but no valid response was received; it may have run. Contains the
     /// reason for the log.
@@ -161,6 +164,10 @@
     if target.leaving.get() {
         return AttemptOutcome::Withheld;
     }
+    if target.pause.until(Instant::now()).is_some() {
+        context.pool.put(connection, None, Instant::now());
+        return AttemptOutcome::RateLimited;
+    }
     let out = encode_request(context, request, target);
     let sent_at = Instant::now();
     if !target.is_relay {
@@ -172,6 +179,7 @@
         Ok((response, partial)) => {
             if !target.is_relay {
                 note_limit(context, target, &response.head, sent_at);
+                note_pause(context, target, &response.head);
             }
             if request_sent && partial.is_none() {
                 connection.conn.end_exchange();
@@ -359,6 +367,16 @@
     }
 }
 
+/// Records the pause that the target asks for in a response.
+fn note_pause(context: AttemptContext<'_>, target: &Target, head: &ResponseHead) {
+    if head.status != 503 || is_from_other(context.names, target, head) {
+        return;
+    }
+    if let Some(pause) = pause_from_field(head.fields.all("retry-after")) {
+        record_pause(context.state, target, pause);
+    }
+}
+
 async fn read_head(
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut ReadBuffer,
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -92,7 +92,8 @@
     NoTarget,
     /// No target has free capacity.
     Busy,
-    /// The targets that could run the request have named limits, which are used up.
+    /// The targets that could run the request have named limits, which are used up, or asked for a
+    /// pause.
     RateLimited,
     /// No target holds the key at present.
     NoOwner,
@@ -566,6 +567,10 @@
         self.log_failure(target, "not-run", status);
         if status != 421 {
             target.record_refusal(now);
+            if target.pause.until(now).is_some() {
+                self.wait_reason = Some(Refusal::RateLimited);
+                return;
+            }
             self.wait_reason = Some(Refusal::Busy);
             self.paused_until = self.routed.key.map(|_| now + OWNER_RETRY_DELAY);
             return;
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -288,7 +288,7 @@
             let time_left = routed.deadline.saturating_duration_since(Instant::now());
             let mut pause = retry_after(time_left, routed.objective);
             if refusal == Refusal::RateLimited {
-                pause = pause.max(next_permit(state, routed));
+                pause = pause.max(next_opening(state, routed));
             }
             let out = LocalResponse::refusal(refusal, pause);
             let echo = echo(state, routed.origin, Some(&request.id));
@@ -298,9 +298,9 @@
     }
 }
 
-/// Returns when the next permit for a target of the request is expected, spread over as much time
+/// Returns when a target of the request is expected to take requests again, spread over as much time
 /// again, since others who were refused return as well.
-fn next_permit(state: &State, routed: &RoutedRequest) -> Duration {
+fn next_opening(state: &State, routed: &RoutedRequest) -> Duration {
     let now = Instant::now();
     let fleet = state.fleet.borrow();
     let views = state.views.borrow();
