Show with a test that an answer of a former term ends a release of the next one

Orders are numbered from 1 in each leadership, and their outcomes reach the group by that number alone. A process that steps down and acquires the lease again within the time of a release (4 s) takes the outcome of a former order for that of the order with the same number.

The test fails: after the answer to a grant of term 2 the leader of term 3 sends a grant of all keys to t1, while the release of t0 has no answer.

--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -4,7 +4,9 @@
 #[path = "support/keys_simulation.rs"]
 mod keys_simulation;
 
+use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -12,6 +14,21 @@
 use crate::keys_simulation::Faults;
 use crate::keys_simulation::Simulation;
 use crate::keys_simulation::TestRng;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::node::keys::key_load::KeyLoad;
+use gooseberryloft::node::keys::leader::Action;
+use gooseberryloft::node::keys::leader::Command;
+use gooseberryloft::node::keys::leader::Inherited;
+use gooseberryloft::node::keys::leader::Leader;
+use gooseberryloft::node::keys::leader::Order;
+use gooseberryloft::node::keys::leader::OrderOutcome;
+use gooseberryloft::node::keys::leader::OrderReply;
+use gooseberryloft::node::keys::map::Holder;
+use gooseberryloft::node::keys::map::KeyMap;
+use gooseberryloft::node::keys::map::KeyRange;
+use gooseberryloft::node::keys::map::MapVersion;
+use gooseberryloft::node::keys::map::Ownership;
+use gooseberryloft::node::keys::plan::Candidate;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -263,6 +280,65 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+fn process(target: &str) -> Holder {
+    Holder {
+        id: TargetId::from(target),
+        incarnation: 1,
+    }
+}
+
+fn listed(target: &str) -> Candidate {
+    Candidate {
+        holder: process(target),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        capacity: 4.0,
+        leaving: false,
+        on_probation: false,
+    }
+}
+
+/// Returns a leader that continues from a map in which all keys have this owner and prior owner.
+fn leader_of(term: u64, owner: &str, prior: Option<&str>, now: Instant) -> Leader {
+    let entry = Ownership {
+        range: KeyRange::ALL,
+        owner: Some(process(owner)),
+        prior: prior.map(process),
+    };
+    let map = KeyMap {
+        version: MapVersion { term: 1, number: 1 },
+        max_grant_ms: Some(2_500),
+        ranges: vec![entry],
+    };
+    Leader::new(term, Inherited::Map(&map), MS(10_000), now)
+}
+
+fn orders(actions: Vec<Action>) -> Vec<Order> {
+    let order = |action| match action {
+        Action::Send(order) => Some(order),
+        _ => None,
+    };
+    actions.into_iter().filter_map(order).collect()
+}
+
+#[googletest::test]
+fn a_late_answer_of_a_former_term_does_not_end_a_release_of_the_next_term() {
+    let now = Instant::now() + MS(1_000_000);
+    let candidates = [listed("t0"), listed("t1")];
+    let load = KeyLoad::new(now);
+    let former = orders(leader_of(2, "t0", None, now).tick(now, &candidates, &load));
+    // The same process loses the lease and acquires it again while the order is under way.
+    let mut leader = leader_of(3, "t1", Some("t0"), now);
+    let released = orders(leader.tick(now, &candidates, &load));
+    assert_that!(released[0].command, eq(&Command::Release));
+    let reply = OrderReply {
+        handover: None,
+        opened: now,
+    };
+    let mut actions = leader.order_ended(former[0].id, OrderOutcome::Done(reply), now);
+    actions.extend(leader.tick(now + MS(50), &candidates, &load));
+    expect_that!(orders(actions), is_empty());
+}
+
 /// Applies one random fault or repair to a random target or node, or adds load.
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
