Tell orders of former terms from those of the current one

The id of an order contains its term. A process never leads a term twice: the next lease is above every term that it knows.

--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -349,7 +349,7 @@
                     actions.push(Action::CheckLease);
                 }
                 let is_accepted = matches!(outcome, OrderOutcome::Done(_));
-                self.ranges[at].confirmed |= is_accepted && id.0 > self.unconfirmed_order;
+                self.ranges[at].confirmed |= is_accepted && id.number > self.unconfirmed_order;
                 self.grant_ended(at, outcome, now, &mut locations);
             }
         }
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -279,7 +279,10 @@
             }
         };
         self.last_order_id += 1;
-        let id = OrderId(self.last_order_id);
+        let id = OrderId {
+            term: self.term,
+            number: self.last_order_id,
+        };
         state.pending_order = Some(id);
         Some(Order {
             id,
--- a/src/node/keys/leader/order.rs
+++ b/src/node/keys/leader/order.rs
@@ -10,9 +10,14 @@
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
 
-/// Identifies an order within a term until its outcome is known.
+/// Identifies an order until its outcome is known, also among those of a process's former terms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct OrderId(pub(super) u64);
+pub struct OrderId {
+    /// The term in which the order was sent.
+    pub(super) term: u64,
+    /// Increases with every order of the leader.
+    pub(super) number: u64,
+}
 
 /// The instruction of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
