Show with a test that keys of a restarted target are given on without a release

A target that restarts at the same address under the same id accepts grants meant for its former process while the list still names that one: the leader grants the keys again, at a higher fence, as soon as the connection is closed. Once the list shows the new process, the former one counts as ended, and the leader gives its keys on at once, without a release and before the grants have expired.

The simulation's list always named the running process, so no property could find this; it can now lag behind.

--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -339,6 +339,21 @@
     expect_that!(orders(actions), is_empty());
 }
 
+#[googletest::test]
+fn a_restarted_target_that_was_granted_keys_as_its_former_process_releases_them() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    simulation.crash(1);
+    simulation.restart_unlisted(1);
+    simulation.run(MS(1_500));
+    expect_that!(simulation.held_by(1), not(is_empty()));
+    simulation.targets[1].leaving = true;
+    simulation.list_process(1);
+    simulation.run(MS(1_000));
+    expect_that!(simulation.violations, is_empty());
+    expect_that!(simulation.held_by(1), is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+}
+
 /// Applies one random fault or repair to a random target or node, or adds load.
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -84,6 +84,8 @@
     /// True if it is shutting down and must give up its keys.
     pub leaving: bool,
     incarnation: u64,
+    /// The process that the list names; an earlier one while the list is out of date.
+    listed_incarnation: u64,
     holds: Vec<HeldRange>,
     /// When its process started; all connections to it count as opened then.
     started_at: Instant,
@@ -213,6 +215,7 @@
             listed: true,
             leaving: false,
             incarnation: incarnation as u64 + 1,
+            listed_incarnation: incarnation as u64 + 1,
             holds: Vec::new(),
             started_at: now,
             seen: Vec::new(),
@@ -296,6 +299,18 @@
 
     /// Starts a new process of a target, which holds no keys.
     pub fn restart(&mut self, index: usize) {
+        self.restart_unlisted(index);
+        self.list_process(index);
+    }
+
+    /// Lists the process of a target that runs now.
+    pub fn list_process(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        target.listed_incarnation = target.incarnation;
+    }
+
+    /// Starts a new process of a target at the same address, while the list names the former one.
+    pub fn restart_unlisted(&mut self, index: usize) {
         self.last_incarnation += 1;
         let target = &mut self.targets[index];
         target.up = true;
@@ -377,7 +392,7 @@
         let listed = listed.filter(|(_, target)| target.listed);
         listed
             .map(|(index, target)| Candidate {
-                holder: holder(index, target.incarnation),
+                holder: holder(index, target.listed_incarnation),
                 address: SocketAddr::from(([127, 0, 0, 1], index as u16 + 1)),
                 capacity: 4.0,
                 leaving: target.leaving,
