Ask the later process of a target to release keys that the former one owned

That a process has ended says nothing of grants that were sent to its address afterwards.

The release now goes to the later process of the same target, and the keys are given on after its answer or after the grants have expired, as for any other owner. A restarted target's keys are given on one round trip later than before. Ruled out: waiting for the expiry alone, which would leave the keys of every restarted target without an owner for seconds.

--- a/src/node/keys/leader/candidate_index.rs
+++ b/src/node/keys/leader/candidate_index.rs
@@ -30,6 +30,12 @@
         candidate.filter(|candidate| candidate.holder == *holder)
     }
 
+    /// Returns the candidate that is this process of a target or a later one.
+    pub(super) fn get_latest(&self, holder: &Holder) -> Option<&'a Candidate> {
+        let candidate = self.by_target.get(&holder.id).copied();
+        candidate.filter(|candidate| candidate.holder.incarnation >= holder.incarnation)
+    }
+
     /// Returns true if a process is known to have ended, because a later one of the same target runs.
     pub(super) fn has_ended(&self, holder: &Holder) -> bool {
         let candidate = self.by_target.get(&holder.id);
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -143,11 +143,7 @@
         }
         let state = &self.ranges[at];
         if state.stage == Stage::Releasing {
-            let ended = state
-                .owner
-                .as_ref()
-                .is_none_or(|owner| now >= state.held_until || candidates.has_ended(owner));
-            if ended {
+            if state.owner.is_none() || now >= state.held_until {
                 self.complete_move(at, now);
             }
         }
@@ -257,7 +253,11 @@
             return None;
         }
         let owner = state.owner.clone()?;
-        let candidate = candidates.get(&owner)?;
+        let candidate = match state.stage {
+            // A later process at the same address may have been granted the keys before it was listed.
+            Stage::Releasing => candidates.get_latest(&owner)?,
+            _ => candidates.get(&owner)?,
+        };
         let is_lost =
             state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
         let command = match state.stage {
@@ -286,7 +286,7 @@
         state.pending_order = Some(id);
         Some(Order {
             id,
-            to: owner,
+            to: candidate.holder.clone(),
             address: candidate.address,
             range: state.range,
             fence: state.fence,
