Draw restarts before they are listed in a property, and compare fences by process

The other properties are unchanged but for a stricter check: a fence belongs to one process, not only to one target.

--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -399,4 +399,28 @@
             prop_assert!(simulation.violations.is_empty(), "{:?}", simulation.violations.first());
         }
     }
+
+    #[test]
+    fn no_key_is_held_twice_if_targets_restart_before_they_are_listed(seed in any::<u64>(), lost in 0u64..20, late in 0u64..30, writes in 0u64..30) {
+        let mut simulation = Simulation::new(4, 3, seed);
+        let mut rng = TestRng::new(seed ^ 0x5eed);
+        simulation.run(MS(2_000));
+        simulation.faults = Faults {
+            lost,
+            unanswered: lost,
+            late,
+            writes_lost: writes,
+        };
+        for _ in 0..60 {
+            match rng.below(4) {
+                0 => simulation.restart_unlisted(rng.below(4) as usize),
+                1 => simulation.list_process(rng.below(4) as usize),
+                _ => inject_fault(&mut simulation, &mut rng),
+            }
+            // Orders of a leader that was just resumed do not count, so none is paused.
+            simulation.nodes.iter_mut().for_each(|node| node.running = true);
+            simulation.run(MS(50 + rng.below(1_200)));
+            prop_assert!(simulation.violations.is_empty(), "{:?}", simulation.violations.first());
+        }
+    }
 }
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -99,6 +99,8 @@
     pub running: bool,
     /// True if the table answers this node.
     pub reaches_table: bool,
+    /// True if no heartbeats pass between the node and the other nodes.
+    pub cut_off: bool,
     /// Targets that the node cannot reach.
     pub unreachable: Vec<usize>,
     boot: u64,
@@ -185,8 +187,8 @@
     orders: Vec<OrderInTransit>,
     answers: Vec<OutcomeInTransit>,
     last_incarnation: u64,
-    /// The target that was granted keys under each fence.
-    fences: BTreeMap<u64, usize>,
+    /// The target and the process that were granted keys under each fence.
+    fences: BTreeMap<u64, (usize, u64)>,
     /// Descriptions of all violations found, in the order of their occurrence.
     pub violations: Vec<String>,
 }
@@ -223,6 +225,7 @@
         let node = |boot: usize| FakeNode {
             running: true,
             reaches_table: true,
+            cut_off: false,
             unreachable: Vec::new(),
             boot: boot as u64 + 1,
             election: Election::new(ServiceId::from("search"), now),
@@ -462,7 +465,9 @@
         if self.table_answers(node) && self.rng.percent(10) {
             self.nodes[node].generation = self.generation;
         }
-        let reads = |other: usize| self.nodes[other].running && self.table_answers(other);
+        let is_heard = |other: usize| !self.nodes[node].cut_off && !self.nodes[other].cut_off;
+        let runs = |other: usize| self.nodes[other].running && is_heard(other);
+        let reads = |other: usize| runs(other) && self.table_answers(other);
         let others_read = (0..self.nodes.len())
             .any(|other| other != node && reads(other))
             .then_some(now);
@@ -673,10 +678,11 @@
             }
         };
         if let (Command::Grant { .. }, OrderOutcome::Done(_)) = (&sent.order.command, &outcome) {
-            let other = self.fences.insert(fence, sent.target);
-            if other.is_some_and(|other| other != sent.target) {
+            let process = (sent.target, sent.incarnation);
+            let other = self.fences.insert(fence, process);
+            if other.is_some_and(|other| other != process) {
                 self.violations
-                    .push(format!("fence {fence} belongs to two targets"));
+                    .push(format!("fence {fence} belongs to two processes"));
             }
         }
         if sent.answered {
@@ -732,6 +738,9 @@
                 if other == index || !self.nodes[other].running {
                     continue;
                 }
+                if self.nodes[index].cut_off || self.nodes[other].cut_off {
+                    continue;
+                }
                 self.nodes[other].peers.insert(index, boot);
                 let election = &mut self.nodes[other].election;
                 election.record_process(&name, BootId(boot), term, now);
