Show with a test that a leader that is cut off grants keys to a restarted target

A leader that is cut off from the table and the other nodes, but not from the targets, sends grants for up to 20 s. The fences of its successor stop them at every process that has seen one. A target that has released its keys to the successor and then restarts at the same address has seen none: the former leader's connection is closed, it grants the keys on a new one, and they are held twice.

--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -354,6 +354,23 @@
     expect_that!(simulation.held_share(), gt(0.999));
 }
 
+#[googletest::test]
+fn a_leader_that_is_cut_off_grants_no_keys_to_a_restarted_target_after_a_refusal() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let former = simulation.leader().expect("a node leads");
+    simulation.nodes[former].cut_off = true;
+    simulation.nodes[former].reaches_table = false;
+    simulation.run(MS(3_000));
+    expect_that!(simulation.leader(), not(eq(Some(former))));
+    simulation.targets[1].leaving = true;
+    simulation.run(MS(1_500));
+    expect_that!(simulation.held_by(1), is_empty());
+    // The new process has seen no fence.
+    simulation.restart_unlisted(1);
+    simulation.run(MS(3_000));
+    expect_that!(simulation.violations, is_empty());
+}
+
 /// Applies one random fault or repair to a random target or node, or adds load.
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
