Send no grant to an unknown process after a refusal until the lease is confirmed

A target's refusal for a higher fence shows that another node may lead. The leader read the lease row then, but went on granting while that read had no answer, also on new connections, behind which a process may listen that knows no fence of the later leader. Renewals on the connection of an accepted grant go on: their process refuses them if it has seen a higher fence.

Ruled out: to distrust all new connections without a confirmed lease, since grants would lapse in an outage of the table whenever connections are reset. What remains: a target that restarts before its former leader's first refusal by any target.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -72,7 +72,9 @@
         let tenure = &mut leading.tenure;
         let is_outdated = tenure.is_outdated(self.table.generation());
         let mut actions = tenure.leader.tick(now, &candidates, &self.key_load);
-        let period = match is_outdated || self.state.table_health.borrow().is_failing() {
+        let is_doubted = tenure.leader.is_doubted();
+        let is_failing = self.state.table_health.borrow().is_failing();
+        let period = match is_outdated || is_doubted || is_failing {
             true => RETRY_PERIOD,
             false => CONFIRM_PERIOD,
         };
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -89,6 +89,8 @@
     /// The last order whose acceptance does not confirm a grant.
     unconfirmed_order: u64,
     confirmed_at: Instant,
+    /// When a target refused an order for a higher fence, until the lease is confirmed again.
+    refused_at: Option<Instant>,
     started_at: Instant,
     /// Until when grants of previous leaders may last; `None` once these are known to have ended.
     previous_grants_until: Option<Instant>,
@@ -156,6 +158,7 @@
             last_order_id: 0,
             unconfirmed_order: 0,
             confirmed_at: now,
+            refused_at: None,
             started_at: now,
             previous_grants_until: None,
             balanced_at: now,
@@ -204,6 +207,13 @@
     /// Records that the table confirmed the lease by its answer to a call started at `begun`.
     pub fn lease_confirmed(&mut self, begun: Instant) {
         self.confirmed_at = self.confirmed_at.max(begun);
+        self.refused_at = self.refused_at.filter(|refused_at| begun < *refused_at);
+    }
+
+    /// Returns true if a target has refused an order since the lease was confirmed, so that another
+    /// node may lead.
+    pub fn is_doubted(&self) -> bool {
+        self.refused_at.is_some()
     }
 
     /// Returns true while the lease was confirmed recently enough to send orders.
@@ -346,6 +356,7 @@
             Stage::Releasing => self.release_ended(at, outcome, now),
             _ => {
                 if outcome == OrderOutcome::StaleFence {
+                    self.refused_at = Some(now);
                     actions.push(Action::CheckLease);
                 }
                 let is_accepted = matches!(outcome, OrderOutcome::Done(_));
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -244,6 +244,7 @@
         now: Instant,
     ) -> Option<Order> {
         let duration = self.grant_duration();
+        let is_doubted = self.is_doubted();
         let state = &mut self.ranges[at];
         if state.pending_order.is_some() || now < state.next_order_at {
             return None;
@@ -265,6 +266,8 @@
             Stage::Releasing => Command::Release,
             // The grant of a lost target is not renewed, so that it expires.
             _ if is_lost => return None,
+            // Another process may listen there now, which does not know the fences of a later leader.
+            _ if is_doubted && state.opened.is_none() => return None,
             _ => {
                 state.held_until_before_order = state.held_until;
                 state.held_until = state
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -486,7 +486,8 @@
         let leader = &mut leading.tenure.leader;
         let mut actions = leader.tick(now, &candidates, &fake.key_load);
         let is_outdated = leading.tenure.is_outdated(fake.generation);
-        let period = match is_outdated || leading.table_health.is_failing() {
+        let is_doubted = leading.tenure.leader.is_doubted();
+        let period = match is_outdated || is_doubted || leading.table_health.is_failing() {
             true => RETRY_PERIOD,
             false => CONFIRM_PERIOD,
         };
