Ignore results of calls that a former leader of the process began

Results of writes of the map and of reads and writes of the lease reach the group without saying which leadership began them. A former read of the lease made the new leader step down, or confirmed its lease without the nodes known then.

Results of writes of the map carry its version, and those of the lease count only if their call began after the last takeover. Evidence: a_late_result_of_a_former_terms_write_does_not_begin_a_move_that_is_not_stored fails if the version is ignored, as before (a release is sent after the former result), and passes. The calls for the lease have no test of their own: the group needs real time; found by reading.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -23,6 +23,7 @@
 use crate::node::keys::leader::OrderOutcome;
 use crate::node::keys::map::Holder;
 use crate::node::keys::map::KeyMap;
+use crate::node::keys::map::MapVersion;
 use crate::node::keys::plan::Candidate;
 use crate::node::keys::tenure::LeaseCheck;
 use crate::node::keys::view::RangeLocation;
@@ -230,15 +231,18 @@
                     line.number("revision", revision.get());
                 });
             }
-            handle.send(GroupMessage::MapWritten(written));
+            handle.send(GroupMessage::MapWritten(version, written));
         });
     }
 
-    pub(super) fn map_written(&mut self, written: Result<bool, ()>) {
+    pub(super) fn map_written(&mut self, version: MapVersion, written: Result<bool, ()>) {
         let Some(leading) = &mut self.leading else {
             return;
         };
-        leading.tenure.leader.map_write_ended(written == Ok(true));
+        leading
+            .tenure
+            .leader
+            .map_write_ended(version, written == Ok(true));
         match written {
             Ok(_) => self.state.table_health.borrow_mut().record_success(),
             Err(()) => self
@@ -280,6 +284,10 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
+        if started_at < leading.last_check {
+            // A former leader of this process began the read.
+            return;
+        }
         leading.check_pending = false;
         let Ok(row) = row else {
             return self
@@ -348,6 +356,10 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
+        if started_at < leading.last_check {
+            // A former leader of this process began the write.
+            return;
+        }
         leading.check_pending = false;
         if !leading.tenure.leader.is_lease_valid(now) {
             return self.step_down("the lease expired after the table was restored", now);
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -27,6 +27,7 @@
 use crate::node::keys::leader::OrderId;
 use crate::node::keys::leader::OrderOutcome;
 use crate::node::keys::map::KeyMap;
+use crate::node::keys::map::MapVersion;
 use crate::node::keys::tenure::KnownNodes;
 use crate::node::keys::tenure::Tenure;
 use crate::node::keys::view::RangeLocation;
@@ -70,9 +71,9 @@
     RangesMoved(Sequence, Vec<RangeLocation>),
     /// The outcome of an order.
     OrderEnded(OrderId, OrderOutcome),
-    /// The outcome of a write of the map: whether it took effect, or an error if the map could not
-    /// be read afterwards.
-    MapWritten(Result<bool, ()>),
+    /// The outcome of a write of this version of the map: whether it took effect, or an error if the
+    /// map could not be read afterwards.
+    MapWritten(MapVersion, Result<bool, ()>),
     /// The lease row, or an error if the read failed; and when the read began.
     LeaseRead(Result<Option<Row>, ()>, Instant),
     /// The lease that was written again after a restore of the table, with the revision of its row,
@@ -242,7 +243,7 @@
                 };
                 self.execute(actions);
             }
-            GroupMessage::MapWritten(written) => self.map_written(written),
+            GroupMessage::MapWritten(version, written) => self.map_written(version, written),
             GroupMessage::LeaseRead(row, started_at) => self.lease_read(row, started_at, now),
             GroupMessage::LeaseRewritten(lease, revision, started_at) => {
                 self.lease_rewritten(lease, revision, started_at, now);
--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -180,9 +180,7 @@
             left.confirmed &= right.confirmed;
             left.set_fence(fence);
             left.next_order_at = now;
-            if self.newest_map == self.writing.map_or(self.stored_map, |(number, _)| number) {
-                self.newest_map += 1;
-            }
+            self.require_map();
         }
     }
 }
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -79,8 +79,8 @@
     ranges: Vec<RangeState>,
     /// The number of the map that is stored.
     stored_map: u64,
-    /// The number and the longest grant of the map that is being written.
-    writing: Option<(u64, Duration)>,
+    /// The version and the longest grant of the map that is being written.
+    writing: Option<(MapVersion, Duration)>,
     /// The number of the newest map, which is to be stored.
     newest_map: u64,
     /// The number of the last announcement.
@@ -285,11 +285,14 @@
         self.newest_map += 1;
     }
 
-    /// Records the end of a write of the map; `written` is true if the map was stored.
-    pub fn map_write_ended(&mut self, written: bool) {
-        let writing = self.writing.take();
-        if let (true, Some((number, max_grant))) = (written, writing) {
-            self.stored_map = number;
+    /// Records the end of the write of this version of the map; `written` is true if it was stored.
+    /// Writes that a former leader of this process began are ignored.
+    pub fn map_write_ended(&mut self, version: MapVersion, written: bool) {
+        if self.writing.is_none_or(|(writing, _)| writing != version) {
+            return;
+        }
+        if let (Some((version, max_grant)), true) = (self.writing.take(), written) {
+            self.stored_map = version.number;
             self.stored_max_grant = max_grant;
         }
     }
@@ -334,8 +337,9 @@
         }
         self.announce(locations, &mut actions);
         if !self.suspended && self.writing.is_none() && self.stored_map < self.newest_map {
-            self.writing = Some((self.newest_map, self.max_grant));
-            actions.push(Action::Write(self.map()));
+            let map = self.map();
+            self.writing = Some((map.version, self.max_grant));
+            actions.push(Action::Write(map));
         }
         actions
     }
@@ -429,6 +433,15 @@
         }
     }
 
+    /// Makes sure that a map with the current changes is stored; returns its number.
+    fn require_map(&mut self) -> u64 {
+        let written = self.writing.map(|(version, _)| version.number);
+        if self.newest_map == written.unwrap_or(self.stored_map) {
+            self.newest_map += 1;
+        }
+        self.newest_map
+    }
+
     fn announce(&mut self, locations: Vec<RangeLocation>, actions: &mut Vec<Action>) {
         for chunk in locations.chunks(MAX_LOCATIONS_PER_ANNOUNCEMENT) {
             self.last_announcement += 1;
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -142,10 +142,8 @@
             locations.extend(location(state));
         }
         let state = &self.ranges[at];
-        if state.stage == Stage::Releasing {
-            if state.owner.is_none() || now >= state.held_until {
-                self.complete_move(at, now);
-            }
+        if state.stage == Stage::Releasing && (state.owner.is_none() || now >= state.held_until) {
+            self.complete_move(at, now);
         }
         let state = &self.ranges[at];
         match state.stage {
@@ -228,12 +226,10 @@
 
     /// Starts to move a range by entering its next owner into the map.
     pub(super) fn begin_move(&mut self, at: usize, next: Holder) {
-        if self.newest_map == self.writing.map_or(self.stored_map, |(number, _)| number) {
-            self.newest_map += 1;
-        }
+        let number = self.require_map();
         let state = &mut self.ranges[at];
         state.next = Some(next);
-        state.stage = Stage::StoringMap(self.newest_map);
+        state.stage = Stage::StoringMap(number);
     }
 
     /// Returns the order to send for a range now, if any.
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -339,6 +339,34 @@
     expect_that!(orders(actions), is_empty());
 }
 
+#[googletest::test]
+fn a_late_result_of_a_former_terms_write_does_not_begin_a_move_that_is_not_stored() {
+    let now = Instant::now() + MS(1_000_000);
+    let load = KeyLoad::new(now);
+    let leaving = Candidate {
+        leaving: true,
+        ..listed("t0")
+    };
+    let candidates = [leaving, listed("t1")];
+    let written = |actions: Vec<Action>| {
+        let version = |action| match action {
+            Action::Write(map) => Some(map.version),
+            _ => None,
+        };
+        actions.into_iter().find_map(version).expect("a map")
+    };
+    let former = written(leader_of(2, "t0", None, now).tick(now, &candidates, &load));
+    // The same process loses the lease and acquires it again while the write is under way.
+    let mut leader = leader_of(3, "t0", None, now);
+    let current = written(leader.tick(now, &candidates, &load));
+    let is_release = |order: &Order| order.command == Command::Release;
+    for (version, releases) in [(former, false), (current, true)] {
+        leader.map_write_ended(version, true);
+        let sent = orders(leader.tick(now + MS(50), &candidates, &load));
+        expect_that!(sent.iter().any(is_release), eq(releases));
+    }
+}
+
 #[googletest::test]
 fn a_restarted_target_that_was_granted_keys_as_its_former_process_releases_them() {
     let mut simulation = simulation_with_held_keys(4, 3);
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -565,21 +565,25 @@
         let fits = lease == Some(leading.tenure.revision()) && held == leading.map_revision;
         if !answers {
             leading.table_health.record_failure(self.now);
-            return leading.tenure.leader.map_write_ended(false);
+            return leading.tenure.leader.map_write_ended(map.version, false);
         }
         leading.table_health.record_success();
         if !fits {
-            leading.tenure.leader.map_write_ended(false);
+            leading.tenure.leader.map_write_ended(map.version, false);
             leading.map_revision = held;
             return self.check_lease(node);
         }
         self.revision += 1;
+        let version = map.version;
         self.map = Some((self.revision, map));
         leading.map_revision = self.revision;
         // A real node reads the row when the answer of a write is lost. Here that read fails too,
         // so the write counts as failed, although the table has stored it.
         let is_outdated = leading.tenure.is_outdated(self.generation);
-        leading.tenure.leader.map_write_ended(!lost && !is_outdated);
+        leading
+            .tenure
+            .leader
+            .map_write_ended(version, !lost && !is_outdated);
     }
 
     fn send(&mut self, node: usize, order: Order) {
