Show with a test that a late lease of an earlier generation hides the current leader

If the store carries out a write of an earlier generation after a restore, on a lease row that has the expected revision again, the row shows an earlier generation although a leader of this one is active. The next lease then names only the lost leaders as possibly active; they count as ended as soon as the map is of this generation, and the active leader is not waited for.

--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -222,6 +222,22 @@
     expect_that!(simulation.violations.first(), none());
 }
 
+#[googletest::test]
+fn a_lease_of_an_earlier_generation_that_is_written_late_does_not_hide_the_current_leader() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let elected = || Election::new(ServiceId::from("search"), now);
+    let (late, current, own) = (VmId::from("a"), VmId::from("b"), VmId::from("c"));
+    let former = elected().next_lease(None, Generation(1), &late, BootId(1));
+    let lease = elected().next_lease(Some(&former), Generation(2), &current, BootId(2));
+    let mut election = elected();
+    election.record_leader(lease.term, &current, BootId(2), now);
+    // The store carries out the write of the former lease after the restore, in place of the current one.
+    let next = election.next_lease(Some(&former), Generation(2), &own, BootId(3));
+    let terms: Vec<_> = next.maybe_active.iter().map(|l| l.term).collect();
+    expect_that!(terms, contains(eq(&lease.term)));
+    expect_that!(next.lost_term(), some(anything()));
+}
+
 #[googletest::test]
 fn keys_are_held_again_after_a_restore_to_an_empty_table() {
     let mut simulation = Simulation::new(4, 3, 1);
