Name the known current leader if its lease was replaced by one of an earlier generation

A leader that replaces a lease of an earlier generation now counts the newest leader of the current generation that its node knows as possibly active, besides the lost ones. It used to name only those and granted keys while that leader could still renew grants. What remains: a node that was started afterwards and has heard of no leader yet.

--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -208,11 +208,17 @@
     ) -> Lease {
         let is_restored = held.is_some_and(|held| held.generation() < generation);
         let mut maybe_active: Vec<PreviousLeader> = match held {
-            Some(_) if is_restored => vec![PreviousLeader {
-                term: last_term_before(generation),
-                node: VmId::from(""),
-                boot: BootId(0),
-            }],
+            Some(_) if is_restored => {
+                let lost = PreviousLeader {
+                    term: last_term_before(generation),
+                    node: VmId::from(""),
+                    boot: BootId(0),
+                };
+                [lost]
+                    .into_iter()
+                    .chain(self.known_in(generation))
+                    .collect()
+            }
             Some(held) => {
                 let current = PreviousLeader {
                     term: held.term,
@@ -235,6 +241,18 @@
         }
     }
 
+    /// Returns the newest known leader if its term began in this generation: a write of an earlier
+    /// one that took effect late may have replaced its lease.
+    fn known_in(&self, generation: Generation) -> Option<PreviousLeader> {
+        let (node, boot) = self.leader.clone()?;
+        let known = PreviousLeader {
+            term: self.term,
+            node,
+            boot,
+        };
+        (generation_of(self.term) == generation).then_some(known)
+    }
+
     /// Returns true if a previous leader is known to send no more orders; `node` is this node. A
     /// previous leader on this node was an earlier process, which has ended.
     pub fn has_ended(&self, previous: &PreviousLeader, node: &VmId) -> bool {
