Try a lost owner again if its keys cannot be moved

Keyed requests were refused for 23 s although the owners ran and were reachable again: a leader that does not answer for a moment or loses its links takes owners for lost, does not renew their grants and enters other owners into the map. If the map cannot be stored, because the leader is suspended after a restore or the table is away, the keys stayed without an owner until it could: after a restore up to the validity of a lease and a grant, since lost owners confirm nothing. A lost owner without any alternative was never tried again. The class: a decision that cannot be carried out keeps its effects.

The grant of a lost owner still expires first, so that a move that can be carried out waits no longer than before; then the owner is tried again once in a renewal period. Ruled out: to go on with renewals to lost owners, which would delay every takeover.

--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -191,9 +191,7 @@
             Some(candidate) => candidate.leaving,
             None => is_list_complete || candidates.has_ended(owner),
         };
-        is_leaving
-            || state.unanswered >= LOST_AFTER_UNANSWERED
-            || state.not_sent >= LOST_AFTER_NOT_SENT
+        is_leaving || is_lost(state)
     }
 
     /// Starts to move a range to the least loaded other target, if there is one.
@@ -215,9 +213,7 @@
         let Some(next) = next else {
             return;
         };
-        let state = &self.ranges[at];
-        let is_lost =
-            state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
+        let is_lost = is_lost(&self.ranges[at]);
         if let Some(owner) = owner.filter(|_| is_lost) {
             self.record_loss(owner, now);
         }
@@ -255,13 +251,13 @@
             Stage::Releasing => candidates.get_latest(&owner)?,
             _ => candidates.get(&owner)?,
         };
-        let is_lost =
-            state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
+        let is_lost = is_lost(state);
         let command = match state.stage {
             Stage::Vacant => return None,
             Stage::Releasing => Command::Release,
-            // The grant of a lost target is not renewed, so that it expires.
-            _ if is_lost => return None,
+            // The grant of a lost target is not renewed, so that it expires. If its keys cannot be moved
+            // by then, it is tried again.
+            _ if is_lost && now < state.held_until => return None,
             // Another process may listen there now, which does not know the fences of a later leader.
             _ if is_doubted && state.opened.is_none() => return None,
             _ => {
@@ -340,6 +336,9 @@
                 state.unanswered += 1;
             }
         }
+        if is_lost(state) {
+            state.next_order_at = now + period;
+        }
     }
 
     /// Handles the outcome of a release.
@@ -358,3 +357,8 @@
         }
     }
 }
+
+/// Returns true if the owner has not answered several orders in a row.
+fn is_lost(state: &RangeState) -> bool {
+    state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT
+}
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -83,6 +83,24 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+#[googletest::test]
+fn owners_that_a_suspended_leader_did_not_reach_for_a_while_get_their_keys_back() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    let backup = simulation.backup();
+    simulation.run(MS(2_000));
+    for node in (0..3).filter(|node| *node != leader) {
+        simulation.restart_node(node);
+    }
+    simulation.restore(&backup);
+    simulation.nodes[leader].unreachable = (0..4).collect();
+    simulation.run(MS(4_000));
+    simulation.nodes[leader].unreachable.clear();
+    expect_that!(recovery_time(&mut simulation), le(MS(3_000)));
+    expect_that!(simulation.leader(), some(eq(leader)));
+    expect_that!(simulation.violations, is_empty());
+}
+
 #[googletest::test]
 fn a_leader_is_not_superseded_by_its_own_lease_of_an_earlier_restore() {
     let now = Instant::now() + Duration::from_secs(100);
