--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -79,8 +79,8 @@
     ranges: Vec<RangeState>,
     /// The number of the map that is stored.
     stored_map: u64,
-    /// The number and the longest grant of the map that is being written.
-    writing: Option<(u64, Duration)>,
+    /// The version and the longest grant of the map that is being written.
+    writing: Option<(MapVersion, Duration)>,
     /// The number of the newest map, which is to be stored.
     newest_map: u64,
     /// The number of the last announcement.
@@ -89,6 +89,8 @@
     /// The last order whose acceptance does not confirm a grant.
     unconfirmed_order: u64,
     confirmed_at: Instant,
+    /// When a target refused an order for a higher fence, until the lease is confirmed again.
+    refused_at: Option<Instant>,
     started_at: Instant,
     /// Until when grants of previous leaders may last; `None` once these are known to have ended.
     previous_grants_until: Option<Instant>,
@@ -156,6 +158,7 @@
             last_order_id: 0,
             unconfirmed_order: 0,
             confirmed_at: now,
+            refused_at: None,
             started_at: now,
             previous_grants_until: None,
             balanced_at: now,
@@ -204,6 +207,13 @@
     /// Records that the table confirmed the lease by its answer to a call started at `begun`.
     pub fn lease_confirmed(&mut self, begun: Instant) {
         self.confirmed_at = self.confirmed_at.max(begun);
+        self.refused_at = self.refused_at.filter(|refused_at| begun < *refused_at);
+    }
+
+    /// Returns true if a target has refused an order since the lease was confirmed, so that another
+    /// node may lead.
+    pub fn is_doubted(&self) -> bool {
+        self.refused_at.is_some()
     }
 
     /// Returns true while the lease was confirmed recently enough to send orders.
@@ -275,11 +285,14 @@
         self.newest_map += 1;
     }
 
-    /// Records the end of a write of the map; `written` is true if the map was stored.
-    pub fn map_write_ended(&mut self, written: bool) {
-        let writing = self.writing.take();
-        if let (true, Some((number, max_grant))) = (written, writing) {
-            self.stored_map = number;
+    /// Records the end of the write of this version of the map; `written` is true if it was stored.
+    /// Writes that a former leader of this process began are ignored.
+    pub fn map_write_ended(&mut self, version: MapVersion, written: bool) {
+        if self.writing.is_none_or(|(writing, _)| writing != version) {
+            return;
+        }
+        if let (Some((version, max_grant)), true) = (self.writing.take(), written) {
+            self.stored_map = version.number;
             self.stored_max_grant = max_grant;
         }
     }
@@ -324,8 +337,9 @@
         }
         self.announce(locations, &mut actions);
         if !self.suspended && self.writing.is_none() && self.stored_map < self.newest_map {
-            self.writing = Some((self.newest_map, self.max_grant));
-            actions.push(Action::Write(self.map()));
+            let map = self.map();
+            self.writing = Some((map.version, self.max_grant));
+            actions.push(Action::Write(map));
         }
         actions
     }
@@ -346,10 +360,11 @@
             Stage::Releasing => self.release_ended(at, outcome, now),
             _ => {
                 if outcome == OrderOutcome::StaleFence {
+                    self.refused_at = Some(now);
                     actions.push(Action::CheckLease);
                 }
                 let is_accepted = matches!(outcome, OrderOutcome::Done(_));
-                self.ranges[at].confirmed |= is_accepted && id.0 > self.unconfirmed_order;
+                self.ranges[at].confirmed |= is_accepted && id.number > self.unconfirmed_order;
                 self.grant_ended(at, outcome, now, &mut locations);
             }
         }
@@ -418,6 +433,15 @@
         }
     }
 
+    /// Makes sure that a map with the current changes is stored; returns its number.
+    fn require_map(&mut self) -> u64 {
+        let written = self.writing.map(|(version, _)| version.number);
+        if self.newest_map == written.unwrap_or(self.stored_map) {
+            self.newest_map += 1;
+        }
+        self.newest_map
+    }
+
     fn announce(&mut self, locations: Vec<RangeLocation>, actions: &mut Vec<Action>) {
         for chunk in locations.chunks(MAX_LOCATIONS_PER_ANNOUNCEMENT) {
             self.last_announcement += 1;
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -142,14 +142,8 @@
             locations.extend(location(state));
         }
         let state = &self.ranges[at];
-        if state.stage == Stage::Releasing {
-            let ended = state
-                .owner
-                .as_ref()
-                .is_none_or(|owner| now >= state.held_until || candidates.has_ended(owner));
-            if ended {
-                self.complete_move(at, now);
-            }
+        if state.stage == Stage::Releasing && (state.owner.is_none() || now >= state.held_until) {
+            self.complete_move(at, now);
         }
         let state = &self.ranges[at];
         match state.stage {
@@ -197,9 +191,7 @@
             Some(candidate) => candidate.leaving,
             None => is_list_complete || candidates.has_ended(owner),
         };
-        is_leaving
-            || state.unanswered >= LOST_AFTER_UNANSWERED
-            || state.not_sent >= LOST_AFTER_NOT_SENT
+        is_leaving || is_lost(state)
     }
 
     /// Starts to move a range to the least loaded other target, if there is one.
@@ -221,9 +213,7 @@
         let Some(next) = next else {
             return;
         };
-        let state = &self.ranges[at];
-        let is_lost =
-            state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
+        let is_lost = is_lost(&self.ranges[at]);
         if let Some(owner) = owner.filter(|_| is_lost) {
             self.record_loss(owner, now);
         }
@@ -232,12 +222,10 @@
 
     /// Starts to move a range by entering its next owner into the map.
     pub(super) fn begin_move(&mut self, at: usize, next: Holder) {
-        if self.newest_map == self.writing.map_or(self.stored_map, |(number, _)| number) {
-            self.newest_map += 1;
-        }
+        let number = self.require_map();
         let state = &mut self.ranges[at];
         state.next = Some(next);
-        state.stage = Stage::StoringMap(self.newest_map);
+        state.stage = Stage::StoringMap(number);
     }
 
     /// Returns the order to send for a range now, if any.
@@ -248,6 +236,7 @@
         now: Instant,
     ) -> Option<Order> {
         let duration = self.grant_duration();
+        let is_doubted = self.is_doubted();
         let state = &mut self.ranges[at];
         if state.pending_order.is_some() || now < state.next_order_at {
             return None;
@@ -257,14 +246,20 @@
             return None;
         }
         let owner = state.owner.clone()?;
-        let candidate = candidates.get(&owner)?;
-        let is_lost =
-            state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
+        let candidate = match state.stage {
+            // A later process at the same address may have been granted the keys before it was listed.
+            Stage::Releasing => candidates.get_latest(&owner)?,
+            _ => candidates.get(&owner)?,
+        };
+        let is_lost = is_lost(state);
         let command = match state.stage {
             Stage::Vacant => return None,
             Stage::Releasing => Command::Release,
-            // The grant of a lost target is not renewed, so that it expires.
-            _ if is_lost => return None,
+            // The grant of a lost target is not renewed, so that it expires. If its keys cannot be moved
+            // by then, it is tried again.
+            _ if is_lost && now < state.held_until => return None,
+            // Another process may listen there now, which does not know the fences of a later leader.
+            _ if is_doubted && state.opened.is_none() => return None,
             _ => {
                 state.held_until_before_order = state.held_until;
                 state.held_until = state
@@ -279,11 +274,14 @@
             }
         };
         self.last_order_id += 1;
-        let id = OrderId(self.last_order_id);
+        let id = OrderId {
+            term: self.term,
+            number: self.last_order_id,
+        };
         state.pending_order = Some(id);
         Some(Order {
             id,
-            to: owner,
+            to: candidate.holder.clone(),
             address: candidate.address,
             range: state.range,
             fence: state.fence,
@@ -338,6 +336,9 @@
                 state.unanswered += 1;
             }
         }
+        if is_lost(state) {
+            state.next_order_at = now + period;
+        }
     }
 
     /// Handles the outcome of a release.
@@ -356,3 +357,8 @@
         }
     }
 }
+
+/// Returns true if the owner has not answered several orders in a row.
+fn is_lost(state: &RangeState) -> bool {
+    state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT
+}
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -4,7 +4,9 @@
 #[path = "support/keys_simulation.rs"]
 mod keys_simulation;
 
+use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -12,6 +14,21 @@
 use crate::keys_simulation::Faults;
 use crate::keys_simulation::Simulation;
 use crate::keys_simulation::TestRng;
+use gooseberryloft::ids::TargetId;
+use gooseberryloft::node::keys::key_load::KeyLoad;
+use gooseberryloft::node::keys::leader::Action;
+use gooseberryloft::node::keys::leader::Command;
+use gooseberryloft::node::keys::leader::Inherited;
+use gooseberryloft::node::keys::leader::Leader;
+use gooseberryloft::node::keys::leader::Order;
+use gooseberryloft::node::keys::leader::OrderOutcome;
+use gooseberryloft::node::keys::leader::OrderReply;
+use gooseberryloft::node::keys::map::Holder;
+use gooseberryloft::node::keys::map::KeyMap;
+use gooseberryloft::node::keys::map::KeyRange;
+use gooseberryloft::node::keys::map::MapVersion;
+use gooseberryloft::node::keys::map::Ownership;
+use gooseberryloft::node::keys::plan::Candidate;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -263,6 +280,125 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+fn process(target: &str) -> Holder {
+    Holder {
+        id: TargetId::from(target),
+        incarnation: 1,
+    }
+}
+
+fn listed(target: &str) -> Candidate {
+    Candidate {
+        holder: process(target),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        capacity: 4.0,
+        leaving: false,
+        on_probation: false,
+    }
+}
+
+/// Returns a leader that continues from a map in which all keys have this owner and prior owner.
+fn leader_of(term: u64, owner: &str, prior: Option<&str>, now: Instant) -> Leader {
+    let entry = Ownership {
+        range: KeyRange::ALL,
+        owner: Some(process(owner)),
+        prior: prior.map(process),
+    };
+    let map = KeyMap {
+        version: MapVersion { term: 1, number: 1 },
+        max_grant_ms: Some(2_500),
+        ranges: vec![entry],
+    };
+    Leader::new(term, Inherited::Map(&map), MS(10_000), now)
+}
+
+fn orders(actions: Vec<Action>) -> Vec<Order> {
+    let order = |action| match action {
+        Action::Send(order) => Some(order),
+        _ => None,
+    };
+    actions.into_iter().filter_map(order).collect()
+}
+
+#[googletest::test]
+fn a_late_answer_of_a_former_term_does_not_end_a_release_of_the_next_term() {
+    let now = Instant::now() + MS(1_000_000);
+    let candidates = [listed("t0"), listed("t1")];
+    let load = KeyLoad::new(now);
+    let former = orders(leader_of(2, "t0", None, now).tick(now, &candidates, &load));
+    // The same process loses the lease and acquires it again while the order is under way.
+    let mut leader = leader_of(3, "t1", Some("t0"), now);
+    let released = orders(leader.tick(now, &candidates, &load));
+    assert_that!(released[0].command, eq(&Command::Release));
+    let reply = OrderReply {
+        handover: None,
+        opened: now,
+    };
+    let mut actions = leader.order_ended(former[0].id, OrderOutcome::Done(reply), now);
+    actions.extend(leader.tick(now + MS(50), &candidates, &load));
+    expect_that!(orders(actions), is_empty());
+}
+
+#[googletest::test]
+fn a_late_result_of_a_former_terms_write_does_not_begin_a_move_that_is_not_stored() {
+    let now = Instant::now() + MS(1_000_000);
+    let load = KeyLoad::new(now);
+    let leaving = Candidate {
+        leaving: true,
+        ..listed("t0")
+    };
+    let candidates = [leaving, listed("t1")];
+    let written = |actions: Vec<Action>| {
+        let version = |action| match action {
+            Action::Write(map) => Some(map.version),
+            _ => None,
+        };
+        actions.into_iter().find_map(version).expect("a map")
+    };
+    let former = written(leader_of(2, "t0", None, now).tick(now, &candidates, &load));
+    // The same process loses the lease and acquires it again while the write is under way.
+    let mut leader = leader_of(3, "t0", None, now);
+    let current = written(leader.tick(now, &candidates, &load));
+    let is_release = |order: &Order| order.command == Command::Release;
+    for (version, releases) in [(former, false), (current, true)] {
+        leader.map_write_ended(version, true);
+        let sent = orders(leader.tick(now + MS(50), &candidates, &load));
+        expect_that!(sent.iter().any(is_release), eq(releases));
+    }
+}
+
+#[googletest::test]
+fn a_restarted_target_that_was_granted_keys_as_its_former_process_releases_them() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    simulation.crash(1);
+    simulation.restart_unlisted(1);
+    simulation.run(MS(1_500));
+    expect_that!(simulation.held_by(1), not(is_empty()));
+    simulation.targets[1].leaving = true;
+    simulation.list_process(1);
+    simulation.run(MS(1_000));
+    expect_that!(simulation.violations, is_empty());
+    expect_that!(simulation.held_by(1), is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+}
+
+#[googletest::test]
+fn a_leader_that_is_cut_off_grants_no_keys_to_a_restarted_target_after_a_refusal() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let former = simulation.leader().expect("a node leads");
+    simulation.nodes[former].cut_off = true;
+    simulation.nodes[former].reaches_table = false;
+    simulation.run(MS(3_000));
+    expect_that!(simulation.leader(), not(eq(Some(former))));
+    simulation.targets[1].leaving = true;
+    simulation.run(MS(1_500));
+    expect_that!(simulation.held_by(1), is_empty());
+    // The new process has seen no fence.
+    simulation.restart_unlisted(1);
+    simulation.run(MS(3_000));
+    expect_that!(simulation.violations, is_empty());
+}
+
 /// Applies one random fault or repair to a random target or node, or adds load.
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
@@ -308,4 +444,28 @@
             prop_assert!(simulation.violations.is_empty(), "{:?}", simulation.violations.first());
         }
     }
+
+    #[test]
+    fn no_key_is_held_twice_if_targets_restart_before_they_are_listed(seed in any::<u64>(), lost in 0u64..20, late in 0u64..30, writes in 0u64..30) {
+        let mut simulation = Simulation::new(4, 3, seed);
+        let mut rng = TestRng::new(seed ^ 0x5eed);
+        simulation.run(MS(2_000));
+        simulation.faults = Faults {
+            lost,
+            unanswered: lost,
+            late,
+            writes_lost: writes,
+        };
+        for _ in 0..60 {
+            match rng.below(4) {
+                0 => simulation.restart_unlisted(rng.below(4) as usize),
+                1 => simulation.list_process(rng.below(4) as usize),
+                _ => inject_fault(&mut simulation, &mut rng),
+            }
+            // Orders of a leader that was just resumed do not count, so none is paused.
+            simulation.nodes.iter_mut().for_each(|node| node.running = true);
+            simulation.run(MS(50 + rng.below(1_200)));
+            prop_assert!(simulation.violations.is_empty(), "{:?}", simulation.violations.first());
+        }
+    }
 }
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -83,6 +83,24 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+#[googletest::test]
+fn owners_that_a_suspended_leader_did_not_reach_for_a_while_get_their_keys_back() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    let backup = simulation.backup();
+    simulation.run(MS(2_000));
+    for node in (0..3).filter(|node| *node != leader) {
+        simulation.restart_node(node);
+    }
+    simulation.restore(&backup);
+    simulation.nodes[leader].unreachable = (0..4).collect();
+    simulation.run(MS(4_000));
+    simulation.nodes[leader].unreachable.clear();
+    expect_that!(recovery_time(&mut simulation), le(MS(3_000)));
+    expect_that!(simulation.leader(), some(eq(leader)));
+    expect_that!(simulation.violations, is_empty());
+}
+
 #[googletest::test]
 fn a_leader_is_not_superseded_by_its_own_lease_of_an_earlier_restore() {
     let now = Instant::now() + Duration::from_secs(100);
@@ -199,6 +217,45 @@
     expect_that!(simulation.held_share(), gt(0.999));
 }
 
+#[googletest::test]
+fn a_suspended_leader_does_not_outlast_the_wait_of_a_lost_leader() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let paused = simulation.leader().expect("a node leads");
+    let backup = simulation.backup();
+    simulation.nodes[paused].running = false;
+    for node in (0..3).filter(|node| *node != paused) {
+        simulation.nodes[node].unreachable.push(1);
+    }
+    // The lost leader stores a map that moves the keys of the target that it cannot reach.
+    simulation.run(MS(8_000));
+    let lost = simulation.leader().expect("another node leads");
+    simulation.nodes[lost].cut_off = true;
+    simulation.nodes[lost].reaches_table = false;
+    for node in (0..3).filter(|node| *node != paused && *node != lost) {
+        simulation.restart_node(node);
+    }
+    simulation.restore(&backup);
+    simulation.nodes[paused].running = true;
+    simulation.run(MS(35_000));
+    expect_that!(simulation.violations.first(), none());
+}
+
+#[googletest::test]
+fn a_lease_of_an_earlier_generation_that_is_written_late_does_not_hide_the_current_leader() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let elected = || Election::new(ServiceId::from("search"), now);
+    let (late, current, own) = (VmId::from("a"), VmId::from("b"), VmId::from("c"));
+    let former = elected().next_lease(None, Generation(1), &late, BootId(1));
+    let lease = elected().next_lease(Some(&former), Generation(2), &current, BootId(2));
+    let mut election = elected();
+    election.record_leader(lease.term, &current, BootId(2), now);
+    // The store carries out the write of the former lease after the restore, in place of the current one.
+    let next = election.next_lease(Some(&former), Generation(2), &own, BootId(3));
+    let terms: Vec<_> = next.maybe_active.iter().map(|l| l.term).collect();
+    expect_that!(terms, contains(eq(&lease.term)));
+    expect_that!(next.lost_term(), some(anything()));
+}
+
 #[googletest::test]
 fn keys_are_held_again_after_a_restore_to_an_empty_table() {
     let mut simulation = Simulation::new(4, 3, 1);
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -84,6 +84,8 @@
     /// True if it is shutting down and must give up its keys.
     pub leaving: bool,
     incarnation: u64,
+    /// The process that the list names; an earlier one while the list is out of date.
+    listed_incarnation: u64,
     holds: Vec<HeldRange>,
     /// When its process started; all connections to it count as opened then.
     started_at: Instant,
@@ -97,6 +99,8 @@
     pub running: bool,
     /// True if the table answers this node.
     pub reaches_table: bool,
+    /// True if no heartbeats pass between the node and the other nodes.
+    pub cut_off: bool,
     /// Targets that the node cannot reach.
     pub unreachable: Vec<usize>,
     boot: u64,
@@ -183,8 +187,8 @@
     orders: Vec<OrderInTransit>,
     answers: Vec<OutcomeInTransit>,
     last_incarnation: u64,
-    /// The target that was granted keys under each fence.
-    fences: BTreeMap<u64, usize>,
+    /// The target and the process that were granted keys under each fence.
+    fences: BTreeMap<u64, (usize, u64)>,
     /// Descriptions of all violations found, in the order of their occurrence.
     pub violations: Vec<String>,
 }
@@ -213,6 +217,7 @@
             listed: true,
             leaving: false,
             incarnation: incarnation as u64 + 1,
+            listed_incarnation: incarnation as u64 + 1,
             holds: Vec::new(),
             started_at: now,
             seen: Vec::new(),
@@ -220,6 +225,7 @@
         let node = |boot: usize| FakeNode {
             running: true,
             reaches_table: true,
+            cut_off: false,
             unreachable: Vec::new(),
             boot: boot as u64 + 1,
             election: Election::new(ServiceId::from("search"), now),
@@ -296,6 +302,18 @@
 
     /// Starts a new process of a target, which holds no keys.
     pub fn restart(&mut self, index: usize) {
+        self.restart_unlisted(index);
+        self.list_process(index);
+    }
+
+    /// Lists the process of a target that runs now.
+    pub fn list_process(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        target.listed_incarnation = target.incarnation;
+    }
+
+    /// Starts a new process of a target at the same address, while the list names the former one.
+    pub fn restart_unlisted(&mut self, index: usize) {
         self.last_incarnation += 1;
         let target = &mut self.targets[index];
         target.up = true;
@@ -377,7 +395,7 @@
         let listed = listed.filter(|(_, target)| target.listed);
         listed
             .map(|(index, target)| Candidate {
-                holder: holder(index, target.incarnation),
+                holder: holder(index, target.listed_incarnation),
                 address: SocketAddr::from(([127, 0, 0, 1], index as u16 + 1)),
                 capacity: 4.0,
                 leaving: target.leaving,
@@ -447,7 +465,9 @@
         if self.table_answers(node) && self.rng.percent(10) {
             self.nodes[node].generation = self.generation;
         }
-        let reads = |other: usize| self.nodes[other].running && self.table_answers(other);
+        let is_heard = |other: usize| !self.nodes[node].cut_off && !self.nodes[other].cut_off;
+        let runs = |other: usize| self.nodes[other].running && is_heard(other);
+        let reads = |other: usize| runs(other) && self.table_answers(other);
         let others_read = (0..self.nodes.len())
             .any(|other| other != node && reads(other))
             .then_some(now);
@@ -466,7 +486,8 @@
         let leader = &mut leading.tenure.leader;
         let mut actions = leader.tick(now, &candidates, &fake.key_load);
         let is_outdated = leading.tenure.is_outdated(fake.generation);
-        let period = match is_outdated || leading.table_health.is_failing() {
+        let is_doubted = leading.tenure.leader.is_doubted();
+        let period = match is_outdated || is_doubted || leading.table_health.is_failing() {
             true => RETRY_PERIOD,
             false => CONFIRM_PERIOD,
         };
@@ -544,21 +565,25 @@
         let fits = lease == Some(leading.tenure.revision()) && held == leading.map_revision;
         if !answers {
             leading.table_health.record_failure(self.now);
-            return leading.tenure.leader.map_write_ended(false);
+            return leading.tenure.leader.map_write_ended(map.version, false);
         }
         leading.table_health.record_success();
         if !fits {
-            leading.tenure.leader.map_write_ended(false);
+            leading.tenure.leader.map_write_ended(map.version, false);
             leading.map_revision = held;
             return self.check_lease(node);
         }
         self.revision += 1;
+        let version = map.version;
         self.map = Some((self.revision, map));
         leading.map_revision = self.revision;
         // A real node reads the row when the answer of a write is lost. Here that read fails too,
         // so the write counts as failed, although the table has stored it.
         let is_outdated = leading.tenure.is_outdated(self.generation);
-        leading.tenure.leader.map_write_ended(!lost && !is_outdated);
+        leading
+            .tenure
+            .leader
+            .map_write_ended(version, !lost && !is_outdated);
     }
 
     fn send(&mut self, node: usize, order: Order) {
@@ -658,10 +683,11 @@
             }
         };
         if let (Command::Grant { .. }, OrderOutcome::Done(_)) = (&sent.order.command, &outcome) {
-            let other = self.fences.insert(fence, sent.target);
-            if other.is_some_and(|other| other != sent.target) {
+            let process = (sent.target, sent.incarnation);
+            let other = self.fences.insert(fence, process);
+            if other.is_some_and(|other| other != process) {
                 self.violations
-                    .push(format!("fence {fence} belongs to two targets"));
+                    .push(format!("fence {fence} belongs to two processes"));
             }
         }
         if sent.answered {
@@ -717,6 +743,9 @@
                 if other == index || !self.nodes[other].running {
                     continue;
                 }
+                if self.nodes[index].cut_off || self.nodes[other].cut_off {
+                    continue;
+                }
                 self.nodes[other].peers.insert(index, boot);
                 let election = &mut self.nodes[other].election;
                 election.record_process(&name, BootId(boot), term, now);
