--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -178,8 +178,7 @@
     match read {
         Ok((response, partial)) => {
             if !target.is_relay {
-                note_limit(context, target, &response.head, sent_at);
-                note_pause(context, target, &response.head);
+                note_restrictions(context, target, &response.head, sent_at);
             }
             if request_sent && partial.is_none() {
                 connection.conn.end_exchange();
@@ -348,12 +347,22 @@
 }
 
 /// Records the limit that the target names in its response to a request that was sent at `sent_at`,
-/// or that it names none.
-fn note_limit(context: AttemptContext<'_>, target: &Target, head: &ResponseHead, sent_at: Instant) {
+/// or that it names none, and the pause that it asks for.
+fn note_restrictions(
+    context: AttemptContext<'_>,
+    target: &Target,
+    head: &ResponseHead,
+    sent_at: Instant,
+) {
     let (state, names) = (context.state, context.names);
     if is_from_other(names, target, head) {
         return;
     }
+    if head.status == 503
+        && let Some(pause) = pause_from_field(head.fields.all("retry-after"))
+    {
+        record_pause(state, target, pause);
+    }
     let source = NoticeSource::Response;
     match RequestRate::from_field(head.fields.all(names.limit)) {
         Some(rate) => record_named_limit(state, target, rate, source),
@@ -367,16 +376,6 @@
     }
 }
 
-/// Records the pause that the target asks for in a response.
-fn note_pause(context: AttemptContext<'_>, target: &Target, head: &ResponseHead) {
-    if head.status != 503 || is_from_other(context.names, target, head) {
-        return;
-    }
-    if let Some(pause) = pause_from_field(head.fields.all("retry-after")) {
-        record_pause(context.state, target, pause);
-    }
-}
-
 async fn read_head(
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut ReadBuffer,
