Show with a test that parts of a range are sent the fence of the whole one

A range that is split while its first grant under a fence is under way leaves parts with the same fence, which are granted on new connections.

--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -367,6 +367,32 @@
     }
 }
 
+#[googletest::test]
+fn parts_of_a_range_that_is_split_during_a_grant_do_not_share_its_fence() {
+    let mut now = Instant::now() + MS(1_000_000);
+    let load = KeyLoad::new(now);
+    let mut leader = leader_of(2, "t0", None, now);
+    let reply = OrderReply {
+        handover: None,
+        opened: now,
+    };
+    for outcome in [OrderOutcome::Done(reply), OrderOutcome::Reconnected] {
+        let sent = orders(leader.tick(now, &[listed("t0")], &load));
+        leader.order_ended(sent[0].id, outcome, now);
+        now += MS(900);
+    }
+    // The range is granted again, and half of it is to move to the target that joins.
+    let candidates = [listed("t0"), listed("t1")];
+    let mut fences = Vec::new();
+    for _ in 0..4 {
+        let sent = orders(leader.tick(now, &candidates, &load));
+        fences.extend(sent.iter().map(|order| order.fence));
+        now += MS(50);
+    }
+    expect_that!(fences, len(eq(2)));
+    expect_that!(fences.first(), not(eq(fences.last())));
+}
+
 #[googletest::test]
 fn a_restarted_target_that_was_granted_keys_as_its_former_process_releases_them() {
     let mut simulation = simulation_with_held_keys(4, 3);
