Give parts of a range their own fence while that of the range is not accepted

Parts split off during a first grant under a fence were granted under the same fence on new connections, which can reach another process at the address. They get a fence of their own then; parts of a range whose fence was accepted keep it, and their renewals go over connections that are as old.

--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -120,7 +120,7 @@
                 first: original.first,
                 last: range.first - 1,
             };
-            let state = self.ranges[at].with_range(before);
+            let state = self.part(at, before);
             self.ranges.insert(at, state);
             index += 1;
         }
@@ -129,13 +129,23 @@
                 first: range.last + 1,
                 last: original.last,
             };
-            let state = self.ranges[index].with_range(after);
+            let state = self.part(index, after);
             self.ranges.insert(index + 1, state);
         }
         self.ranges[index].range = range;
         index
     }
 
+    /// Returns the state of a part of a held range. It has another fence unless the owner has accepted
+    /// that of the range, since a grant on a new connection may reach another process.
+    fn part(&mut self, at: usize, range: KeyRange) -> RangeState {
+        let mut part = self.ranges[at].with_range(range);
+        if part.opened.is_none() {
+            part.set_fence(self.fences.allocate());
+        }
+        part
+    }
+
     /// Moves the coldest ranges to the owners of the preceding ranges, so that they can be merged.
     pub(super) fn move_cold_ranges(&mut self, key_load: &KeyLoad) {
         let is_held = |state: &RangeState| state.stage == Stage::Held;
