Do not trust an older key map because the leaders before a restore have ended

A node that had led after a restore of the table's data knows that all leaders of earlier generations have ended. If it lost the lease before it had stored its map and took it again, its lease no longer named them, and it took the map of an earlier generation that the row still contained as current: it granted keys to their owners of before the restore while others held them.

Leases now name the leaders of earlier generations until the generation ends; the map alone shows whether it is current. The new test fails without the change.

--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -223,9 +223,16 @@
             }
             None => Vec::new(),
         };
-        maybe_active.retain(|previous| !self.has_ended(previous, node));
-        let surplus = maybe_active.len().saturating_sub(MAX_PREVIOUS_LEADERS);
-        maybe_active.drain(..surplus);
+        // That the leaders of earlier generations have ended does not make the stored map current.
+        let lost = last_term_before(generation);
+        let is_lost = |previous: &PreviousLeader| previous.term == lost;
+        maybe_active.retain(|it| is_lost(it) || !self.has_ended(it, node));
+        let mut surplus = maybe_active.len().saturating_sub(MAX_PREVIOUS_LEADERS);
+        maybe_active.retain(|it| {
+            let is_kept = surplus == 0 || is_lost(it);
+            surplus -= usize::from(!is_kept);
+            is_kept
+        });
         let newest = held.map_or(0, |held| held.term).max(self.term);
         Lease {
             term: newest.max(generation.0 * TERMS_PER_GENERATION) + 1,
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -20,7 +20,10 @@
 use gooseberryloft::node::keys::election::Lease;
 use gooseberryloft::node::keys::leader::Inherited;
 use gooseberryloft::node::keys::leader::Leader;
+use gooseberryloft::node::keys::map::KeyMap;
+use gooseberryloft::node::keys::map::MapVersion;
 use gooseberryloft::node::keys::tenure::Tenure;
+use gooseberryloft::node::keys::tenure::inherit;
 use gooseberryloft::platform::Generation;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -105,6 +108,29 @@
     expect_that!(tenure.is_superseded(second.term + 1, None), eq(true));
 }
 
+#[googletest::test]
+fn a_node_that_knows_the_earlier_leaders_have_ended_does_not_trust_an_older_map() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let mut election = Election::new(ServiceId::from("search"), now);
+    let (node, other, boot) = (VmId::from("a"), VmId::from("b"), BootId(1));
+    let before = election.next_lease(None, Generation(1), &other, boot);
+    let held = election.next_lease(Some(&before), Generation(2), &other, boot);
+    let lost = held.lost_term().expect("earlier leaders are unknown");
+    election.record_end(lost, now);
+    let lease = election.next_lease(Some(&held), Generation(2), &node, boot);
+    let outdated = KeyMap {
+        version: MapVersion {
+            term: before.term,
+            number: 1,
+        },
+        ..KeyMap::default()
+    };
+    let inherited = inherit(&lease, Some(&outdated), &mut election, now);
+    expect_that!(inherited, eq(Inherited::Outdated(Some(&outdated))));
+    let inherited = inherit(&lease, None, &mut election, now);
+    expect_that!(inherited, eq(Inherited::Outdated(None)));
+}
+
 #[googletest::test]
 fn a_new_leader_does_not_grant_keys_by_a_map_that_lacks_a_move() {
     let mut simulation = simulation_with_held_keys(4, 3);
