--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -26,6 +26,7 @@
         node: VmId::from(node),
         boot: BootId(boot),
         maybe_active: Vec::new(),
+        handover: None,
     }
 }
 
@@ -157,6 +158,7 @@
         node: VmId::from("n1"),
         boot: BootId(2),
         maybe_active: vec![removed.clone()],
+        handover: None,
     };
     let own = VmId::from("n1");
     election.record_expiry(&lease, now, now + Duration::from_secs(19));
