Refuse requests at once for keys that their owner does not hold

The end of a grant is not announced. A node now counts refusals per range: if its owner still refuses 150 ms after the first refusal, requests for the range are refused at once, with the time of the next try, spread, as Retry-After. One request is sent every 0.25 to 1 s. An announcement, a map that is read, or an answer ends it. A move in transit is not affected: its announcement arrives sooner.

Not done: the leader does not say when it expects to grant the keys. Tests: keys_that_their_owner_refuses_are_asked_for_only_from_time_to_time, a_refusal_during_a_move_withholds_no_requests.

--- a/src/node/keys/mod.rs
+++ b/src/node/keys/mod.rs
@@ -10,6 +10,7 @@
 pub mod map;
 pub mod plan;
 pub mod recovery;
+mod refused;
 mod stored_map;
 pub mod table_health;
 pub mod tenure;
--- a/src/node/keys/view.rs
+++ b/src/node/keys/view.rs
@@ -4,6 +4,7 @@
 //! datagrams and may be lost, repeated or reordered.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -12,6 +13,7 @@
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::map::KeyRange;
 use crate::node::keys::map::Ownership;
+use crate::node::keys::refused::RefusedRanges;
 
 /// The sequence number of a leader's announcement, ordered by term and then by number.
 #[derive(
@@ -51,6 +53,7 @@
     locations: Vec<RangeLocation>,
     /// Announcements received before one that precedes them.
     buffered: BTreeMap<Sequence, Vec<RangeLocation>>,
+    refused: RefusedRanges,
 }
 
 impl KeyView {
@@ -72,6 +75,36 @@
         self.locations.get(at)
     }
 
+    /// Records that `owner` refused a request for `key`, sent at `sent_at`, as it does not hold the key.
+    pub fn record_refusal(&mut self, key: u16, owner: &TargetId, sent_at: Instant, now: Instant) {
+        let location = self.find(key).cloned();
+        if let Some(location) = location.filter(|it| it.owner.as_ref() == Some(owner)) {
+            self.refused.record(&location, sent_at, now);
+        }
+    }
+
+    /// Records that the owner of `key` served a request for it.
+    pub fn record_served(&mut self, key: u16) {
+        self.refused.forget(KeyRange {
+            first: key,
+            last: key,
+        });
+    }
+
+    /// Permits a request for `key` to be sent to its owner. If the owner does not hold the key, returns
+    /// when the next request may be sent.
+    pub fn permit_send(&mut self, key: u16, now: Instant) -> Result<(), Instant> {
+        match self.find(key).cloned() {
+            Some(location) => self.refused.permit(&location, now),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns when the next request for `key` may be sent, if its owner does not hold it.
+    pub fn next_send(&self, key: u16) -> Option<Instant> {
+        self.refused.next_send(self.find(key)?)
+    }
+
     /// Replaces the view by the stored map, read after the announcement `seen` was sent; returns
     /// true if the view changed. Changes are stored before they are announced, so the map contains
     /// all changes up to `seen`.
@@ -87,6 +120,7 @@
         };
         self.locations = map.ranges.iter().map(location).collect();
         self.sequence = seen;
+        self.refused.clear();
         self.apply_buffered();
         true
     }
@@ -137,6 +171,7 @@
     }
 
     fn insert(&mut self, new: &RangeLocation) {
+        self.refused.forget(new.range);
         let mut locations = Vec::with_capacity(self.locations.len() + 2);
         let mut inserted = false;
         for old in self.locations.drain(..) {
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -96,6 +96,8 @@
     RateLimited,
     /// No target holds the key at present.
     NoOwner,
+    /// The owner of the key does not hold it, and no other target is known to.
+    Unheld,
     /// No attempt succeeded, and the retry limits do not permit another.
     Shed,
     /// The node is shutting down, and the request might not end before that.
@@ -326,7 +328,14 @@
         {
             return Err(Refusal::Busy);
         }
-        Ok(owner.clone())
+        let owner = owner.clone();
+        drop(views);
+        let mut views = self.state.views.borrow_mut();
+        let view = views.get_mut(&self.routed.service);
+        match view.map(|view| view.permit_send(key, now)) {
+            Some(Err(_)) => Err(Refusal::Unheld),
+            _ => Ok(owner),
+        }
     }
 
     /// Records a send; returns false if the send limit or the retry budget does not permit it.
@@ -413,7 +422,7 @@
         match reason {
             Refusal::NoOwner => self.routed.objective.mul_f64(MOVE_WAIT_FRACTION),
             // More requests are made than the targets accept, so others take the next permits.
-            Refusal::RateLimited => Duration::ZERO,
+            Refusal::RateLimited | Refusal::Unheld => Duration::ZERO,
             _ => self.routed.objective.mul_f64(QUEUE_WAIT_FRACTION),
         }
     }
@@ -450,7 +459,7 @@
         match outcome {
             AttemptOutcome::Complete(response) if response.head.status < MIN_SERVER_ERROR => {
                 target.record_response(latency, was_saturated);
-                self.record_no_crash(now);
+                self.record_served(now);
                 Some(Outcome::Response(response))
             }
             AttemptOutcome::Complete(response) => {
@@ -464,11 +473,11 @@
             }
             AttemptOutcome::Streaming(response, stream) => {
                 target.record_response(latency, was_saturated);
-                self.record_no_crash(now);
+                self.record_served(now);
                 Some(Outcome::Stream(response, stream))
             }
             AttemptOutcome::NotRun { status } => {
-                self.handle_not_run(target, status, now);
+                self.handle_not_run(target, status, sent_at, now);
                 None
             }
             AttemptOutcome::NotSent => {
@@ -540,9 +549,14 @@
         }
     }
 
-    fn record_no_crash(&self, now: Instant) {
+    /// Records that a target served the request.
+    fn record_served(&self, now: Instant) {
         let crashes = &self.state.crashes;
         crashes.record_response(self.routed.fingerprint, now);
+        let mut views = self.state.views.borrow_mut();
+        if let (Some(key), Some(view)) = (self.routed.key, views.get_mut(&self.routed.service)) {
+            view.record_served(key);
+        }
     }
 
     /// Uncounts a send after which nothing was sent.
@@ -560,7 +574,7 @@
         self.paused_until = self.routed.key.map(|_| now + OWNER_RETRY_DELAY);
     }
 
-    fn handle_not_run(&mut self, target: &Target, status: u16, now: Instant) {
+    fn handle_not_run(&mut self, target: &Target, status: u16, sent_at: Instant, now: Instant) {
         self.possible_runs -= 1;
         self.refused_by.push(target.entry.id.clone());
         self.log_failure(target, "not-run", status);
@@ -572,7 +586,11 @@
         }
         match self.routed.key {
             // The owner does not hold the key yet, or no longer holds it.
-            Some(_) => {
+            Some(key) => {
+                let mut views = self.state.views.borrow_mut();
+                if let Some(view) = views.get_mut(&self.routed.service) {
+                    view.record_refusal(key, &target.entry.id, sent_at, now);
+                }
                 self.wait_reason = Some(Refusal::NoOwner);
                 self.paused_until = Some(now + OWNER_RETRY_DELAY);
             }
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -124,6 +124,9 @@
             Refusal::NoOwner => {
                 Self::not_run("the key is on the move; come back later", retry_after)
             }
+            Refusal::Unheld => {
+                Self::not_run("no target holds the key; come back later", retry_after)
+            }
             Refusal::Stopping => {
                 Self::not_run("this node is shutting down; ask another one", retry_after)
             }
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -287,8 +287,10 @@
             });
             let time_left = routed.deadline.saturating_duration_since(Instant::now());
             let mut pause = retry_after(time_left, routed.objective);
-            if refusal == Refusal::RateLimited {
-                pause = pause.max(next_permit(state, routed));
+            match refusal {
+                Refusal::RateLimited => pause = pause.max(next_permit(state, routed)),
+                Refusal::Unheld => pause = pause.max(next_send(state, routed)),
+                _ => {}
             }
             let out = LocalResponse::refusal(refusal, pause);
             let echo = echo(state, routed.origin, Some(&request.id));
@@ -316,6 +318,18 @@
     wait.mul_f64(spread).min(MAX_RETRY_AFTER)
 }
 
+/// Returns when the owner of the request's key is asked again whether it holds the key, spread over
+/// as much time again.
+fn next_send(state: &State, routed: &RoutedRequest) -> Duration {
+    let views = state.views.borrow();
+    let view = views.get(&routed.service);
+    let next = routed.key.and_then(|key| view?.next_send(key));
+    let wait = next.map(|next| next.saturating_duration_since(Instant::now()));
+    let spread = 1.0 + rand::random::<f64>();
+    let wait = wait.unwrap_or_default().mul_f64(spread);
+    wait.min(MAX_RETRY_AFTER)
+}
+
 /// Logs the state on which a refusal was based.
 fn log_refusal_state(state: &State, routed: &RoutedRequest, line: &mut Line) {
     let now = Instant::now();
--- a/tests/node_view.rs
+++ b/tests/node_view.rs
@@ -1,6 +1,9 @@
 //! A node's view of key owners follows the leaders' announcements, across terms and without reading
 //! the table.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use googletest::prelude::*;
 
 use gooseberryloft::ids::TargetId;
@@ -50,6 +53,43 @@
     view.find(key)?.owner.as_ref().map(TargetId::as_str)
 }
 
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+#[googletest::test]
+fn keys_that_their_owner_refuses_are_asked_for_only_from_time_to_time() {
+    let mut view = loaded_view();
+    let start = Instant::now();
+    let a = TargetId::from("a");
+    let mut sent = 0;
+    for at in (0..10_000).step_by(10).map(|ms| start + MS(ms)) {
+        if view.permit_send(5, at).is_ok() {
+            view.record_refusal(5, &a, at, at + MS(1));
+            sent += 1;
+        }
+    }
+    expect_that!(sent, le(30));
+    expect_that!(view.next_send(5), some(gt(start + MS(9_990))));
+    // An announcement that gives the keys to the same owner again ends it.
+    expect_that!(view.apply(seq(1, 4), &[location(0, 9, "a")]), eq(true));
+    expect_that!(view.permit_send(5, start + MS(10_000)), ok(anything()));
+    expect_that!(view.next_send(5), none());
+}
+
+#[googletest::test]
+fn a_refusal_during_a_move_withholds_no_requests() {
+    let mut view = loaded_view();
+    let start = Instant::now();
+    let a = TargetId::from("a");
+    for at in (0..100).step_by(10).map(|ms| start + MS(ms)) {
+        expect_that!(view.permit_send(5, at), ok(anything()));
+        view.record_refusal(5, &a, at, at + MS(1));
+    }
+    view.record_served(5);
+    view.record_refusal(5, &TargetId::from("b"), start + MS(500), start + MS(501));
+    expect_that!(view.permit_send(5, start + MS(600)), ok(anything()));
+    expect_that!(view.next_send(5), none());
+}
+
 #[googletest::test]
 fn announcements_of_a_term_are_applied_in_order() {
     let mut view = loaded_view();
