Answer at once to leaders that wait for reports after a restore

A leader that continues after a restore stores no map until all nodes have reported that they do not lead.

The leader now says in its heartbeats that it waits, and nodes of other data centres answer. No test of its own yet.

--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -290,6 +290,11 @@
         self.compare_rules(heartbeat.rules, now);
         self.record_table_read(heartbeat.list, now);
         self.record_list(node, heartbeat.list, now);
+        // Nodes of this data centre send heartbeats in every period.
+        let is_remote = row.data_centre != self.state.conf.data_centre;
+        if is_remote && heartbeat.terms.iter().any(|term| term.asks) {
+            self.answer(from);
+        }
         for term in heartbeat.terms {
             let leads = term.leads;
             self.send_to_group(term.service, || GroupMessage::Peer {
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Sends a heartbeat to a node that waits for reports.
+    pub(super) fn answer(&self, to: SocketAddr) {
+        let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new()));
+        self.send_to(to, &self.datagram(heartbeat));
+    }
+
     /// Sends target changes to the nodes of this data centre; they apply to a list of targets with
     /// the digest `before`.
     pub fn send_target_updates(&self, before: ListDigest, updates: &[TargetUpdate]) {
@@ -122,6 +128,7 @@
                 term: status.term,
                 leads: status.leads,
                 ended: status.ended,
+                asks: status.asks,
             }
         });
         Heartbeat {
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -253,6 +253,12 @@
         }
     }
 
+    /// Returns true while other nodes have not reported that they do not lead.
+    pub fn awaits_reports(&self) -> bool {
+        let recovery = self.recovery.as_ref();
+        recovery.is_some_and(|recovery| !recovery.unreported().is_empty())
+    }
+
     /// Returns true while the leader continues in the term of a lease that the table may have lost.
     pub fn is_suspended(&self) -> bool {
         self.leader.is_suspended()
