--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -429,7 +429,8 @@
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
     let node = rng.below(simulation.nodes.len() as u64) as usize;
-    match rng.below(14) {
+    match rng.below(15) {
+        14 => simulation.resign(node),
         0 => simulation.crash(target),
         1 | 2 => simulation.restart(target),
         3 => simulation.targets[target].leaving = true,
