Take a refused connection for a crash only if another target is reached

What callers saw: when a node lost its links to all targets, with connections reset and new ones refused, a path with a few requests under way was refused by all nodes for 300 s.

Cause: a connection that is closed before its response, and a new connection that is refused, counted as the crash of the target. Requests of one fingerprint on lost links to two targets are two crashes, and nodes tell each other of crashes. A node's own fault was taken for one of the targets again.

Change: before the crash is recorded, the node connects to other targets. If it reaches none of them, nothing is recorded. With no other target it cannot tell, and records as before.

Evidence: links_that_were_reset_do_not_quarantine_the_requests_on_them; before, 503 from the node itself and from the other one, whose links were whole.

What remains: a node that still reaches some targets takes those that refuse its connections for crashed.

--- a/src/node/control/mod.rs
+++ b/src/node/control/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod group;
 pub mod peers;
-mod reach;
+pub(crate) mod reach;
 pub mod rows;
 pub mod run;
 pub mod watch;
--- a/src/node/control/reach.rs
+++ b/src/node/control/reach.rs
@@ -9,6 +9,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::events::Event;
+use crate::ids::TargetId;
 use crate::node::control::peers::Peers;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
@@ -27,7 +28,7 @@
         if !state.reach.is_check_due(Instant::now()) {
             continue;
         }
-        let targets = sample(&state);
+        let targets = sample(&state, None);
         if targets.is_empty() {
             continue;
         }
@@ -48,10 +49,19 @@
     }
 }
 
-/// Returns some of the targets that are not leaving, of any service.
-fn sample(state: &State) -> Vec<Rc<Target>> {
+/// Returns true if this node reaches another target than this one, or if there is no other. Otherwise
+/// its own links may be lost, and say nothing about the target.
+pub async fn reaches_others(state: &State, target: &TargetId) -> bool {
+    let targets = sample(state, Some(target));
+    targets.is_empty() || reaches_any(state, &targets).await
+}
+
+/// Returns some of the targets that are not leaving, of any service, without `excluded`.
+fn sample(state: &State, excluded: Option<&TargetId>) -> Vec<Rc<Target>> {
     let fleet = state.fleet.borrow();
-    let staying: Vec<_> = fleet.iter().filter(|t| !t.leaving.get()).collect();
+    let staying = fleet.iter().filter(|target| !target.leaving.get());
+    let staying = staying.filter(|target| Some(&target.entry.id) != excluded);
+    let staying: Vec<_> = staying.collect();
     let chosen = staying.choose_multiple(&mut rand::rng(), CHECKED_TARGETS);
     chosen.map(|target| Rc::clone(target)).collect()
 }
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::events::Event;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::node::control::reach::reaches_others;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
 use crate::node::pick;
@@ -648,6 +649,9 @@
                 target.eject(now);
                 let entry = &target.entry;
                 let (service, id) = (&entry.service, &entry.id);
+                if !reaches_others(&state, id).await {
+                    return;
+                }
                 state.crashes.record_crash(fingerprint, service, id, now);
             }
             // The cause is unknown: the network may have failed instead.
