Report a crash to the other nodes once, from the node that observed it

Cause: a node sent its newest twelve crash facts to every node, twice, whenever it knew a new one, whether observed or received.

Change: a node sends the facts that it observed itself. Loss is met as before by sending each datagram twice.

--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -234,11 +234,13 @@
         fresh.collect()
     }
 
+    /// Sends the crash facts that this node has observed to all nodes. Facts received from others are
+    /// not sent on, as every node gets them from their source.
     pub(super) fn send_crashes(&self, now: Instant) {
-        let learned = self.state.crashes.version();
-        if learned == self.crashes_sent.replace(learned) {
+        let observed = self.state.crashes.observed_version();
+        if observed == self.crashes_sent.replace(observed) {
             return;
         }
-        self.broadcast(Message::Crashes(self.state.crashes.recent_report(now)));
+        self.broadcast(Message::Crashes(self.state.crashes.observed_report(now)));
     }
 }
--- a/src/route/crash.rs
+++ b/src/route/crash.rs
@@ -79,6 +79,8 @@
     fact_count: AtomicUsize,
     /// Increases with every new fact.
     version: AtomicU64,
+    /// Increases with every new fact that this VM has observed itself.
+    observed_version: AtomicU64,
     case_count: AtomicUsize,
 }
 
@@ -108,6 +110,15 @@
     at: Instant,
     fingerprint: u64,
     kind: CrashKind,
+    source: Source,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// Observed by this VM.
+    Observed,
+    /// Received from another VM.
+    Received,
 }
 
 impl CrashTracker {
@@ -156,35 +167,49 @@
             service: service.clone(),
             target: target.clone(),
         };
-        self.add_fact(fingerprint, kind, now, now);
+        let fact = Fact {
+            at: now,
+            fingerprint,
+            kind,
+            source: Source::Observed,
+        };
+        self.add_fact(fact, now);
     }
 
     /// Records that a target responded to such a request.
     pub(crate) fn record_response(&self, fingerprint: u64, now: Instant) {
         if self.is_suspect(fingerprint, now) {
-            self.add_fact(fingerprint, CrashKind::Answered, now, now);
+            let fact = Fact {
+                at: now,
+                fingerprint,
+                kind: CrashKind::Answered,
+                source: Source::Observed,
+            };
+            self.add_fact(fact, now);
         }
     }
 
     /// Returns all facts, with their ages.
     pub(crate) fn report(&self, now: Instant) -> CrashReport {
         let facts = lock(&self.facts);
-        let entries = facts.iter().map(|fact| CrashFact {
-            fingerprint: fact.fingerprint,
-            age_ms: now.saturating_duration_since(fact.at).as_millis() as u64,
-            kind: fact.kind.clone(),
-        });
         CrashReport {
-            facts: entries.collect(),
+            facts: facts.iter().map(|fact| fact.to_report(now)).collect(),
         }
     }
 
-    /// Returns the newest facts that fit a datagram.
-    pub(crate) fn recent_report(&self, now: Instant) -> CrashReport {
-        let mut report = self.report(now);
-        let surplus = report.facts.len().saturating_sub(RECENT_FACTS);
-        report.facts.drain(..surplus);
-        report
+    /// Returns the newest facts that this VM has observed itself, as many as fit a datagram.
+    pub(crate) fn observed_report(&self, now: Instant) -> CrashReport {
+        let facts = lock(&self.facts);
+        let observed = facts.iter().filter(|f| f.source == Source::Observed);
+        let newest = observed.rev().take(RECENT_FACTS);
+        let mut entries: Vec<_> = newest.map(|fact| fact.to_report(now)).collect();
+        entries.reverse();
+        CrashReport { facts: entries }
+    }
+
+    /// Returns a version that increases when [`Self::observed_report`] contains a new fact.
+    pub(crate) fn observed_version(&self) -> u64 {
+        self.observed_version.load(Ordering::Relaxed)
     }
 
     /// Returns a version that increases with every new fact.
@@ -197,23 +222,28 @@
         for fact in report.facts.iter().take(MAX_FACTS) {
             let age = Duration::from_millis(fact.age_ms);
             if let Some(at) = now.checked_sub(age).filter(|_| age < CRASH_RETENTION) {
-                self.add_fact(fact.fingerprint, fact.kind.clone(), at, now);
+                let fact = Fact {
+                    at,
+                    fingerprint: fact.fingerprint,
+                    kind: fact.kind.clone(),
+                    source: Source::Received,
+                };
+                self.add_fact(fact, now);
             }
         }
     }
 
-    fn add_fact(&self, fingerprint: u64, kind: CrashKind, at: Instant, now: Instant) {
-        let fact = Fact {
-            at,
-            fingerprint,
-            kind,
-        };
+    fn add_fact(&self, fact: Fact, now: Instant) {
+        let (fingerprint, at, source) = (fact.fingerprint, fact.at, fact.source);
         let mut facts = lock(&self.facts);
         facts.retain(|f| now.saturating_duration_since(f.at) < CRASH_RETENTION);
         let is_known = facts.iter().any(|known| known.is_same(&fact));
         if !is_known {
             insert(&mut facts, fact);
             self.version.fetch_add(1, Ordering::Relaxed);
+            if source == Source::Observed {
+                self.observed_version.fetch_add(1, Ordering::Relaxed);
+            }
         }
         self.fact_count.store(facts.len(), Ordering::Relaxed);
         if is_known {
@@ -258,6 +288,14 @@
 }
 
 impl Fact {
+    fn to_report(&self, now: Instant) -> CrashFact {
+        CrashFact {
+            fingerprint: self.fingerprint,
+            age_ms: now.saturating_duration_since(self.at).as_millis() as u64,
+            kind: self.kind.clone(),
+        }
+    }
+
     fn is_same(&self, other: &Self) -> bool {
         self.fingerprint == other.fingerprint
             && self.kind == other.kind
