Believe of each target whether this node reaches it, and tell the other nodes

A node knew only whether it reaches any target. It now holds a belief about each pair of this node and a target's process: evidence (refused, hung, silent), when it was gained and last renewed, and an end (a connection, an answer on a link that had been silent, or age). The belief is stored in the target, so it is forgotten with the process. "Stranded" is what a check concludes that reaches none of several targets; its checks record the same evidence.

Interface: - `Target::link` (`node::reach::Link`): `is_unreachable(now)`, `belief(now)` with `evidence`, `since`, `renewed`, `is_carrying(now)` (open connections have just carried a response), `takes_requests(now)`. - `node::links::{record_sent, record_response, record_connected, record_failure}` record what requests, orders and checks show; they log event 404 `reach-changed` and count `reach_lost`, `reach_regained`. - `Peers::reaching(process, now) -> Vec<RelayNode>`: the other nodes that are alive, not stranded and have not reported that they do not reach the process (`Target::process_tag`). `Reach::is_reported(node, process, now)` is the test for one node. - `Message::Reach`: changes at once and twice, all unreachable targets every 0.8 s or 10 ms per node; a report holds three of these periods. - `Relays` holds all able nodes at all times, not only on a stranded node.

Evidence: tests/node_reach.rs (10 tests; the interface is new, so they do not compile before). Requests do not use the belief yet.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -76,6 +76,8 @@
     PeerLost = 402,
     /// A node found that it reaches no target, or that it reaches targets again.
     LinksChanged = 403,
+    /// A node began to believe that it does not reach a target, or ceased to.
+    ReachChanged = 404,
     /// A request was refused.
     RequestRefused = 500,
     /// A graceful shutdown reached its time limit and aborted requests in flight.
@@ -131,7 +133,7 @@
             Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused | Self::SendSkipped => Level::Debug,
-            Self::FieldInvalid | Self::LinksChanged => Level::Warn,
+            Self::FieldInvalid | Self::LinksChanged | Self::ReachChanged => Level::Warn,
             Self::TableDown | Self::TableWriteFailed | Self::TableRestored => Level::Warn,
             Self::OrderFailed | Self::PeerLost => Level::Warn,
             _ => Level::Info,
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -1,6 +1,7 @@
 //! Carries out the decisions of [`Leader`](crate::node::keys::leader::Leader): sends orders,
 //! writes the map, announces moves and renews the lease.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,6 +29,7 @@
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
 use crate::node::limit::issue_rate;
+use crate::node::links;
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_leaving;
 use crate::node::notices::record_named_limit;
@@ -148,13 +150,12 @@
         let (platform, handle) = (self.platform.clone(), self.handle.clone());
         let (state, service) = (self.state.clone(), self.service.clone());
         tokio::task::spawn_local(async move {
-            state.reach.record_sent(Instant::now());
-            let answer = platform.order(&order).await;
-            match &answer.outcome {
-                OrderOutcome::Done(_) | OrderOutcome::StaleFence => state.reach.record_response(),
-                OrderOutcome::NotSent => state.reach.record_unreachable(&order.to.id),
-                OrderOutcome::Reconnected | OrderOutcome::Unknown => {}
+            let begun = Instant::now();
+            if let Some(target) = target_of(&state, &order.to) {
+                links::record_sent(&state, &target, begun);
             }
+            let answer = platform.order(&order).await;
+            record_reach(&state, &order.to, &answer.outcome, begun);
             record_notices(&state, &order.to, &answer);
             let outcome = answer.outcome;
             if !matches!(outcome, OrderOutcome::Done(_) | OrderOutcome::Reconnected) {
@@ -390,11 +391,36 @@
     }
 }
 
+/// Returns the process to which an order is sent, if it is listed.
+fn target_of(state: &State, holder: &Holder) -> Option<Rc<Target>> {
+    let fleet = state.fleet.borrow();
+    let target = fleet.get(&holder.id);
+    let target = target.filter(|t| t.entry.incarnation == holder.incarnation);
+    target.cloned()
+}
+
+/// Records what the outcome of an order that was sent at `begun` shows of the link to the target.
+fn record_reach(state: &State, holder: &Holder, outcome: &OrderOutcome, begun: Instant) {
+    let Some(target) = target_of(state, holder) else {
+        return;
+    };
+    let now = Instant::now();
+    match outcome {
+        OrderOutcome::Done(_) | OrderOutcome::StaleFence => {
+            links::record_response(state, &target, now);
+        }
+        OrderOutcome::NotSent => {
+            let error = ErrorKind::TimedOut.into();
+            links::record_failure(state, &target, &error, begun, now);
+        }
+        OrderOutcome::Reconnected | OrderOutcome::Unknown => {}
+    }
+}
+
 /// Records what a target announced in its reply to an order. A reply that names no limit says
 /// nothing: limits are named in responses to requests.
 fn record_notices(state: &State, holder: &Holder, answer: &OrderAnswer) {
-    let target = state.fleet.borrow().get(&holder.id).cloned();
-    let Some(target) = target.filter(|t| t.entry.incarnation == holder.incarnation) else {
+    let Some(target) = target_of(state, holder) else {
         return;
     };
     if answer.target_leaving {
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The other nodes: tracks which are alive, and dispatches the datagrams that they send.
 
 mod limits;
+mod reach;
 mod send;
 
 use std::cell::Cell;
@@ -39,7 +40,6 @@
 use crate::node::platform::Cursor;
 use crate::node::reader;
 use crate::node::reader::Neighbour;
-use crate::node::relays::RelayNode;
 use crate::node::rules_lag::RulesLag;
 use crate::node::state::State;
 use crate::platform::Row;
@@ -87,6 +87,8 @@
     /// Whether the rows of the other nodes have been read.
     rows_read: Cell<bool>,
     period_count: Cell<u64>,
+    /// When the other nodes were last told of all targets that this node does not reach.
+    reach_told: Cell<Option<Instant>>,
     /// When another node last read the list of targets from the platform.
     last_table_read: Cell<Option<Instant>>,
 }
@@ -105,6 +107,7 @@
             crashes_sent: Cell::new(0),
             rows_read: Cell::new(false),
             period_count: Cell::new(0),
+            reach_told: Cell::new(None),
             last_table_read: Cell::new(None),
         }
     }
@@ -142,20 +145,6 @@
             .any(|peer| peer.is_alive(now) && !peer.stranded)
     }
 
-    /// Determines the nodes that pass requests on while this node reaches no target.
-    pub fn update_relays(&self, now: Instant) {
-        let peers = self.peers.borrow();
-        let able = peers.iter().filter(|(_, peer)| {
-            self.state.reach.is_stranded() && peer.is_alive(now) && !peer.stranded
-        });
-        let nodes = able.map(|(name, peer)| RelayNode {
-            name: name.clone(),
-            address: peer.address,
-            data_centre: peer.data_centre.clone(),
-        });
-        self.state.relays.set(nodes.collect(), now);
-    }
-
     /// Returns the rank of this node among the nodes that are alive and reach targets; lower ranks
     /// campaign earlier.
     pub fn rank(&self, election: &Election, now: Instant) -> u32 {
@@ -227,6 +216,7 @@
             loads: Vec::new(),
             asked_since: None,
         };
+        self.state.reach.forget_node(name);
         if let Some(old) = peers.insert(name.clone(), peer) {
             self.remove_loads(&old);
         }
@@ -262,6 +252,7 @@
             Message::Limits(reports) => self.handle_limits(&reports, now),
             Message::PermitRequest(request) => self.handle_permit_request(request, from, now),
             Message::Permit(number, wait_ms) => self.handle_permit(number, wait_ms),
+            Message::Reach(report) => self.handle_reach(&node, boot, &report, now),
         }
     }
 
@@ -416,6 +407,7 @@
                 self.add_loads(&loads, false);
             }
             if !keep {
+                self.state.reach.forget_node(name);
                 self.state
                     .log
                     .record(Event::PeerLost, |line| line.text("peer", name.as_str()));
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -56,6 +56,7 @@
             }
             self.send_crashes(now);
             self.send_limits(now);
+            self.send_reach(now);
             self.update_relays(now);
             self.update_counts();
         }
@@ -167,7 +168,10 @@
             return Vec::new();
         }
         let fleet = self.state.fleet.borrow();
-        let busy = fleet.iter().filter(|target| target.in_flight.get() > 0);
+        let now = Instant::now();
+        let busy = fleet
+            .iter()
+            .filter(|target| target.in_flight.get() > 0 && target.link.takes_requests(now));
         let loads = busy.map(|target| {
             let count = target.in_flight.get().min(u16::MAX.into()) as u16;
             (target_tag(&target.entry.id), count)
--- a/src/node/control/reach.rs
+++ b/src/node/control/reach.rs
@@ -1,4 +1,4 @@
-//! Checks whether this node reaches targets, when its requests give reason to doubt it.
+//! Checks which targets this node reaches, when its requests give reason to doubt it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,19 +12,32 @@
 use crate::node::control::peers::Peers;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
+use crate::node::links;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
 
 /// How often it is decided whether a check is due.
 const TICK: Duration = Duration::from_millis(100);
-/// Number of targets that one check connects to.
+/// Number of targets that a check of whether the node is stranded connects to.
 const CHECKED_TARGETS: usize = 4;
+/// Maximum number of doubted targets whose links are checked in one tick.
+const DOUBTED_TARGETS: usize = 8;
 
 /// Checks the links to targets until the process ends.
 pub async fn check_links(state: Rc<State>, peers: Rc<Peers>) {
     while state.stage() < ShutdownStage::Ended {
-        tokio::time::sleep(TICK).await;
-        if !state.reach.is_check_due(Instant::now()) {
+        let changed = state.reach.changed.notified();
+        tokio::select! {
+            () = tokio::time::sleep(TICK) => {}
+            () = changed => {}
+        }
+        let now = Instant::now();
+        links::expire(&state, now);
+        if state.reach.has_untold() {
+            peers.send_reach(now);
+        }
+        check_doubted(&state, now);
+        if !state.reach.is_check_due(now) {
             continue;
         }
         let targets = sample(&state);
@@ -48,6 +61,46 @@
     }
 }
 
+/// Begins to check the links to targets in doubt, unless the node is stranded: its links to all of
+/// them are then in doubt, and a sample is checked.
+fn check_doubted(state: &Rc<State>, now: Instant) {
+    if state.reach.is_stranded() {
+        return;
+    }
+    let fleet = state.fleet.borrow();
+    let doubted = fleet
+        .iter()
+        .filter(|t| !t.leaving.get() && t.link.is_check_due(now));
+    let mut doubted: Vec<_> = doubted.collect();
+    doubted.sort_by_key(|target| target.link.last_check());
+    for target in doubted.into_iter().take(DOUBTED_TARGETS) {
+        target.link.begin_check(now);
+        let (state, target) = (state.clone(), Rc::clone(target));
+        tokio::task::spawn_local(async move { check(&state, &target).await });
+    }
+}
+
+/// Opens a connection to a target, records whether that succeeds, and keeps the connection if there
+/// is no other for requests.
+async fn check(state: &State, target: &Rc<Target>) -> bool {
+    let begun = Instant::now();
+    let opened = state.pool.open(target).await;
+    let now = Instant::now();
+    match opened {
+        Ok(connection) => {
+            links::record_connected(state, target, now);
+            if !state.pool.has_idle(target) {
+                state.pool.put(connection, None, now);
+            }
+            true
+        }
+        Err(error) => {
+            links::record_failure(state, target, &error, begun, now);
+            false
+        }
+    }
+}
+
 /// Returns some of the targets that are not leaving, of any service.
 fn sample(state: &State) -> Vec<Rc<Target>> {
     let fleet = state.fleet.borrow();
@@ -58,11 +111,10 @@
 
 /// Returns true as soon as a connection to one of the targets is open; keeps it for requests.
 async fn reaches_any(state: &State, targets: &[Rc<Target>]) -> bool {
-    let opening = targets.iter().map(|target| state.pool.open(target));
-    let mut opening: FuturesUnordered<_> = opening.collect();
-    while let Some(opened) = opening.next().await {
-        if let Ok(connection) = opened {
-            state.pool.put(connection, None, Instant::now());
+    let checks = targets.iter().map(|target| check(state, target));
+    let mut checks: FuturesUnordered<_> = checks.collect();
+    while let Some(reached) = checks.next().await {
+        if reached {
             return true;
         }
     }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -45,6 +45,12 @@
     PermitTimeouts,
     /// How often this node found that it reaches no target.
     Strandings,
+    /// Targets that this node began to believe to be unreachable from it.
+    ReachLost,
+    /// Targets that this node ceased to believe to be unreachable from it.
+    ReachRegained,
+    /// Requests passed on to another node, which reaches targets that this one does not.
+    RequestsRelayed,
     /// Log lines dropped because of the rate or buffer limit.
     LogLinesDropped,
 }
@@ -61,7 +67,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 14],
+    unlabelled: [Cell<u64>; 17],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -86,6 +86,23 @@
     /// which the next permit is expected.
     #[serde(rename = "y")]
     Permit(u64, u32),
+    /// Targets that the sender does not reach, or reaches again.
+    #[serde(rename = "u")]
+    Reach(ReachReport),
+}
+
+/// What a node believes of its links to targets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReachReport {
+    /// How long the report holds unless it is repeated, in milliseconds.
+    #[serde(rename = "v")]
+    pub valid_ms: u16,
+    /// Processes that the node does not reach.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub unreachable: Vec<ProcessTag>,
+    /// Processes that the node reaches again.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub reached: Vec<ProcessTag>,
 }
 
 /// What a node knows of a target's limit.
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -22,6 +22,7 @@
 use crate::node::datagram::target_tag;
 use crate::node::limit::ProcessTag;
 use crate::node::limit::TargetLimit;
+use crate::node::reach::Link;
 
 /// How long after the last failed read of the list a target that disappeared from it stays in use.
 /// Live targets are listed again within about two seconds, and 3 s after an outage targets that are
@@ -92,6 +93,8 @@
     pub is_relay: bool,
     /// The limit that the target names in its responses.
     pub limit: TargetLimit,
+    /// What this node knows of its link to the process.
+    pub link: Link,
     /// Requests in flight from this node.
     pub in_flight: Cell<u32>,
     /// Requests in flight from other nodes, by their latest reports.
@@ -121,6 +124,7 @@
             announced_leaving: Cell::new(false),
             is_relay: false,
             limit: TargetLimit::default(),
+            link: Link::default(),
             in_flight: Cell::new(0),
             peer_in_flight: Cell::new(0),
             connections: Cell::new(0),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod keys;
 pub mod limit;
+pub mod links;
 pub mod list_schedule;
 pub mod log;
 pub mod notices;
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -11,6 +11,7 @@
 use crate::node::limit::Evidence;
 use crate::node::limit::RequestRate;
 use crate::node::limit::obtain_permit;
+use crate::node::links;
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_leaving;
 use crate::node::notices::record_limit;
@@ -142,7 +143,7 @@
         None => match context.pool.open(target).await {
             Ok(connection) => {
                 if !target.is_relay {
-                    context.state.reach.record_connected();
+                    links::record_connected(context.state, target, Instant::now());
                 }
                 if context.caller.has_left() {
                     context.pool.put(connection, None, Instant::now());
@@ -150,9 +151,9 @@
                 }
                 connection
             }
-            Err(_) => {
+            Err(error) => {
                 if !target.is_relay {
-                    context.state.reach.record_unreachable(&target.entry.id);
+                    links::record_failure(context.state, target, &error, now, Instant::now());
                 }
                 return AttemptOutcome::NotSent;
             }
@@ -164,7 +165,7 @@
     let out = encode_request(context, request, target);
     let sent_at = Instant::now();
     if !target.is_relay {
-        context.state.reach.record_sent(sent_at);
+        links::record_sent(context.state, target, sent_at);
     }
     connection.conn.begin_exchange();
     let (read, request_sent) = exchange(context, &mut connection, &out, request, target).await;
@@ -300,7 +301,7 @@
     for _ in 0..MAX_RESPONSES_READ {
         let head = read_head(reader, buffer, &request.head.method).await?;
         if !target.is_relay {
-            context.state.reach.record_response();
+            links::record_response(context.state, target, Instant::now());
             record_notices(context, target, &head);
         }
         let interim = (100..200).contains(&head.status);
--- a/src/node/proxy/pool.rs
+++ b/src/node/proxy/pool.rs
@@ -97,6 +97,13 @@
         self.idle.borrow_mut().entry(key).or_default().push(idle);
     }
 
+    /// Returns true if there are idle connections to a target.
+    pub fn has_idle(&self, target: &Target) -> bool {
+        let idle = self.idle.borrow();
+        idle.get(&pool_key(target))
+            .is_some_and(|list| !list.is_empty())
+    }
+
     /// Closes all idle connections to a target.
     pub fn remove_target(&self, target: &Target) {
         self.idle.borrow_mut().remove(&pool_key(target));
