Send requests for targets that this node does not reach through a node that does

Callers saw refusals `no-owner` and `busy` for keys whose owner was idle and reached by other nodes: a node asked others only when it reached no target at all.

A keyed request whose owner this node does not reach goes to a node that is alive and has not reported the same; an unkeyed one only if no target that this node reaches is free and one that it does not reach is. Requests of other nodes are never passed on; a node that does not reach the target either answers 421, not run, at once, and its sender remembers that for 1 s. If nobody reaches the owner, the caller is refused at once (`unreached`, 503 with `Retry-After`). The caller's node records the first send of a request in its retry budget and pays for a repeat that it passes on; the other node pays for those that it sends. Idle connections to a target are dropped when it is believed to be unreachable and its open connections are silent, no longer at every failed connection: paths may live on while new connections are refused.

A target that owes a response is connected to after three times its usual response time, 0.3 to 1 s.

--- a/src/node/control/reach.rs
+++ b/src/node/control/reach.rs
@@ -68,9 +68,10 @@
         return;
     }
     let fleet = state.fleet.borrow();
-    let doubted = fleet
-        .iter()
-        .filter(|t| !t.leaving.get() && t.link.is_check_due(now));
+    let doubted = fleet.iter().filter(|target| {
+        let usual = target.latency().map(Duration::from_secs_f64);
+        !target.leaving.get() && target.link.is_check_due(usual, now)
+    });
     let mut doubted: Vec<_> = doubted.collect();
     doubted.sort_by_key(|target| target.link.last_check());
     for target in doubted.into_iter().take(DOUBTED_TARGETS) {
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -78,6 +78,11 @@
         cell.set(cell.get() + 1);
     }
 
+    /// Returns the value of a counter.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.unlabelled[counter as usize].get()
+    }
+
     /// Overwrites a counter whose value is counted elsewhere.
     pub fn set(&self, counter: Counter, value: u64) {
         self.unlabelled[counter as usize].set(value);
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -47,6 +47,13 @@
     record_change(state, target, change, now);
 }
 
+/// Returns true if requests can be sent to a target from this node, as far as it knows: no evidence
+/// says that the target is unreachable, or a connection is open that has just carried a response.
+pub fn can_send(state: &State, target: &Target, now: Instant) -> bool {
+    let link = &target.link;
+    !link.is_unreachable(now) || link.is_carrying(now) && state.pool.has_idle(target)
+}
+
 /// Ends beliefs for which there was no evidence for some time, and counts those that are left.
 pub fn expire(state: &State, now: Instant) {
     state.reach.expire_reports(now);
@@ -76,6 +83,9 @@
         return;
     };
     state.reach.record_change(target.process_tag(), change);
+    if !target.link.takes_requests(now) {
+        state.pool.remove_target(target);
+    }
     state.routing_changed.notify_waiters();
     let (reached, belief) = match change {
         BeliefChange::Gained(belief) => {
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -14,8 +14,11 @@
 use crate::events::Event;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::ids::VmId;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
+use crate::node::limit::ProcessTag;
+use crate::node::links;
 use crate::node::pick;
 use crate::node::pick::PickContext;
 use crate::node::proxy::attempt::AttemptContext;
@@ -45,6 +48,10 @@
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Maximum number of sends of one request, including those that a target refused.
 const MAX_SENDS: u32 = 5;
+/// Maximum number of nodes that are asked in turn to serve a request.
+const MAX_RELAYS: u32 = 3;
+/// How long a node that refused a request because it does not reach the target is not asked again.
+const UNREACHED_TIME: Duration = Duration::from_millis(1_000);
 /// HTTP statuses from this value on count as failures of the target.
 const MIN_SERVER_ERROR: u16 = 500;
 
@@ -100,8 +107,10 @@
     Shed,
     /// The node is shutting down, and the request might not end before that.
     Stopping,
-    /// Another node passed the request on, and this one reaches no target either.
+    /// Another node passed the request on, and this one does not reach the target either.
     Stranded,
+    /// Neither this node nor another one reaches the owner of the key.
+    Unreached,
     /// Requests with the same fingerprint crashed targets.
     Quarantined,
     /// The request may have run, but its response was lost.
@@ -142,6 +151,10 @@
     failure: Option<&'static str>,
     /// Number of possible runs that are left to another node, once it was asked to serve the request.
     relayed_runs: Option<u32>,
+    /// Number of nodes that were asked to serve the request.
+    relays_asked: u32,
+    /// The owner's process that the last of them was to send the request to.
+    relayed_to: Option<ProcessTag>,
 }
 
 /// Counts a request as in flight at a target until dropped.
@@ -197,9 +210,11 @@
         last_response: None,
         failure: None,
         relayed_runs: None,
+        relays_asked: 0,
+        relayed_to: None,
     };
     if let Some(key) = routed.key
-        && !dispatch.needs_relay()
+        && !dispatch.needs_relay(Instant::now())
     {
         state.count_key(&routed.service, key);
     }
@@ -218,7 +233,7 @@
             if needs_target {
                 match self.next_target(now) {
                     Ok(target) => {
-                        if !target.is_relay && !self.permit_send(now) {
+                        if !self.permit_send(now) {
                             if running.is_empty() {
                                 return self.give_up(Refusal::Shed);
                             }
@@ -254,17 +269,26 @@
         }
     }
 
-    /// Returns true if another node should serve the request, since this one reaches no target.
-    fn needs_relay(&self) -> bool {
-        self.routed.origin == Origin::Caller && self.state.reach.is_stranded()
+    /// Returns true if another node should serve the request, since this one reaches no target, or
+    /// not the owner of the key.
+    fn needs_relay(&self, now: Instant) -> bool {
+        let reach = &self.state.reach;
+        self.routed.origin == Origin::Caller
+            && (reach.is_stranded()
+                || reach.any_unreachable()
+                    && self
+                        .routed
+                        .key
+                        .and_then(|key| self.owner(key).ok())
+                        .is_some_and(|owner| !owner.link.takes_requests(now)))
     }
 
     /// Returns the target for the next send, or the reason to wait.
     fn next_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
-        if self.needs_relay() {
-            let own = &self.state.conf.data_centre;
-            let relays = &self.state.relays;
-            if let Some(relay) = relays.choose(own, &self.tried, now, rand::random) {
+        if self.routed.origin == Origin::Caller && self.state.reach.is_stranded() {
+            let owner = self.routed.key.and_then(|key| self.owner(key).ok());
+            self.relayed_to = owner.map(|owner| owner.process_tag());
+            if let Some(relay) = self.choose_relay(now) {
                 return Ok(relay);
             }
         }
@@ -277,12 +301,67 @@
         }
     }
 
-    fn choose_target(&self, now: Instant) -> Result<Rc<Target>, Refusal> {
+    /// Returns a node to pass the request on to, which reaches the process in `relayed_to`. A request
+    /// that was passed on once is not passed on again.
+    fn choose_relay(&self, now: Instant) -> Option<Rc<Target>> {
+        if self.routed.origin == Origin::Node || self.relays_asked >= MAX_RELAYS {
+            return None;
+        }
+        let State { conf, relays, .. } = &**self.state;
+        let reaches = |node: &VmId| self.is_reached_by(node, self.relayed_to, now);
+        relays.choose(&conf.data_centre, &self.tried, now, reaches, rand::random)
+    }
+
+    fn is_reached_by(&self, node: &VmId, process: Option<ProcessTag>, now: Instant) -> bool {
+        let reach = &self.state.reach;
+        process.is_none_or(|process| !reach.is_reported(node, process, now))
+    }
+
+    fn choose_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
         let fleet = self.state.fleet.borrow();
         let targets = fleet.of(&self.routed.service);
         if !pick::has_any(targets) {
             return Err(Refusal::NoTarget);
         }
+        if !self.state.reach.any_unreachable() {
+            return self.pick(targets, now);
+        }
+        let (reached, unreached): (Vec<_>, Vec<_>) = targets
+            .iter()
+            .cloned()
+            .partition(|target| links::can_send(self.state, target, now));
+        let none_reached = !pick::has_any(&reached);
+        if none_reached && self.routed.origin == Origin::Node {
+            return Err(Refusal::Stranded);
+        }
+        let chosen = self.pick(&reached, now);
+        if chosen.is_ok() {
+            return chosen;
+        }
+        if let Some(relay) = self.choose_relay_to_any(&unreached, now) {
+            return Ok(relay);
+        }
+        match none_reached {
+            true => self.pick(targets, now),
+            false => chosen,
+        }
+    }
+
+    /// Returns a node that reaches one of the targets that has capacity.
+    fn choose_relay_to_any(&mut self, targets: &[Rc<Target>], now: Instant) -> Option<Rc<Target>> {
+        let able = targets.iter().filter(|target| {
+            !target.leaving.get()
+                && !target.is_withheld(now)
+                && pick::has_capacity(target, self.routed.objective, 1)
+        });
+        let able: Vec<_> = able.map(|target| target.process_tag()).collect();
+        able.into_iter().find_map(|process| {
+            self.relayed_to = Some(process);
+            self.choose_relay(now)
+        })
+    }
+
+    fn pick(&self, targets: &[Rc<Target>], now: Instant) -> Result<Rc<Target>, Refusal> {
         let context = PickContext {
             now,
             data_centre: &self.state.conf.data_centre,
@@ -298,7 +377,8 @@
         })
     }
 
-    fn find_owner(&self, key: u16, now: Instant) -> Result<Rc<Target>, Refusal> {
+    /// Returns the owner of a key, unless it is unknown, leaving or does not hold the key yet.
+    fn owner(&self, key: u16) -> Result<Rc<Target>, Refusal> {
         let views = self.state.views.borrow();
         let range = views
             .get(&self.routed.service)
@@ -309,7 +389,18 @@
         let fleet = self.state.fleet.borrow();
         let owner = range.owner.as_ref().and_then(|id| fleet.get(id));
         let owner = owner.filter(|target| !target.leaving.get());
-        let owner = owner.ok_or(Refusal::NoOwner)?;
+        owner.cloned().ok_or(Refusal::NoOwner)
+    }
+
+    fn find_owner(&mut self, key: u16, now: Instant) -> Result<Rc<Target>, Refusal> {
+        let owner = self.owner(key)?;
+        if !links::can_send(self.state, &owner, now) {
+            self.relayed_to = Some(owner.process_tag());
+            return match self.routed.origin {
+                Origin::Caller => self.choose_relay(now).ok_or(Refusal::Unreached),
+                Origin::Node => Err(Refusal::Stranded),
+            };
+        }
         if owner.is_ejected(now)
             && owner.failure_rate() > 0.0
             && self.tried.contains(&owner.entry.id)
@@ -321,18 +412,20 @@
         }
         let max_connections = self.state.max_connections(&self.routed.service);
         let data_centres = self.state.data_centres.get();
-        if !pick::has_capacity(owner, self.routed.objective, data_centres)
+        if !pick::has_capacity(&owner, self.routed.objective, data_centres)
             || owner.in_flight.get() >= max_connections
         {
             return Err(Refusal::Busy);
         }
-        Ok(owner.clone())
+        Ok(owner)
     }
 
     /// Records a send; returns false if the send limit or the retry budget does not permit it.
     fn permit_send(&mut self, now: Instant) -> bool {
         let service = &self.routed.service;
-        if !std::mem::replace(&mut self.first_send_recorded, true) {
+        // The first send of a request is recorded on the node that its caller sent it to.
+        let is_first = !std::mem::replace(&mut self.first_send_recorded, true);
+        if is_first && self.routed.origin == Origin::Caller {
             self.state.record_first_send(service, now);
         }
         if self.sends == 0 {
@@ -350,6 +443,8 @@
         self.sends += 1;
         let runs = match target.is_relay {
             true => {
+                self.relays_asked += 1;
+                self.state.counters.add(Counter::RequestsRelayed);
                 let left = self.routed.max_attempts.saturating_sub(self.possible_runs);
                 *self.relayed_runs.insert(left.max(1))
             }
@@ -385,7 +480,7 @@
     }
 
     fn should_hedge(&self, running: &Running<'a>, now: Instant) -> bool {
-        let is_due = self.needs_relay() || self.routed.key.is_none() && now >= self.hedge_at();
+        let is_due = self.needs_relay(now) || self.routed.key.is_none() && now >= self.hedge_at();
         is_due
             && self.relayed_runs.is_none()
             && running.len() == 1
@@ -414,6 +509,8 @@
             Refusal::NoOwner => self.routed.objective.mul_f64(MOVE_WAIT_FRACTION),
             // More requests are made than the targets accept, so others take the next permits.
             Refusal::RateLimited => Duration::ZERO,
+            // Another node may reach the target, or none does.
+            Refusal::Stranded | Refusal::Unreached => Duration::ZERO,
             _ => self.routed.objective.mul_f64(QUEUE_WAIT_FRACTION),
         }
     }
@@ -514,15 +611,21 @@
             }
             AttemptOutcome::Streaming(response, stream) => Some(Outcome::Stream(response, stream)),
             AttemptOutcome::NotRun { status } if status != 421 => {
-                self.possible_runs -= self.relayed_runs.take().unwrap_or(0);
+                self.take_back_relay();
                 self.log_failure(relay, "not-run", status);
                 none_running.then(|| self.give_up(Refusal::Busy))
             }
+            AttemptOutcome::NotRun { .. } if self.relayed_to.is_some() => {
+                self.take_back_relay();
+                self.record_unreached_by(relay, now);
+                self.log_failure(relay, "not-relayed", 0);
+                None
+            }
             AttemptOutcome::NotRun { .. }
             | AttemptOutcome::NotSent
             | AttemptOutcome::Withheld
             | AttemptOutcome::RateLimited => {
-                self.possible_runs -= self.relayed_runs.take().unwrap_or(0);
+                self.take_back_relay();
                 relay.eject(now);
                 self.log_failure(relay, "not-relayed", 0);
                 None
@@ -540,6 +643,21 @@
         }
     }
 
+    /// Uncounts a request that another node did not run.
+    fn take_back_relay(&mut self) {
+        self.possible_runs -= self.relayed_runs.take().unwrap_or(0);
+        self.sends -= 1;
+    }
+
+    /// Records that a node does not reach the target that it was to send the request to.
+    fn record_unreached_by(&self, relay: &Target, now: Instant) {
+        if let Some(process) = self.relayed_to {
+            let node = VmId::from(relay.entry.id.as_str());
+            let until = now + UNREACHED_TIME;
+            self.state.reach.record_report(&node, process, until);
+        }
+    }
+
     fn record_no_crash(&self, now: Instant) {
         let crashes = &self.state.crashes;
         crashes.record_response(self.routed.fingerprint, now);
@@ -554,10 +672,11 @@
     fn handle_not_sent(&mut self, target: &Target, now: Instant) {
         self.take_back_send();
         target.eject(now);
-        self.state.pool.remove_target(target);
         self.log_failure(target, "not-sent", 0);
         self.wait_reason = self.routed.key.map(|_| Refusal::NoOwner);
-        self.paused_until = self.routed.key.map(|_| now + OWNER_RETRY_DELAY);
+        if links::can_send(self.state, target, now) {
+            self.paused_until = self.routed.key.map(|_| now + OWNER_RETRY_DELAY);
+        }
     }
 
     fn handle_not_run(&mut self, target: &Target, status: u16, now: Instant) {
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -127,7 +127,13 @@
             Refusal::Stopping => {
                 Self::not_run("this node is shutting down; ask another one", retry_after)
             }
-            Refusal::Stranded => Self::error(421, "this node reaches no target; ask another one"),
+            Refusal::Unreached => Self::not_run(
+                "no node reaches the owner of the key; come back later",
+                retry_after,
+            ),
+            Refusal::Stranded => {
+                Self::error(421, "this node does not reach the target; ask another one")
+            }
             Refusal::Quarantined => Self {
                 status: 503,
                 text: "requests like this one crashed targets; do not send it again",
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::events::Event;
+use crate::ids::VmId;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
 use crate::node::log::Line;
@@ -74,7 +75,7 @@
 pub enum Origin {
     /// A caller.
     Caller,
-    /// Another node, which reaches no target.
+    /// Another node, which does not reach the target.
     Node,
 }
 
@@ -349,6 +350,15 @@
         line.text("owner", owner.entry.id.as_str());
         line.number("load", owner.load().into());
         line.number("slots", owner.entry.slots.into());
+        if let Some(belief) = owner.link.belief(now) {
+            let age = now.saturating_duration_since(belief.since);
+            line.text("reached", "no");
+            line.text("evidence", belief.evidence.into());
+            line.number("unreached_ms", age.as_millis() as u64);
+            let process = owner.process_tag();
+            let is_able = |node: &VmId| !state.reach.is_reported(node, process, now);
+            line.number("reaching_nodes", state.relays.count(is_able) as u64);
+        }
         if let Some(limit) = owner.limit.rate() {
             line.show("limit", limit);
         }
--- a/src/node/reach.rs
+++ b/src/node/reach.rs
@@ -22,8 +22,13 @@
 
 /// How long targets may owe a response, with none from any target, before connections are checked.
 const SILENCE: Duration = Duration::from_millis(500);
-/// How long one target may owe a response, with none from it, before its link is checked.
+/// How long one target may owe a response, with none from it, before its open connections are in
+/// doubt.
 const LINK_SILENCE: Duration = Duration::from_millis(300);
+/// The same before its link is checked, as a multiple of its usual response time, and at most; each
+/// check opens a connection.
+const SILENT_RESPONSES: u32 = 3;
+const MAX_LINK_SILENCE: Duration = Duration::from_millis(1_000);
 /// Number of targets that could not be connected to, with no new connection to any, after which
 /// connections are checked.
 const UNREACHABLE_TARGETS: usize = 2;
@@ -112,11 +117,11 @@
         self.belief(now).is_some()
     }
 
-    /// Returns true if the target has just responded, so that connections that are open carry requests
-    /// even if no other can be opened.
+    /// Returns true if the target has just responded and owes no response for long, so that connections
+    /// that are open carry requests even if no other can be opened.
     pub fn is_carrying(&self, now: Instant) -> bool {
         let heard = self.heard_at.get();
-        heard.is_some_and(|at| elapsed(at, now) < CARRYING_TIME)
+        heard.is_some_and(|at| elapsed(at, now) < CARRYING_TIME) && !self.is_silent(now)
     }
 
     /// Returns true if requests that were sent have arrived, as far as this node knows.
@@ -196,14 +201,17 @@
     }
 
     /// Returns true if a connection should be opened now, to decide whether the target is reached.
-    pub fn is_check_due(&self, now: Instant) -> bool {
+    /// `usual` is the target's usual response time, if it is known.
+    pub fn is_check_due(&self, usual: Option<Duration>, now: Instant) -> bool {
         let (is_doubted, period) = match self.belief(now) {
             Some(belief) => {
                 let period = elapsed(belief.since, now) / CHECKS_PER_AGE;
                 (true, period.clamp(CHECK_PERIOD, MAX_CHECK_PERIOD))
             }
             None => {
-                let is_doubted = self.is_silent(now) || self.failures.get() > 0;
+                let patience = usual.map_or(LINK_SILENCE, |usual| usual * SILENT_RESPONSES);
+                let patience = patience.clamp(LINK_SILENCE, MAX_LINK_SILENCE);
+                let is_doubted = self.is_silent_for(patience, now) || self.failures.get() > 0;
                 (is_doubted, CHECK_PERIOD)
             }
         };
@@ -222,8 +230,12 @@
     }
 
     fn is_silent(&self, now: Instant) -> bool {
+        self.is_silent_for(LINK_SILENCE, now)
+    }
+
+    fn is_silent_for(&self, time: Duration, now: Instant) -> bool {
         let since = self.silent_since.get();
-        since.is_some_and(|at| elapsed(at, now) >= LINK_SILENCE)
+        since.is_some_and(|at| elapsed(at, now) >= time)
     }
 }
 
--- a/src/node/relays.rs
+++ b/src/node/relays.rs
@@ -1,4 +1,4 @@
-//! The other nodes that pass requests on to targets while this node reaches none.
+//! The other nodes that pass requests on to targets which this node does not reach.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -15,7 +15,7 @@
 /// billed by the byte.
 const REMOTE_COST: f64 = 6.0;
 
-/// Another node that reaches targets.
+/// Another node that is alive and not stranded.
 #[derive(Clone, Debug)]
 pub struct RelayNode {
     /// Its name.
@@ -46,20 +46,21 @@
         }
     }
 
-    /// Returns the least loaded node that has not failed just now and was not tried for this request.
-    /// `random` returns numbers from 0 to 1.
+    /// Returns the least loaded node for which `reaches` is true, that has not failed just now and was
+    /// not tried for this request. `random` returns numbers from 0 to 1.
     pub fn choose(
         &self,
         data_centre: &DataCentre,
         tried: &[TargetId],
         now: Instant,
+        reaches: impl Fn(&VmId) -> bool,
         mut random: impl FnMut() -> f64,
     ) -> Option<Rc<Target>> {
         let relays = self.0.borrow();
-        let able = relays
-            .values()
-            .filter(|relay| !relay.is_ejected(now) && !tried.contains(&relay.entry.id));
-        let costed = able.map(|relay| {
+        let able = relays.iter().filter(|(name, relay)| {
+            !relay.is_ejected(now) && !tried.contains(&relay.entry.id) && reaches(name)
+        });
+        let costed = able.map(|(_, relay)| {
             let remote = match relay.entry.data_centre == *data_centre {
                 true => 0.0,
                 false => REMOTE_COST,
@@ -69,4 +70,9 @@
         let best = costed.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, relay)| relay.clone())
     }
+
+    /// Returns the number of nodes for which `reaches` is true.
+    pub fn count(&self, reaches: impl Fn(&VmId) -> bool) -> usize {
+        self.0.borrow().keys().filter(|name| reaches(name)).count()
+    }
 }
--- a/tests/node_reach.rs
+++ b/tests/node_reach.rs
@@ -54,13 +54,13 @@
     let change = link.record_failure(true, start, start);
     expect_that!(gained(change), some(eq(Evidence::Refused)));
     expect_true!(link.is_unreachable(start));
-    expect_true!(link.is_check_due(start));
+    expect_true!(link.is_check_due(None, start));
     expect_that!(
         end(link.record_connected(start + ms(300))),
         some(eq(BeliefEnd::Connected))
     );
     expect_false!(link.is_unreachable(start + ms(300)));
-    expect_false!(link.is_check_due(start + ms(900)));
+    expect_false!(link.is_check_due(None, start + ms(900)));
 }
 
 #[googletest::test]
@@ -76,7 +76,7 @@
     link.record_sent(start);
     link.record_response(start + ms(100));
     expect_that!(hang(&link, start), none());
-    expect_true!(link.is_check_due(start + ms(300)));
+    expect_true!(link.is_check_due(None, start + ms(300)));
     link.record_connected(start + ms(350));
     link.record_response(start + ms(500));
     expect_that!(hang(&link, start + ms(400)), none());
@@ -87,18 +87,23 @@
 fn requests_without_response_only_cause_a_check_of_a_slow_target() {
     let (link, start) = (Link::default(), Instant::now());
     link.record_sent(start);
-    expect_false!(link.is_check_due(start + ms(100)));
-    expect_true!(link.is_check_due(start + ms(400)));
+    expect_false!(link.is_check_due(None, start + ms(100)));
+    expect_true!(link.is_check_due(None, start + ms(400)));
     expect_false!(link.is_unreachable(start + ms(400)));
-    link.begin_check(start + ms(400));
-    expect_that!(end(link.record_connected(start + ms(401))), none());
-    expect_false!(link.is_check_due(start + ms(900)));
+    expect_false!(link.is_check_due(Some(ms(200)), start + ms(400)));
+    expect_true!(link.is_check_due(Some(ms(200)), start + ms(600)));
+    link.begin_check(start + ms(600));
+    expect_that!(end(link.record_connected(start + ms(601))), none());
+    expect_false!(link.is_check_due(None, start + ms(1_100)));
 }
 
 #[googletest::test]
 fn a_one_way_path_on_which_requests_are_lost_is_unreachable_until_one_is_answered() {
     let (link, start) = (Link::default(), Instant::now());
+    link.record_response(start);
     link.record_sent(start);
+    expect_true!(link.is_carrying(start + ms(200)));
+    expect_false!(link.is_carrying(start + ms(400)));
     expect_that!(hang(&link, start + ms(400)), some(eq(Evidence::Silent)));
     expect_false!(link.is_carrying(start + ms(700)));
     expect_that!(
@@ -145,7 +150,7 @@
     let (mut checks, mut now) = (0, start);
     while now < start + ms(20_000) {
         now += ms(100);
-        if link.is_check_due(now) {
+        if link.is_check_due(None, now) {
             link.begin_check(now);
             link.record_failure(true, now, now);
             checks += 1;
