--- a/src/node/control/peers/reach.rs
+++ b/src/node/control/peers/reach.rs
@@ -6,13 +6,12 @@
 use crate::ids::BootId;
 use crate::ids::VmId;
 use crate::node::control::peers::Peers;
+use crate::node::datagram::MAX_REPORTED_PROCESSES;
 use crate::node::datagram::Message;
 use crate::node::datagram::ReachReport;
 use crate::node::limit::ProcessTag;
 use crate::node::relays::RelayNode;
 
-/// Maximum number of processes in one datagram.
-const PROCESSES_PER_DATAGRAM: usize = 40;
 /// Time between two reports of all unreachable targets, per node and at least; changes are told at
 /// once.
 const REFRESH_PER_NODE: Duration = Duration::from_millis(10);
@@ -73,13 +72,13 @@
         };
         let valid_ms = (refresh * REFRESHES_PER_REPORT).as_millis();
         let valid_ms = valid_ms.min(u16::MAX.into()) as u16;
-        let lost = unreachable.chunks(PROCESSES_PER_DATAGRAM);
+        let lost = unreachable.chunks(MAX_REPORTED_PROCESSES);
         let lost = lost.map(|processes| ReachReport {
             valid_ms,
             unreachable: processes.to_vec(),
             reached: Vec::new(),
         });
-        let regained = reached.chunks(PROCESSES_PER_DATAGRAM);
+        let regained = reached.chunks(MAX_REPORTED_PROCESSES);
         let regained = regained.map(|processes| ReachReport {
             valid_ms,
             unreachable: Vec::new(),
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -28,6 +28,9 @@
 /// Maximum size of a sent datagram, in bytes; below the usual packet size of networks.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
+/// Maximum number of processes in one [`ReachReport`].
+pub const MAX_REPORTED_PROCESSES: usize = 40;
+
 /// A 32-bit hash that stands for a name in datagrams. Collisions within a deployment are unlikely,
 /// and a collision only makes a load hint inaccurate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/tests/node_reach.rs
+++ b/tests/node_reach.rs
@@ -5,7 +5,13 @@
 
 use googletest::prelude::*;
 
+use gooseberryloft::ids::BootId;
 use gooseberryloft::ids::VmId;
+use gooseberryloft::node::datagram::Datagram;
+use gooseberryloft::node::datagram::MAX_DATAGRAM_BYTES;
+use gooseberryloft::node::datagram::MAX_REPORTED_PROCESSES;
+use gooseberryloft::node::datagram::Message;
+use gooseberryloft::node::datagram::ReachReport;
 use gooseberryloft::node::datagram::Tag;
 use gooseberryloft::node::limit::ProcessTag;
 use gooseberryloft::node::reach::BELIEF_AGE;
@@ -192,3 +198,23 @@
     }
     expect_that!(reach.take_untold(), is_empty());
 }
+
+#[googletest::test]
+fn a_full_report_fits_into_a_datagram() {
+    let process = ProcessTag {
+        target: Tag(u32::MAX),
+        incarnation: u64::MAX,
+    };
+    let datagram = Datagram {
+        node: VmId::from("n".repeat(64).as_str()),
+        boot: BootId(u64::MAX),
+        message: Message::Reach(ReachReport {
+            valid_ms: u16::MAX,
+            unreachable: vec![process; MAX_REPORTED_PROCESSES],
+            reached: Vec::new(),
+        }),
+    };
+    let bytes = datagram.encode();
+    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+    expect_that!(Datagram::decode(&bytes), some(eq(&datagram)));
+}
