--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -47,6 +47,12 @@
     Pauses,
     /// How often this node found that it reaches no target.
     Strandings,
+    /// Targets that this node began to believe to be unreachable from it.
+    ReachLost,
+    /// Targets that this node ceased to believe to be unreachable from it.
+    ReachRegained,
+    /// Requests passed on to another node, which reaches targets that this one does not.
+    RequestsRelayed,
     /// Log lines dropped because of the rate or buffer limit.
     LogLinesDropped,
 }
@@ -63,7 +69,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 15],
+    unlabelled: [Cell<u64>; 18],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
@@ -74,6 +80,11 @@
         cell.set(cell.get() + 1);
     }
 
+    /// Returns the value of a counter.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.unlabelled[counter as usize].get()
+    }
+
     /// Overwrites a counter whose value is counted elsewhere.
     pub fn set(&self, counter: Counter, value: u64) {
         self.unlabelled[counter as usize].set(value);
