--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -68,6 +68,10 @@
     OrderFailed = 310,
     /// A leader continues in a new term after a restore of the table.
     GroupKept = 311,
+    /// A leader's orders to a target go by way of another node.
+    DetourBegun = 312,
+    /// A leader's orders to a target no longer go by way of another node.
+    DetourEnded = 313,
     /// A link to a peer was lost.
     LinkLost = 400,
     /// The first heartbeat of a node was received.
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Clock;
 use crate::events::Event;
+use crate::ids::ServiceId;
 use crate::node::control::group::Group;
 use crate::node::control::group::GroupMessage;
 use crate::node::control::group::campaign::write_lease;
@@ -36,6 +37,7 @@
 use crate::node::platform::OrderAnswer;
 use crate::node::platform::Platform;
 use crate::node::state::State;
+use crate::node::state::boot_time;
 use crate::platform::Condition;
 use crate::platform::Row;
 use crate::platform::Table;
@@ -67,6 +69,7 @@
             return self.step_down("this node reaches no target", now);
         }
         self.check_previous_leaders(now);
+        self.forget_ways(now);
         let candidates = self.candidates();
         let Some(leading) = &mut self.leading else {
             return;
@@ -149,32 +152,31 @@
         self.state.counters.add(Counter::Orders);
         let (platform, handle) = (self.platform.clone(), self.handle.clone());
         let (state, service) = (self.state.clone(), self.service.clone());
+        let peers = self.peers.clone();
+        let end = boot_time() + order.end.saturating_duration_since(self.clock.now());
         tokio::task::spawn_local(async move {
-            let begun = Instant::now();
-            if let Some(target) = target_of(&state, &order.to) {
-                links::record_sent(&state, &target, begun);
-            }
-            let answer = platform.order(&order).await;
-            record_reach(&state, &order.to, &answer.outcome, begun);
-            record_notices(&state, &order.to, &answer);
-            let outcome = answer.outcome;
+            let outcome = match &order.via {
+                Some(node) => {
+                    state.counters.add(Counter::OrderDetours);
+                    peers.order_via(node, &service, &order, end).await
+                }
+                None => Ok(carry_out(&state, &*platform, &order, end).await),
+            };
+            let (outcome, silent) = match outcome {
+                Ok(outcome) => (outcome, None),
+                Err(node) => (OrderOutcome::Unreported, Some(node)),
+            };
             if !matches!(outcome, OrderOutcome::Done(_) | OrderOutcome::Reconnected) {
                 state.counters.add(Counter::OrderFailures);
-                state.log.record(Event::OrderFailed, |line| {
-                    line.text("service", service.as_str());
-                    line.text("target", order.to.id.as_str());
-                    line.number("first", order.range.first.into());
-                    line.number("last", order.range.last.into());
-                    line.number("fence", order.fence.0);
-                    let command = match order.command {
-                        Command::Grant { .. } => "grant",
-                        Command::Release => "release",
-                    };
-                    line.text("order", command);
-                    line.text("end", outcome_name(&outcome));
-                });
+                log_failed_order(&state, &service, &order, &outcome);
+            }
+            let way = (order.to.id, order.via);
+            handle.send(GroupMessage::OrderEnded(order.id, way, outcome));
+            if let Some(node) = silent
+                && peers.wait_for_end(&node).await
+            {
+                handle.send(GroupMessage::OrderSettled(order.id));
             }
-            handle.send(GroupMessage::OrderEnded(order.id, outcome));
         });
     }
 
@@ -382,15 +384,49 @@
             .iter()
             .map(|target| {
                 let ms = service_time(target).unwrap_or(mean);
-                candidate(
-                    target,
-                    ms.clamp(mean / MAX_RELATIVE_SPEED, mean / MIN_RELATIVE_SPEED),
-                )
+                let ms = ms.clamp(mean / MAX_RELATIVE_SPEED, mean / MIN_RELATIVE_SPEED);
+                self.with_ways(candidate(target, ms), target)
             })
             .collect()
     }
 }
 
+/// Sends an order to its target, and returns the outcome.
+pub(super) async fn carry_out<P: Platform>(
+    state: &State,
+    platform: &P,
+    order: &Order,
+    end: Duration,
+) -> OrderOutcome {
+    let begun = Instant::now();
+    if let Some(target) = target_of(state, &order.to) {
+        links::record_sent(state, &target, begun);
+    }
+    let answer = platform.order(order, end).await;
+    record_reach(state, &order.to, &answer.outcome, begun);
+    record_notices(state, &order.to, &answer);
+    answer.outcome
+}
+
+fn log_failed_order(state: &State, service: &ServiceId, order: &Order, outcome: &OrderOutcome) {
+    state.log.record(Event::OrderFailed, |line| {
+        line.text("service", service.as_str());
+        line.text("target", order.to.id.as_str());
+        line.number("first", order.range.first.into());
+        line.number("last", order.range.last.into());
+        line.number("fence", order.fence.0);
+        let command = match order.command {
+            Command::Grant { .. } => "grant",
+            Command::Release => "release",
+        };
+        line.text("order", command);
+        line.text("end", outcome_name(outcome));
+        if let Some(node) = &order.via {
+            line.text("via", node.as_str());
+        }
+    });
+}
+
 /// Returns the process to which an order is sent, if it is listed.
 fn target_of(state: &State, holder: &Holder) -> Option<Rc<Target>> {
     let fleet = state.fleet.borrow();
@@ -413,7 +449,7 @@
             let error = ErrorKind::TimedOut.into();
             links::record_failure(state, &target, &error, begun, now);
         }
-        OrderOutcome::Reconnected | OrderOutcome::Unknown => {}
+        OrderOutcome::Reconnected | OrderOutcome::Unknown | OrderOutcome::Unreported => {}
     }
 }
 
@@ -439,6 +475,7 @@
         OrderOutcome::NotSent => "NotSent",
         OrderOutcome::Reconnected => "Reconnected",
         OrderOutcome::Unknown => "Unknown",
+        OrderOutcome::Unreported => "Unreported",
     }
 }
 
@@ -458,5 +495,7 @@
         capacity,
         leaving: target.leaving.get(),
         on_probation: false,
+        reached: true,
+        relays: Vec::new(),
     }
 }
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -3,9 +3,11 @@
 
 mod campaign;
 mod lead;
+mod pass_on;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,11 +18,14 @@
 use crate::events::Event;
 use crate::ids::BootId;
 use crate::ids::ServiceId;
+use crate::ids::TargetId;
 use crate::ids::VmId;
+use crate::node::control::group::pass_on::Indirect;
 use crate::node::control::peers::Peers;
 use crate::node::control::rows;
 use crate::node::counters::Counter;
 use crate::node::datagram::Tag;
+use crate::node::detours::PassedOrder;
 use crate::node::keys::election::Election;
 use crate::node::keys::election::Lease;
 use crate::node::keys::key_load::KeyLoad;
@@ -68,8 +73,21 @@
     KeyLoad(Vec<(u16, u16)>, Vec<(Tag, u16)>),
     /// Key ranges that the leader has moved, with the sequence number of the announcement.
     RangesMoved(Sequence, Vec<RangeLocation>),
-    /// The outcome of an order.
-    OrderEnded(OrderId, OrderOutcome),
+    /// An order that another node's leader sends by way of this node.
+    PassOn {
+        /// The node that sends the order.
+        node: VmId,
+        /// The id of its process.
+        boot: BootId,
+        /// The address that the report is sent to.
+        from: SocketAddr,
+        /// The order.
+        order: PassedOrder,
+    },
+    /// The outcome of an order to a target, and the node that passed the order on, if any.
+    OrderEnded(OrderId, (TargetId, Option<VmId>), OrderOutcome),
+    /// An order without a report does not arrive any more.
+    OrderSettled(OrderId),
     /// The outcome of a write of the map: whether it took effect, or an error if the map could not
     /// be read afterwards.
     MapWritten(Result<bool, ()>),
@@ -141,6 +159,8 @@
     key_load: KeyLoad,
     /// Moving averages of the targets' service times in milliseconds, as all nodes report them.
     service_times: BTreeMap<Tag, f64>,
+    /// Targets that this leader's orders do not reach directly.
+    indirect: BTreeMap<TargetId, Indirect>,
     handle: GroupHandle,
     /// The newest announcement of the leader that this node knows of.
     newest_announced: Sequence,
@@ -182,6 +202,7 @@
         leading: None,
         key_load: KeyLoad::new(now),
         service_times: BTreeMap::new(),
+        indirect: BTreeMap::new(),
         handle: handle.clone(),
         newest_announced: Sequence::default(),
         behind_since: None,
@@ -235,13 +256,25 @@
             GroupMessage::RangesMoved(sequence, locations) => {
                 self.apply_announcement(sequence, &locations)
             }
-            GroupMessage::OrderEnded(id, outcome) => {
+            GroupMessage::PassOn {
+                node,
+                boot,
+                from,
+                order,
+            } => self.pass_on(&node, boot, from, &order),
+            GroupMessage::OrderEnded(id, (target, via), outcome) => {
+                self.record_way(&target, via, &outcome, now);
                 let actions = match &mut self.leading {
                     Some(leading) => leading.tenure.leader.order_ended(id, outcome, now),
                     None => Vec::new(),
                 };
                 self.execute(actions);
             }
+            GroupMessage::OrderSettled(id) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.tenure.leader.order_settled(id, now);
+                }
+            }
             GroupMessage::MapWritten(written) => self.map_written(written),
             GroupMessage::LeaseRead(row, started_at) => self.lease_read(row, started_at, now),
             GroupMessage::LeaseRewritten(lease, revision, started_at) => {
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The other nodes: tracks which are alive, and dispatches the datagrams that they send.
 
 mod limits;
+mod orders;
 mod reach;
 mod send;
 
@@ -42,6 +43,7 @@
 use crate::node::reader::Neighbour;
 use crate::node::rules_lag::RulesLag;
 use crate::node::state::State;
+use crate::node::state::boot_time;
 use crate::platform::Row;
 
 /// A node without a heartbeat for this long is considered dead: it is left out of election
@@ -65,6 +67,8 @@
     stranded: bool,
     /// Whether its calls to the table fail, by its last heartbeat.
     table_fails: bool,
+    /// Its clock by its last heartbeat, with the reading of this node's clock at the receipt.
+    clock: Option<(Duration, Duration)>,
     /// Its requests in flight by target.
     loads: Vec<(Tag, u16)>,
     /// When it was first asked for a permit since it last sent a datagram.
@@ -213,6 +217,7 @@
             last_heartbeat: None,
             stranded: false,
             table_fails: false,
+            clock: None,
             loads: Vec::new(),
             asked_since: None,
         };
@@ -251,6 +256,17 @@
             Message::Leaving(targets) => self.record_leaving(&targets),
             Message::Limits(reports) => self.handle_limits(&reports, now),
             Message::PermitRequest(request) => self.handle_permit_request(request, from, now),
+            Message::Order(tag, order) => {
+                self.send_to_group(tag, || GroupMessage::PassOn {
+                    node,
+                    boot,
+                    from,
+                    order,
+                });
+            }
+            Message::OrderReport(number, report) => {
+                self.state.detours.report(&node, boot, number, report);
+            }
             Message::Permit(number, wait_ms) => self.handle_permit(number, wait_ms),
             Message::Reach(report) => self.handle_reach(&node, boot, &report, now),
         }
@@ -274,6 +290,8 @@
             peer.cpu_capacity = heartbeat.cpu_capacity;
             peer.stranded = heartbeat.stranded;
             peer.table_fails = heartbeat.table_fails;
+            let clock = heartbeat.clock_ms.map(Duration::from_millis);
+            peer.clock = clock.map(|clock| (clock, boot_time()));
         }
         let generation = heartbeat.list.cursor.generation;
         let newest = self.state.generation.get().max(generation);
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -17,6 +17,7 @@
 use crate::node::datagram::target_tag;
 use crate::node::fleet::TargetUpdate;
 use crate::node::state::ShutdownStage;
+use crate::node::state::boot_time;
 
 /// Minimum time between two heartbeats.
 const MIN_PERIOD: Duration = Duration::from_millis(150);
@@ -132,6 +133,7 @@
             list: self.state.list_schedule.borrow().position(Instant::now()),
             stranded: self.state.reach.is_stranded(),
             table_fails: self.state.table_health.borrow().is_failing(),
+            clock_ms: Some(boot_time().as_millis() as u64),
             terms: terms.collect(),
             loads,
         }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -31,6 +31,10 @@
     Orders,
     /// Orders that failed or whose result is unknown.
     OrderFailures,
+    /// Orders that this node's leaders sent by way of another node.
+    OrderDetours,
+    /// Orders of other nodes' leaders that this node passed on.
+    OrdersPassedOn,
     /// Key moves announced to the other nodes.
     MovesAnnounced,
     /// Callers that disconnected before their response.
@@ -67,7 +71,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 17],
+    unlabelled: [Cell<u64>; 18],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -15,6 +15,8 @@
 use crate::ids::DataCentre;
 use crate::ids::TargetId;
 use crate::ids::VmId;
+use crate::node::detours::OrderReport;
+use crate::node::detours::PassedOrder;
 use crate::node::fleet::TargetUpdate;
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::view::RangeLocation;
@@ -89,6 +91,12 @@
     /// Targets that the sender does not reach, or reaches again.
     #[serde(rename = "u")]
     Reach(ReachReport),
+    /// An order to a target of a service, which the receiver is to pass on.
+    #[serde(rename = "o")]
+    Order(Tag, PassedOrder),
+    /// What became of the order with this number.
+    #[serde(rename = "e")]
+    OrderReport(u64, OrderReport),
 }
 
 /// What a node believes of its links to targets.
@@ -183,6 +191,10 @@
     /// Whether the node reaches no target.
     #[serde(rename = "z", default, skip_serializing_if = "std::ops::Not::not")]
     pub stranded: bool,
+    /// The sender's clock, which continues while its machine is suspended, in milliseconds; `None` if
+    /// it passes no orders on.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub clock_ms: Option<u64>,
     /// Leader terms of the services whose leader the node knows.
     #[serde(rename = "l")]
     pub terms: Vec<ServiceTerm>,
--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout_at;
 
 use crate::node::proxy::conn::Conn;
+use crate::node::state::boot_time;
 use crate::platform::client::CallError;
 use crate::traffic::body::BodyDecoder;
 use crate::traffic::forward::put;
@@ -62,6 +63,8 @@
     pub body: &'a [u8],
     /// Which connections may carry the call.
     pub reuse: Reuse,
+    /// The reading of [`boot_time`] from which the call may not be sent.
+    pub end: Option<Duration>,
 }
 
 /// An idle connection.
@@ -128,6 +131,11 @@
         call: Call<'_>,
         deadline: Instant,
     ) -> Result<Reply, CallError> {
+        if call.end.is_some_and(|end| boot_time() >= end) {
+            let cause = "the time for the call has passed".to_owned();
+            let address = self.address;
+            return Err(CallError::NotSent { address, cause });
+        }
         conn.begin_exchange();
         let exchange = timeout_at(deadline.into(), exchange(&mut conn, self.address, call));
         let (head, body) = match exchange.await {
--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -176,6 +176,8 @@
             let left = &mut self.ranges[at - 1];
             left.range.last = right.range.last;
             left.held_until = left.held_until.max(right.held_until);
+            left.unreported.extend(right.unreported);
+            left.detour_accepted |= right.detour_accepted;
             left.grant_duration = left.grant_duration.max(right.grant_duration);
             left.confirmed &= right.confirmed;
             left.set_fence(fence);
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -341,6 +341,9 @@
             return actions;
         };
         self.ranges[at].pending_order = None;
+        if outcome != OrderOutcome::Unreported {
+            self.order_settled(id, now);
+        }
         let mut locations = Vec::new();
         match self.ranges[at].stage {
             Stage::Releasing => self.release_ended(at, outcome, now),
@@ -350,13 +353,27 @@
                 }
                 let is_accepted = matches!(outcome, OrderOutcome::Done(_));
                 self.ranges[at].confirmed |= is_accepted && id.0 > self.unconfirmed_order;
-                self.grant_ended(at, outcome, now, &mut locations);
+                self.grant_ended(at, (id, outcome), now, &mut locations);
             }
         }
         self.announce(locations, &mut actions);
         actions
     }
 
+    /// Records that an order whose outcome was [`OrderOutcome::Unreported`], or that began before its
+    /// range was split, does not arrive any more.
+    pub fn order_settled(&mut self, id: OrderId, now: Instant) {
+        for state in &mut self.ranges {
+            let unreported = state.unreported.len();
+            state.unreported.retain(|order| order.id != id);
+            if state.unreported.len() < unreported {
+                let until = now + max_time_at_target(state.grant_duration);
+                state.held_until = state.held_until.max(until);
+                state.detour_accepted = true;
+            }
+        }
+    }
+
     /// Returns the newest map, as it is to be stored.
     pub fn map(&self) -> KeyMap {
         let ownership = |state: &RangeState| Ownership {
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -5,6 +5,7 @@
 
 use crate::node::keys::key_load::KeyLoad;
 use crate::node::keys::leader::Command;
+use crate::node::keys::leader::LEASE_VALIDITY;
 use crate::node::keys::leader::Leader;
 use crate::node::keys::leader::ORDER_TIMEOUT;
 use crate::node::keys::leader::Order;
@@ -15,6 +16,7 @@
 use crate::node::keys::leader::max_time_at_target;
 use crate::node::keys::leader::range_state::RangeState;
 use crate::node::keys::leader::range_state::Stage;
+use crate::node::keys::leader::range_state::Unreported;
 use crate::node::keys::leader::range_state::location;
 use crate::node::keys::map::Holder;
 use crate::node::keys::map::Ownership;
@@ -28,10 +30,28 @@
 const LOST_AFTER_UNANSWERED: u32 = 3;
 /// Number of consecutive orders without a connection after which a target counts as lost.
 const LOST_AFTER_NOT_SENT: u32 = 2;
+/// The same while other nodes report that they reach the target.
+const LOST_AFTER_NOT_SENT_BY_ANY: u32 = 4;
+/// How long before the end of its grant an owner that could not be sent any order counts as lost in any
+/// case, so that its keys can move when the grant ends.
+const MOVE_PREPARATION: Duration = Duration::from_millis(500);
 /// How long a new leader waits for owners that are missing from the list of targets: entries that
 /// expired during an outage of the table are back within about two seconds.
 const LIST_RECOVERY_TIME: Duration = Duration::from_millis(2_200);
 
+impl RangeState {
+    /// Returns true if the owner, listed as this candidate, does not execute orders.
+    fn is_lost(&self, listed: Option<&Candidate>, now: Instant) -> bool {
+        let has_relays = listed.is_some_and(|candidate| !candidate.relays.is_empty());
+        let is_ending = now + MOVE_PREPARATION >= self.held_until;
+        let max_not_sent = match has_relays && !is_ending {
+            true => LOST_AFTER_NOT_SENT_BY_ANY,
+            false => LOST_AFTER_NOT_SENT,
+        };
+        self.unanswered >= LOST_AFTER_UNANSWERED || self.not_sent >= max_not_sent
+    }
+}
+
 impl Leader {
     /// Returns the state of a stored range, which the new leader continues from. Grants of previous
     /// leaders may last until `grants_until`.
@@ -57,16 +77,22 @@
             next: next.cloned(),
             stage,
             fence: self.fences.allocate(),
+            fence_used: false,
             handover: None,
             opened: None,
             held_until: grants_until,
             next_held_until: next.map(|_| grants_until),
             pending_order: None,
             held_until_before_order: grants_until,
+            order_end: now,
+            detoured: false,
+            unreported: Vec::new(),
+            detour_accepted: false,
             grant_duration: self.stored_max_grant,
             next_order_at: now,
             unanswered: 0,
             not_sent: 0,
+            failures: 0,
             confirmed: false,
         }
     }
@@ -99,16 +125,22 @@
                 next,
                 stage,
                 fence,
+                fence_used: false,
                 handover: None,
                 opened: None,
                 held_until: now,
                 next_held_until: None,
                 pending_order: None,
                 held_until_before_order: now,
+                order_end: now,
+                detoured: false,
+                unreported: Vec::new(),
+                detour_accepted: false,
                 grant_duration: Duration::ZERO,
                 next_order_at: now,
                 unanswered: 0,
                 not_sent: 0,
+                failures: 0,
                 confirmed: false,
             });
         }
@@ -127,8 +159,10 @@
         now: Instant,
         locations: &mut Vec<RangeLocation>,
     ) {
+        // The bound of a grant that another node passes on is known once that node has reported.
         if let Stage::StoringMap(number) = self.ranges[at].stage
             && self.stored_map >= number
+            && !self.ranges[at].is_grant_detoured()
         {
             // Higher than the fence of any grant sent, so that a delayed grant is refused.
             let fence = self.fences.allocate();
@@ -139,14 +173,15 @@
             state.next_order_at = now;
             state.unanswered = 0;
             state.not_sent = 0;
+            state.failures = 0;
             locations.extend(location(state));
         }
         let state = &self.ranges[at];
         if state.stage == Stage::Releasing {
-            let ended = state
-                .owner
-                .as_ref()
-                .is_none_or(|owner| now >= state.held_until || candidates.has_ended(owner));
+            let ended = state.owner.as_ref().is_none_or(|owner| {
+                let has_ended = candidates.has_ended(owner) && !state.may_be_misdirected();
+                has_ended || state.has_expired(now)
+            });
             if ended {
                 self.complete_move(at, now);
             }
@@ -167,6 +202,8 @@
         let fence = self.fences.allocate();
         let state = &mut self.ranges[at];
         state.confirmed = false;
+        state.unreported.clear();
+        state.detour_accepted = false;
         state.owner = state.next.take();
         state.stage = match state.owner {
             Some(_) => Stage::Granting,
@@ -178,6 +215,7 @@
         state.next_order_at = now;
         state.unanswered = 0;
         state.not_sent = 0;
+        state.failures = 0;
     }
 
     /// Returns true if the range's owner cannot keep it: it leaves, has ended or is lost.
@@ -197,9 +235,7 @@
             Some(candidate) => candidate.leaving,
             None => is_list_complete || candidates.has_ended(owner),
         };
-        is_leaving
-            || state.unanswered >= LOST_AFTER_UNANSWERED
-            || state.not_sent >= LOST_AFTER_NOT_SENT
+        is_leaving || state.is_lost(listed, now)
     }
 
     /// Starts to move a range to the least loaded other target, if there is one.
@@ -222,8 +258,8 @@
             return;
         };
         let state = &self.ranges[at];
-        let is_lost =
-            state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
+        let listed = owner.as_ref().and_then(|owner| candidates.get(owner));
+        let is_lost = state.is_lost(listed, now);
         if let Some(owner) = owner.filter(|_| is_lost) {
             self.record_loss(owner, now);
         }
@@ -258,18 +294,25 @@
         }
         let owner = state.owner.clone()?;
         let candidate = candidates.get(&owner)?;
-        let is_lost =
-            state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT;
+        let is_lost = state.is_lost(Some(candidate), now);
+        let via = state.next_relay(candidate);
+        let end = now + ORDER_TIMEOUT;
         let command = match state.stage {
             Stage::Vacant => return None,
             Stage::Releasing => Command::Release,
             // The grant of a lost target is not renewed, so that it expires.
             _ if is_lost => return None,
             _ => {
+                // Only a connection as old as the one that carried the fence before is known to reach
+                // the same process; another node's connections are not.
+                let is_renewal = via.is_none() && state.opened.is_some();
+                if state.fence_used && !is_renewal {
+                    let fence = self.fences.allocate();
+                    state.set_fence(fence);
+                }
+                state.fence_used = true;
                 state.held_until_before_order = state.held_until;
-                state.held_until = state
-                    .held_until
-                    .max(now + ORDER_TIMEOUT + max_time_at_target(duration));
+                state.held_until = state.held_until.max(end + max_time_at_target(duration));
                 state.grant_duration = duration;
                 Command::Grant {
                     duration,
@@ -281,11 +324,15 @@
         self.last_order_id += 1;
         let id = OrderId(self.last_order_id);
         state.pending_order = Some(id);
+        state.order_end = end;
+        state.detoured = via.is_some();
         Some(Order {
             id,
             to: owner,
             address: candidate.address,
             range: state.range,
+            via,
+            end,
             fence: state.fence,
             command,
         })
@@ -295,7 +342,7 @@
     pub(super) fn grant_ended(
         &mut self,
         at: usize,
-        outcome: OrderOutcome,
+        (id, outcome): (OrderId, OrderOutcome),
         now: Instant,
         locations: &mut Vec<RangeLocation>,
     ) {
@@ -303,9 +350,13 @@
         let fence = self.fences.allocate();
         let state = &mut self.ranges[at];
         state.next_order_at = now + ORDER_RETRY_DELAY;
+        let bound = state.order_end.max(now) + max_time_at_target(state.grant_duration);
         match outcome {
             OrderOutcome::Done(reply) => {
-                state.opened = Some(reply.opened);
+                state.opened = reply.opened;
+                // They carry lower fences than this one.
+                state.unreported.clear();
+                state.detour_accepted = state.detoured;
                 self.lost_targets
                     .retain(|lost| state.owner.as_ref() != Some(&lost.holder));
                 if state.stage == Stage::Granting {
@@ -313,10 +364,15 @@
                     state.handover = None;
                     locations.extend(location(state));
                 }
-                state.held_until = now + max_time_at_target(state.grant_duration);
+                state.held_until = match reply.opened {
+                    Some(_) => now + max_time_at_target(state.grant_duration),
+                    // A copy of the order may still be on its way.
+                    None => bound,
+                };
                 state.next_order_at = now + period;
                 state.unanswered = 0;
                 state.not_sent = 0;
+                state.failures = 0;
             }
             OrderOutcome::StaleFence => {
                 state.held_until = state.held_until_before_order;
@@ -331,11 +387,25 @@
             OrderOutcome::NotSent => {
                 state.held_until = state.held_until_before_order;
                 state.not_sent += 1;
+                state.failures += 1;
             }
             OrderOutcome::Unknown => {
+                state.detour_accepted |= state.detoured;
+                state.held_until = state.held_until_before_order.max(bound);
                 // The next attempt may reach another process, which requires another fence.
                 state.set_fence(fence);
                 state.unanswered += 1;
+                state.failures += 1;
+            }
+            OrderOutcome::Unreported => {
+                state.held_until = state.held_until_before_order.max(bound);
+                state.unreported.push(Unreported {
+                    id,
+                    until: bound + LEASE_VALIDITY,
+                });
+                state.set_fence(fence);
+                state.unanswered += 1;
+                state.failures += 1;
             }
         }
     }
@@ -350,7 +420,9 @@
             OrderOutcome::StaleFence
             | OrderOutcome::NotSent
             | OrderOutcome::Reconnected
-            | OrderOutcome::Unknown => {
+            | OrderOutcome::Unknown
+            | OrderOutcome::Unreported => {
+                self.ranges[at].failures += 1;
                 self.ranges[at].next_order_at = now + ORDER_RETRY_DELAY;
             }
         }
--- a/src/node/keys/leader/order.rs
+++ b/src/node/keys/leader/order.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::ids::Fence;
+use crate::ids::VmId;
 use crate::node::keys::map::Holder;
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::map::KeyRange;
@@ -12,7 +13,7 @@
 
 /// Identifies an order within a term until its outcome is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct OrderId(pub(super) u64);
+pub struct OrderId(pub(in crate::node) u64);
 
 /// The instruction of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,6 +43,10 @@
     pub address: std::net::SocketAddr,
     /// The keys that the order applies to.
     pub range: KeyRange,
+    /// The other node that is to pass the order on, if the leader does not send it itself.
+    pub via: Option<VmId>,
+    /// When the order may no longer arrive at the target, on the leader's clock.
+    pub end: Instant,
     /// The fencing token of the order; targets refuse one below the highest that they have seen.
     pub fence: Fence,
     /// What the target should do.
@@ -62,6 +67,9 @@
     Reconnected,
     /// The order was sent, but not answered; the target may still execute it later.
     Unknown,
+    /// The node that was to pass the order on has not reported; it may still have a connection on which
+    /// the order arrives later. [`Leader::order_settled`](super::Leader::order_settled) tells when not.
+    Unreported,
 }
 
 /// A target's reply to an order that it has executed.
@@ -69,8 +77,8 @@
 pub struct OrderReply {
     /// The state that a release leaves for the next owner.
     pub handover: Option<String>,
-    /// When the connection that carried the order was opened.
-    pub opened: Instant,
+    /// When the connection that carried the order was opened; `None` if another node passed it on.
+    pub opened: Option<Instant>,
 }
 
 /// An action that the leader requests from its caller.
--- a/src/node/keys/leader/range_state.rs
+++ b/src/node/keys/leader/range_state.rs
@@ -4,9 +4,13 @@
 use std::time::Instant;
 
 use crate::ids::Fence;
+use crate::ids::VmId;
+use crate::node::keys::leader::LEASE_VALIDITY;
 use crate::node::keys::leader::OrderId;
+use crate::node::keys::leader::max_time_at_target;
 use crate::node::keys::map::Holder;
 use crate::node::keys::map::KeyRange;
+use crate::node::keys::plan::Candidate;
 use crate::node::keys::view::RangeLocation;
 
 /// A key range with its owner, its grant and its pending order.
@@ -18,6 +22,8 @@
     pub(super) next: Option<Holder>,
     pub(super) stage: Stage,
     pub(super) fence: Fence,
+    /// Whether a grant under `fence` may have been sent.
+    pub(super) fence_used: bool,
     /// The state that the previous owner left for the next one, until it is delivered.
     pub(super) handover: Option<String>,
     /// When the connection was opened over which the owner accepted `fence`; `None` until it has.
@@ -31,6 +37,14 @@
     pub(super) pending_order: Option<OrderId>,
     /// The value of `held_until` before the pending grant, restored if the grant has no effect.
     pub(super) held_until_before_order: Instant,
+    /// When the last order sent may no longer arrive at the target.
+    pub(super) order_end: Instant,
+    /// Whether another node passes the pending order on.
+    pub(super) detoured: bool,
+    /// Grants that other nodes may still pass on, as they have not reported about them.
+    pub(super) unreported: Vec<Unreported>,
+    /// Whether the last grant that was accepted, or may have been, went by way of another node.
+    pub(super) detour_accepted: bool,
     /// The duration of the last grant sent.
     pub(super) grant_duration: Duration,
     /// When the next order may be sent.
@@ -39,10 +53,20 @@
     pub(super) unanswered: u32,
     /// Consecutive orders that could not be sent.
     pub(super) not_sent: u32,
+    /// Consecutive orders of any kind, by any way, that were not executed.
+    pub(super) failures: usize,
     /// Whether the owner has accepted a grant since confirmations were last required.
     pub(super) confirmed: bool,
 }
 
+/// A grant that another node may still pass on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Unreported {
+    pub(super) id: OrderId,
+    /// Until when the owner may hold the keys by it.
+    pub(super) until: Instant,
+}
+
 /// The step of a range between one owner and the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -63,9 +87,50 @@
     /// Sets a new fence, under which the owner is granted the keys again.
     pub(super) fn set_fence(&mut self, fence: Fence) {
         self.fence = fence;
+        self.fence_used = false;
         self.opened = None;
     }
 
+    /// Returns the node that should pass the next order on; `None` to send it directly. After a failed
+    /// order another way is tried.
+    pub(super) fn next_relay(&self, candidate: &Candidate) -> Option<VmId> {
+        let relays = &candidate.relays;
+        let turn = match candidate.reached {
+            true if self.failures.is_multiple_of(2) => return None,
+            true => self.failures / 2,
+            false => self.failures,
+        };
+        relays.get(turn % relays.len().max(1)).cloned()
+    }
+
+    /// Returns true while another node passes a grant on.
+    pub(super) fn is_grant_detoured(&self) -> bool {
+        self.detoured && self.pending_order.is_some()
+    }
+
+    /// Returns true if a grant for the owner may have reached, or may still reach, a later process at
+    /// its address: another node may have held it until that process ran.
+    pub(super) fn may_be_misdirected(&self) -> bool {
+        self.detour_accepted || self.is_grant_detoured() || !self.unreported.is_empty()
+    }
+
+    /// Returns true if no grant lasts any longer.
+    pub(super) fn has_expired(&self, now: Instant) -> bool {
+        let mut unreported = self.unreported.iter();
+        now >= self.held_until && unreported.all(|order| now >= order.until)
+    }
+
+    /// Returns the grants that other nodes may still pass on, with the pending one.
+    fn maybe_in_transit(&self) -> Vec<Unreported> {
+        let pending = self.pending_order.filter(|_| self.detoured);
+        let bound = self.order_end + max_time_at_target(self.grant_duration);
+        let pending = pending.map(|id| Unreported {
+            id,
+            until: bound + LEASE_VALIDITY,
+        });
+        self.unreported.iter().copied().chain(pending).collect()
+    }
+
     /// Returns the state of a part of a held range, under the same fence.
     pub(super) fn with_range(&self, range: KeyRange) -> Self {
         Self {
@@ -74,16 +139,22 @@
             next: None,
             stage: self.stage,
             fence: self.fence,
+            fence_used: self.fence_used,
             handover: None,
             opened: self.opened,
             held_until: self.held_until,
             next_held_until: self.next_held_until,
             pending_order: None,
             held_until_before_order: self.held_until,
+            order_end: self.order_end,
+            detoured: false,
+            unreported: self.maybe_in_transit(),
+            detour_accepted: self.detour_accepted,
             grant_duration: self.grant_duration,
             next_order_at: self.next_order_at,
             unanswered: self.unanswered,
             not_sent: self.not_sent,
+            failures: self.failures,
             confirmed: self.confirmed,
         }
     }
--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::ids::VmId;
 use crate::node::keys::key_load::KeyLoad;
 use crate::node::keys::map::Holder;
 use crate::node::keys::map::KeyRange;
@@ -37,6 +38,10 @@
     pub leaving: bool,
     /// True if it was lost recently, so that it is given one key first.
     pub on_probation: bool,
+    /// False if the leader's node is known not to reach it.
+    pub reached: bool,
+    /// The other nodes that reach it, in order of preference.
+    pub relays: Vec<VmId>,
 }
 
 /// A planned move of keys to a new owner.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod counters;
 pub mod datagram;
+pub mod detours;
 pub mod fleet;
 pub mod http;
 pub mod keys;
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -90,6 +90,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<(Cursor, TargetListUpdate), PlatformError>>;
 
-    /// Sends a grant or release order to a target and waits for its reply.
-    fn order(&self, order: &Order) -> impl Future<Output = OrderAnswer>;
+    /// Sends a grant or release order to a target and waits for its reply. From `end` on, a reading
+    /// of [`boot_time`](crate::node::state::boot_time), nothing is sent, and a grant that has not been
+    /// answered is given up.
+    fn order(&self, order: &Order, end: Duration) -> impl Future<Output = OrderAnswer>;
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -16,6 +16,7 @@
 use crate::ids::ServiceId;
 use crate::ids::VmId;
 use crate::node::counters::Counters;
+use crate::node::detours::Detours;
 use crate::node::fleet::Fleet;
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::table_health::TableHealth;
@@ -134,6 +135,8 @@
     pub reach: Reach,
     /// The nodes that pass requests on while this node reaches no target.
     pub relays: Relays,
+    /// Orders that other nodes are passing on.
+    pub detours: Detours,
     /// Permits to send requests to targets that have named a limit.
     pub limits: LimitState,
     /// Metrics for operators.
@@ -171,6 +174,7 @@
             in_flight: Cell::new(0),
             reach: Reach::default(),
             relays: Relays::default(),
+            detours: Detours::default(),
             limits: LimitState::default(),
             counters: Counters::default(),
             log,
@@ -320,7 +324,8 @@
     }
 }
 
-fn boot_time() -> Duration {
+/// Returns the reading of the machine's clock that continues while the machine is suspended.
+pub fn boot_time() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
 }
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -233,6 +233,8 @@
     simulation.nodes[leader].running = true;
     simulation.run(MS(200));
     expect_that!(simulation.held_by(1), not(is_empty()));
+    // From here on that node does not pass orders of the new leader on either.
+    cut(&mut simulation, &[leader], 1);
     simulation.run(MS(8_000));
     expect_that!(simulation.held_by(1), is_empty());
     expect_that!(simulation.held_share(), gt(0.999));
@@ -288,6 +290,154 @@
     }
 }
 
+/// Cuts the links of the nodes to a target.
+fn cut(simulation: &mut Simulation, nodes: &[usize], target: usize) {
+    for node in nodes {
+        simulation.nodes[*node].unreachable.push(target);
+    }
+}
+
+#[googletest::test]
+fn an_owner_that_only_the_leader_does_not_reach_keeps_its_keys() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    let before = simulation.held_by(2);
+    expect_that!(before, not(is_empty()));
+    cut(&mut simulation, &[leader], 2);
+    let end = simulation.elapsed() + MS(12_000);
+    while simulation.elapsed() < end {
+        simulation.step();
+        assert_eq!(
+            simulation.held_by(2),
+            before,
+            "at {:?}",
+            simulation.elapsed()
+        );
+    }
+    expect_that!(simulation.leader(), eq(Some(leader)));
+    expect_that!(simulation.held_share(), gt(0.999));
+    expect_that!(simulation.violations, is_empty());
+}
+
+#[googletest::test]
+fn each_owner_keeps_its_keys_while_no_node_reaches_all_owners() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    for node in 0..3 {
+        cut(&mut simulation, &[node], node);
+        cut(&mut simulation, &[node], 3 - node);
+    }
+    let end = simulation.elapsed() + MS(12_000);
+    while simulation.elapsed() < end {
+        simulation.step();
+        assert!(
+            simulation.held_share() > 0.999,
+            "keys without an owner at {:?}",
+            simulation.elapsed()
+        );
+    }
+    expect_that!(simulation.leader(), eq(Some(leader)));
+    expect_that!(simulation.violations, is_empty());
+}
+
+#[googletest::test]
+fn an_owner_that_no_node_reaches_is_lost_as_soon_as_without_other_nodes() {
+    let mut took = Vec::new();
+    for nodes in [1, 3] {
+        let mut simulation = simulation_with_held_keys(4, nodes);
+        let all: Vec<usize> = (0..nodes).collect();
+        cut(&mut simulation, &all, 2);
+        let start = simulation.elapsed();
+        while !simulation.held_by(2).is_empty() || simulation.held_share() < 0.999 {
+            simulation.step();
+            assert!(simulation.elapsed() - start < MS(10_000));
+        }
+        took.push(simulation.elapsed() - start);
+        expect_that!(simulation.violations, is_empty());
+    }
+    expect_that!(took[1], le(took[0] + MS(50)));
+}
+
+#[googletest::test]
+fn a_stopped_owner_that_other_nodes_say_they_reach_is_lost_when_its_grant_ends() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    simulation.crash(1);
+    let took = run_until_held(&mut simulation, MS(10_000));
+    expect_that!(took, lt(MS(3_000)));
+    expect_that!(simulation.passed_on, gt(0));
+    expect_that!(simulation.violations, is_empty());
+}
+
+#[googletest::test]
+fn an_order_that_a_frozen_node_holds_is_not_sent_after_it_resumes() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    let others: Vec<usize> = (0..3).filter(|node| *node != leader).collect();
+    cut(&mut simulation, &[leader], 2);
+    simulation.run(MS(3_000));
+    expect_that!(simulation.passed_on, gt(0));
+    for node in &others {
+        simulation.nodes[*node].running = false;
+    }
+    // Without a report, the leader waits as long as a node may be frozen.
+    let took = run_until_lost(&mut simulation, 2);
+    expect_that!(took, lt(MS(4_000)));
+    let passed_on = simulation.passed_on;
+    for node in &others {
+        simulation.nodes[*node].running = true;
+    }
+    simulation.step();
+    expect_that!(simulation.passed_on, eq(passed_on));
+    expect_that!(simulation.held_by(2), is_empty());
+    simulation.run(MS(30_000));
+    expect_that!(simulation.held_share(), gt(0.999));
+    expect_that!(simulation.violations, is_empty());
+}
+
+/// Runs until a target holds no keys; returns the time it took.
+fn run_until_lost(simulation: &mut Simulation, target: usize) -> Duration {
+    let start = simulation.elapsed();
+    while !simulation.held_by(target).is_empty() {
+        simulation.step();
+        assert!(simulation.elapsed() - start < MS(20_000));
+    }
+    simulation.elapsed() - start
+}
+
+#[googletest::test]
+fn a_former_leaders_order_by_way_of_another_node_takes_no_keys_back() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    cut(&mut simulation, &[leader], 2);
+    simulation.run(MS(2_000));
+    simulation.nodes[leader].running = false;
+    simulation.run(MS(4_000));
+    let next = simulation.leader().expect("another node leads");
+    expect_that!(next, not(eq(leader)));
+    simulation.targets[2].leaving = true;
+    simulation.run(MS(2_000));
+    expect_that!(simulation.held_by(2), is_empty());
+    // It sends the renewals that are due before it learns of the new term.
+    simulation.nodes[leader].running = true;
+    simulation.run(MS(3_000));
+    expect_that!(simulation.held_by(2), is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+    expect_that!(simulation.violations, is_empty());
+}
+
+#[googletest::test]
+fn an_owner_that_only_other_nodes_reach_hands_its_keys_over() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    cut(&mut simulation, &[leader], 0);
+    simulation.run(MS(2_000));
+    simulation.targets[0].leaving = true;
+    simulation.run(MS(1_900));
+    expect_that!(simulation.held_by(0), is_empty());
+    expect_that!(simulation.held_share(), gt(0.999));
+    expect_that!(simulation.violations, is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(60))]
 
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -12,6 +12,7 @@
 use gooseberryloft::ids::ServiceId;
 use gooseberryloft::ids::TargetId;
 use gooseberryloft::ids::VmId;
+use gooseberryloft::node::detours::ClockReading;
 use gooseberryloft::node::keys::election::Election;
 use gooseberryloft::node::keys::election::Lease;
 use gooseberryloft::node::keys::key_load::KeyLoad;
@@ -19,6 +20,7 @@
 use gooseberryloft::node::keys::leader::Command;
 use gooseberryloft::node::keys::leader::Leader;
 use gooseberryloft::node::keys::leader::Order;
+use gooseberryloft::node::keys::leader::OrderId;
 use gooseberryloft::node::keys::leader::OrderOutcome;
 use gooseberryloft::node::keys::leader::OrderReply;
 use gooseberryloft::node::keys::map::Holder;
@@ -99,6 +101,14 @@
     pub reaches_table: bool,
     /// Targets that the node cannot reach.
     pub unreachable: Vec<usize>,
+    /// Orders of other nodes' leaders that were received and not passed on yet.
+    passing: Vec<PassedOrder>,
+    /// Orders of this node's leader without a report: the passing node with its process and clock.
+    unreported: Vec<(OrderId, usize, u64, Duration)>,
+    /// What the node's clock shows at the start.
+    clock_offset: Duration,
+    /// The clocks of other nodes by their last heartbeats.
+    clocks: BTreeMap<usize, ClockReading>,
     boot: u64,
     election: Election,
     leading: Option<Leadership>,
@@ -119,8 +129,19 @@
     table_health: TableHealth,
 }
 
+/// An order that a node was sent by another node's leader.
+#[derive(Clone, Debug)]
+struct PassedOrder {
+    leader: usize,
+    leader_boot: u64,
+    order: Order,
+    /// From when on the node's clock the order may not be sent.
+    end: Duration,
+}
+
 /// An order that was sent and has not taken effect yet.
 struct OrderInTransit {
+    /// The node that leads, and its process.
     node: usize,
     boot: u64,
     order: Order,
@@ -187,9 +208,11 @@
     fences: BTreeMap<u64, usize>,
     /// Descriptions of all violations found, in the order of their occurrence.
     pub violations: Vec<String>,
+    /// Number of orders that nodes have sent for other nodes' leaders.
+    pub passed_on: usize,
 }
 
-fn reply(handover: Option<String>, opened: Instant) -> OrderReply {
+fn reply(handover: Option<String>, opened: Option<Instant>) -> OrderReply {
     OrderReply { handover, opened }
 }
 
@@ -221,6 +244,10 @@
             running: true,
             reaches_table: true,
             unreachable: Vec::new(),
+            passing: Vec::new(),
+            unreported: Vec::new(),
+            clock_offset: Duration::from_secs(7 * boot as u64 * boot as u64),
+            clocks: BTreeMap::new(),
             boot: boot as u64 + 1,
             election: Election::new(ServiceId::from("search"), now),
             leading: None,
@@ -246,6 +273,7 @@
             last_incarnation: 1_000,
             fences: BTreeMap::new(),
             violations: Vec::new(),
+            passed_on: 0,
         }
     }
 
@@ -318,6 +346,9 @@
         node.running = true;
         node.generation = Generation::default();
         node.peers.clear();
+        node.passing.clear();
+        node.unreported.clear();
+        node.clocks.clear();
     }
 
     /// Returns a copy of the table.
@@ -372,7 +403,18 @@
         self.table_up && self.nodes[node].reaches_table
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
+    /// Returns the nodes that reach a target, by what they told before they may have stopped.
+    fn relays(&self, leader: usize, target: usize) -> Vec<VmId> {
+        let reaches = |node: &usize| {
+            *node != leader
+                && !self.nodes[*node].unreachable.contains(&target)
+                && self.nodes[leader].clocks.contains_key(node)
+        };
+        let nodes = (0..self.nodes.len()).filter(reaches);
+        nodes.map(|node| VmId::from(format!("n{node}"))).collect()
+    }
+
+    fn candidates(&self, leader: usize) -> Vec<Candidate> {
         let listed = self.targets.iter().enumerate();
         let listed = listed.filter(|(_, target)| target.listed);
         listed
@@ -382,12 +424,15 @@
                 capacity: 4.0,
                 leaving: target.leaving,
                 on_probation: false,
+                reached: true,
+                relays: self.relays(leader, index),
             })
             .collect()
     }
 
     fn step_node(&mut self, node: usize) {
         let now = self.now;
+        self.pass_orders_on(node);
         self.nodes[node].key_load.decay(now);
         if self.nodes[node].leading.is_some() {
             return self.lead(node);
@@ -442,7 +487,8 @@
 
     fn lead(&mut self, node: usize) {
         let now = self.now;
-        let candidates = self.candidates();
+        self.settle_orders(node);
+        let candidates = self.candidates(node);
         // The node reads rules and targets too, and any answer shows the generation.
         if self.table_answers(node) && self.rng.percent(10) {
             self.nodes[node].generation = self.generation;
@@ -561,9 +607,89 @@
         leading.tenure.leader.map_write_ended(!lost && !is_outdated);
     }
 
+    /// Sends an order directly, or to the node that is to pass it on.
     fn send(&mut self, node: usize, order: Order) {
-        let target = usize::from(order.address.port()) - 1;
         let boot = self.nodes[node].boot;
+        let Some(via) = &order.via else {
+            return self.send_from(node, (node, boot), order);
+        };
+        let relay: usize = via.as_str()[1..].parse().expect("a node's number");
+        // The leader gives up when no report has come.
+        let timeout = match order.command {
+            Command::Grant { .. } => Duration::from_millis(500),
+            Command::Release => Duration::from_millis(4_100),
+        };
+        let end = self.nodes[node].clocks[&relay].translate(order.end - self.start);
+        self.answers.push(OutcomeInTransit {
+            node,
+            boot,
+            order: order.clone(),
+            outcome: OrderOutcome::Unreported,
+            at: self.now + timeout,
+        });
+        let silent = (order.id, relay, self.nodes[relay].boot, end + timeout);
+        self.nodes[node].unreported.push(silent);
+        if self.rng.percent(self.faults.lost) {
+            return;
+        }
+        let passed = PassedOrder {
+            leader: node,
+            leader_boot: boot,
+            order,
+            end,
+        };
+        self.nodes[relay].passing.push(passed);
+    }
+
+    /// Passes on the orders that a node has received, unless it is too late.
+    fn pass_orders_on(&mut self, node: usize) {
+        for passed in std::mem::take(&mut self.nodes[node].passing) {
+            let clock = self.clock(node);
+            let sender = (passed.leader, passed.leader_boot);
+            if clock >= passed.end {
+                self.answers.push(OutcomeInTransit {
+                    node: passed.leader,
+                    boot: passed.leader_boot,
+                    order: passed.order,
+                    outcome: OrderOutcome::NotSent,
+                    at: self.now + NETWORK_DELAY,
+                });
+                continue;
+            }
+            self.passed_on += 1;
+            self.send_from(node, sender, passed.order);
+        }
+    }
+
+    /// Settles the orders of a leader whose passing nodes have ended their exchanges.
+    fn settle_orders(&mut self, node: usize) {
+        let now = self.now;
+        let fake = &mut self.nodes[node];
+        let (clocks, peers) = (&fake.clocks, &fake.peers);
+        let has_ended = |(_, relay, boot, until): &(OrderId, usize, u64, Duration)| {
+            peers.get(relay) == Some(boot)
+                && clocks
+                    .get(relay)
+                    .is_some_and(|clock| clock.reading >= *until)
+        };
+        let ended = fake.unreported.iter().filter(|silent| has_ended(silent));
+        let ended: Vec<OrderId> = ended.map(|(id, ..)| *id).collect();
+        fake.unreported.retain(|(id, ..)| !ended.contains(id));
+        if let Some(leading) = &mut fake.leading {
+            for id in ended {
+                leading.tenure.leader.order_settled(id, now);
+            }
+        }
+    }
+
+    /// Returns what a node's clock shows.
+    fn clock(&self, node: usize) -> Duration {
+        self.nodes[node].clock_offset + (self.now - self.start)
+    }
+
+    /// Sends an order of a leader's process from a node to its target.
+    fn send_from(&mut self, sender: usize, (node, boot): (usize, u64), order: Order) {
+        let target = usize::from(order.address.port()) - 1;
         let answer = |outcome: OrderOutcome, after: Duration, now: Instant| OutcomeInTransit {
             node,
             boot,
@@ -584,7 +710,7 @@
                 .push(answer(OrderOutcome::Reconnected, NETWORK_DELAY, self.now));
             return;
         }
-        let is_unreachable = self.nodes[node].unreachable.contains(&target);
+        let is_unreachable = self.nodes[sender].unreachable.contains(&target);
         if is_unreachable || self.rng.percent(self.faults.lost) {
             self.answers
                 .push(answer(OrderOutcome::Unknown, timeout, self.now));
@@ -633,6 +759,7 @@
         let (range, fence) = (sent.order.range, sent.order.fence.0);
         let seen = target.seen.iter().filter(|(seen, _)| overlap(*seen, range));
         let highest = seen.map(|(_, fence)| *fence).max().unwrap_or(0);
+        let opened = sent.order.via.is_none().then_some(target.started_at);
         let mut after = NETWORK_DELAY;
         let outcome = match &sent.order.command {
             Command::Grant { .. } if fence < highest => OrderOutcome::StaleFence,
@@ -646,7 +773,7 @@
                     fence,
                     until,
                 });
-                OrderOutcome::Done(reply(None, target.started_at))
+                OrderOutcome::Done(reply(None, opened))
             }
             Command::Release => {
                 if fence >= highest {
@@ -654,7 +781,7 @@
                     target.seen.push((range, fence));
                 }
                 after += RELEASE_WORK;
-                OrderOutcome::Done(reply(Some("state".to_owned()), target.started_at))
+                OrderOutcome::Done(reply(Some("state".to_owned()), opened))
             }
         };
         if let (Command::Grant { .. }, OrderOutcome::Done(_)) = (&sent.order.command, &outcome) {
@@ -718,6 +845,11 @@
                     continue;
                 }
                 self.nodes[other].peers.insert(index, boot);
+                let reading = ClockReading {
+                    reading: self.clock(index),
+                    received: now - self.start,
+                };
+                self.nodes[other].clocks.insert(index, reading);
                 let election = &mut self.nodes[other].election;
                 election.record_process(&name, BootId(boot), term, now);
                 if let Some(ended) = ended {
