--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -71,7 +71,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 18],
+    unlabelled: [Cell<u64>; 19],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
