--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -416,3 +416,25 @@
         }
     }
 }
+
+#[googletest::test]
+fn keys_moved_before_a_restore_by_a_leader_that_then_froze_have_one_owner() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let backup = simulation.backup();
+    simulation.crash(2);
+    simulation.run(MS(1_200));
+    simulation.restore(&backup);
+    simulation.run(MS(700));
+    let leader = simulation.leader().expect("a node leads");
+    simulation.nodes[leader].running = false;
+    simulation.run(MS(3_000));
+    simulation.restart(2);
+    simulation.run(MS(600));
+    for node in (0..3).filter(|node| *node != leader) {
+        simulation.restart_node(node);
+    }
+    simulation.run(MS(400));
+    simulation.nodes[leader].running = true;
+    simulation.run(MS(4_000));
+    expect_that!(simulation.violations, is_empty());
+}
