Pass requests on only to nodes that apply the same rules

Callers got 404 for routes that their node had served before, and requests ran at services of older rules (CONFIG): a node that does not reach a target passed the request on to another one, which routed it anew by its own rules, and chose another part of a split.

Another node is asked only if its heartbeat names the same version, and refuses with 421, not run, if it applies another one by then. Ruled out: to accept newer rules, since the caller's node would go back to its own with the next request.

--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -63,6 +63,8 @@
     last_heartbeat: Option<Instant>,
     /// Whether it reaches no target, by its last heartbeat.
     stranded: bool,
+    /// The version of its rules, by its last heartbeat.
+    rules: u64,
     /// Whether its calls to the table fail, by its last heartbeat.
     table_fails: bool,
     /// Its requests in flight by target.
@@ -212,6 +214,7 @@
             added: now,
             last_heartbeat: None,
             stranded: false,
+            rules: 0,
             table_fails: false,
             loads: Vec::new(),
             asked_since: None,
@@ -273,6 +276,7 @@
         if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
             peer.cpu_capacity = heartbeat.cpu_capacity;
             peer.stranded = heartbeat.stranded;
+            peer.rules = heartbeat.rules;
             peer.table_fails = heartbeat.table_fails;
         }
         let generation = heartbeat.list.cursor.generation;
--- a/src/node/control/peers/reach.rs
+++ b/src/node/control/peers/reach.rs
@@ -42,6 +42,7 @@
             name: name.clone(),
             address: peer.address,
             data_centre: peer.data_centre.clone(),
+            rules: peer.rules,
         });
         nodes.collect()
     }
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -7,6 +7,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
+use crate::ids::ServiceId;
 use crate::node::fleet::Target;
 use crate::node::limit::Evidence;
 use crate::node::limit::RequestRate;
@@ -22,6 +23,8 @@
 use crate::node::proxy::conn::ReadBuffer;
 use crate::node::proxy::headers::HeaderNames;
 use crate::node::proxy::headers::MAX_ATTEMPTS;
+use crate::node::proxy::headers::RULES;
+use crate::node::proxy::headers::SERVICE;
 use crate::node::proxy::pool::Pool;
 use crate::node::proxy::pool::TargetConn;
 use crate::node::state::State;
@@ -118,6 +121,10 @@
     pub refused_before: bool,
     /// Number of targets that may run the request, if it is sent to another node.
     pub max_attempts: u32,
+    /// The version of the rules by which the request was routed.
+    pub rules: u64,
+    /// The service that the request is sent to.
+    pub service: &'a ServiceId,
     /// When the caller stops waiting; sent to the target as the remaining time.
     pub deadline: Instant,
     /// The caller's connection.
@@ -268,7 +275,13 @@
     let time_left = context.deadline.saturating_duration_since(Instant::now());
     let names = context.names;
     let mut out = Vec::with_capacity(512 + request.body.len());
-    let skip = [names.deadline_ms, names.expected_target, MAX_ATTEMPTS];
+    let skip = [
+        names.deadline_ms,
+        names.expected_target,
+        MAX_ATTEMPTS,
+        RULES,
+        SERVICE,
+    ];
     forward::plain_request_head(&mut out, &request.head, &skip);
     let put = forward::put;
     let time_left_ms = time_left.as_millis();
@@ -283,7 +296,10 @@
     );
     if target.is_relay {
         let max_attempts = context.max_attempts;
+        let (rules, service) = (context.rules, context.service);
         put(&mut out, format_args!("{MAX_ATTEMPTS}: {max_attempts}\r\n"));
+        put(&mut out, format_args!("{RULES}: {rules}\r\n"));
+        put(&mut out, format_args!("{SERVICE}: {service}\r\n"));
     }
     if request.head.framing != Framing::Empty {
         let length = request.body.len();
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch.rs
@@ -30,6 +30,7 @@
 use crate::node::proxy::attempt::attempt;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::serve::Origin;
+use crate::node::relays::RelayCriteria;
 use crate::node::rules::RequestKind;
 use crate::node::state::State;
 use crate::route::Verdict;
@@ -69,6 +70,8 @@
     pub objective: Duration,
     /// Maximum number of targets that may run the request.
     pub max_attempts: u32,
+    /// The version of the rules that the route is from.
+    pub rules: u64,
     /// When the node began to read the request.
     pub started: Instant,
     /// When the response is due: the earlier of the caller's and the route's timeout.
@@ -313,7 +316,13 @@
         }
         let State { conf, relays, .. } = &**self.state;
         let reaches = |node: &VmId| self.is_reached_by(node, self.relayed_to, now);
-        relays.choose(&conf.data_centre, &self.tried, now, reaches, rand::random)
+        let criteria = RelayCriteria {
+            data_centre: &conf.data_centre,
+            rules: self.routed.rules,
+            tried: &self.tried,
+            now,
+        };
+        relays.choose(&criteria, reaches, rand::random)
     }
 
     fn is_reached_by(&self, node: &VmId, process: Option<ProcessTag>, now: Instant) -> bool {
@@ -471,6 +480,8 @@
             idempotent: routed.kind.is_idempotent(),
             refused_before: self.refused_by.contains(&target.entry.id),
             max_attempts: runs,
+            rules: routed.rules,
+            service: &routed.service,
             deadline: routed.deadline,
             caller: self.caller,
         };
--- a/src/node/proxy/headers.rs
+++ b/src/node/proxy/headers.rs
@@ -4,6 +4,12 @@
 /// Header field in requests that a node passes on to another: how many targets may run the request.
 pub const MAX_ATTEMPTS: &str = "gooseberryloft-max-attempts";
 
+/// Header field in requests that a node passes on to another: the version of its rules. A node with other
+/// rules might handle the request in a way that the caller's node no longer does.
+pub const RULES: &str = "gooseberryloft-rules";
+/// Header field in requests that a node passes on to another: the service that it has chosen.
+pub const SERVICE: &str = "gooseberryloft-service";
+
 /// Header field names in lower case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeaderNames {
--- a/src/node/proxy/request.rs
+++ b/src/node/proxy/request.rs
@@ -11,6 +11,8 @@
 use crate::node::proxy::conn::Conn;
 use crate::node::proxy::dispatch::RoutedRequest;
 use crate::node::proxy::headers::MAX_ATTEMPTS;
+use crate::node::proxy::headers::RULES;
+use crate::node::proxy::headers::SERVICE;
 use crate::node::proxy::respond::LocalResponse;
 use crate::node::proxy::serve::Origin;
 use crate::node::rules::Limits;
@@ -75,13 +77,23 @@
     started: Instant,
     origin: Origin,
 ) -> Result<RoutedRequest, LocalResponse> {
+    let rules = router.rules().version;
+    if origin == Origin::Node && numeric_field(head, RULES) != Some(rules) {
+        return Err(LocalResponse::error(
+            421,
+            "this node has other rules; ask another one",
+        ));
+    }
     let host = head.fields.only("host").unwrap_or_default();
     let host = std::str::from_utf8(host).unwrap_or_default();
     let path = head.path.split('?').next().unwrap_or_default();
     let index = router.find(host, path);
     let index = index.ok_or(LocalResponse::error(404, "no route has this host and path"))?;
     let route = &router.rules().routes[index];
-    let service = router.next_service(index).cloned();
+    let service = match origin {
+        Origin::Caller => router.next_service(index).cloned(),
+        Origin::Node => passed_service(head),
+    };
     let service = service.ok_or(LocalResponse::error(404, "the route leads to no service"))?;
     let timeout = numeric_field(head, state.conf.headers.deadline_ms).map(Duration::from_millis);
     let timeout = timeout.map_or(route.timeout, |given| given.saturating_sub(NETWORK_DELAY));
@@ -94,6 +106,7 @@
             Origin::Caller => route.max_attempts,
             Origin::Node => passed_attempts(head, route.max_attempts),
         },
+        rules,
         started,
         deadline: started + timeout.min(route.timeout),
         fingerprint: 0,
@@ -125,6 +138,12 @@
     passed.map_or(1, |passed| passed.min(max_attempts))
 }
 
+/// Returns the service that another node has chosen for a request that it passed on.
+fn passed_service(head: &RequestHead) -> Option<ServiceId> {
+    let name = std::str::from_utf8(head.fields.only(SERVICE)?).ok()?;
+    Some(ServiceId::from(name))
+}
+
 fn numeric_field(head: &RequestHead, name: &str) -> Option<u64> {
     let text = std::str::from_utf8(head.fields.only(name)?).ok()?;
     text.trim().parse().ok()
--- a/src/node/relays.rs
+++ b/src/node/relays.rs
@@ -24,11 +24,32 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentre,
+    /// The version of its rules, by its last heartbeat.
+    pub rules: u64,
+}
+
+/// What the node must fulfil to which a request is passed on.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayCriteria<'a> {
+    /// The data centre whose nodes are preferred.
+    pub data_centre: &'a DataCentre,
+    /// The version of the rules by which the request was routed; the node must apply the same.
+    pub rules: u64,
+    /// The nodes and targets to which the request was already sent.
+    pub tried: &'a [TargetId],
+    /// Current time.
+    pub now: Instant,
+}
+
+#[derive(Debug)]
+struct Relay {
+    target: Rc<Target>,
+    rules: u64,
 }
 
 /// The nodes that this node may pass requests to.
 #[derive(Debug, Default)]
-pub struct Relays(RefCell<BTreeMap<VmId, Rc<Target>>>);
+pub struct Relays(RefCell<BTreeMap<VmId, Relay>>);
 
 impl Relays {
     /// Replaces the nodes; those that stay keep their requests in flight and their failures.
@@ -37,38 +58,44 @@
         let mut old = std::mem::take(&mut *relays);
         for node in nodes {
             let known = old.remove(&node.name);
-            let known = known.filter(|relay| relay.entry.address == node.address);
-            let relay = known.unwrap_or_else(|| {
-                let relay = Target::relay(&node.name, node.address, node.data_centre, now);
-                Rc::new(relay)
+            let known = known.map(|relay| relay.target);
+            let known = known.filter(|target| target.entry.address == node.address);
+            let target = known.unwrap_or_else(|| {
+                let target = Target::relay(&node.name, node.address, node.data_centre, now);
+                Rc::new(target)
             });
-            relays.insert(node.name, relay);
+            let rules = node.rules;
+            relays.insert(node.name, Relay { target, rules });
         }
     }
 
-    /// Returns the least loaded node for which `reaches` is true, that has not failed just now and was
-    /// not tried for this request. `random` returns numbers from 0 to 1.
+    /// Returns the least loaded node that fulfils the criteria, for which `reaches` is true and that has
+    /// not failed just now. `random` returns numbers from 0 to 1.
     pub fn choose(
         &self,
-        data_centre: &DataCentre,
-        tried: &[TargetId],
-        now: Instant,
+        criteria: &RelayCriteria<'_>,
         reaches: impl Fn(&VmId) -> bool,
         mut random: impl FnMut() -> f64,
     ) -> Option<Rc<Target>> {
         let relays = self.0.borrow();
         let able = relays.iter().filter(|(name, relay)| {
-            !relay.is_ejected(now) && !tried.contains(&relay.entry.id) && reaches(name)
+            relay.rules == criteria.rules
+                && !relay.target.is_ejected(criteria.now)
+                && !criteria.tried.contains(&relay.target.entry.id)
+                && reaches(name)
         });
-        let costed = able.map(|(_, relay)| {
-            let remote = match relay.entry.data_centre == *data_centre {
+        let costed = able.map(|(_, Relay { target, .. })| {
+            let remote = match target.entry.data_centre == *criteria.data_centre {
                 true => 0.0,
                 false => REMOTE_COST,
             };
-            (f64::from(relay.in_flight.get()) + remote + random(), relay)
+            (
+                f64::from(target.in_flight.get()) + remote + random(),
+                target,
+            )
         });
         let best = costed.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, relay)| relay.clone())
+        best.map(|(_, target)| target.clone())
     }
 
     /// Returns the number of nodes for which `reaches` is true.
