Number the orders of a term that is handed over on from those sent before

A release that is under way could be taken as done, and the keys given on while their last holder works on them: a process that leads a term, hands it over and then continues it again numbered its orders from 1 again, within the same term, so that the term in an order's id did not tell them apart.

The handover contains the number of the last order.

--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -60,6 +60,9 @@
     pub fence: Fence,
     /// The number of the last announcement of the term.
     pub announcement: u64,
+    /// The number of the last order of the term: a process that continues the term later on still
+    /// receives outcomes of orders that it sent before.
+    pub order: u64,
     /// The terms of all leases under which the leader continued in its term.
     pub terms: BTreeSet<u64>,
     /// The nodes that have not reported that they do not lead, with the processes that may lead;
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -206,6 +206,7 @@
         self.term = handover.map.term;
         self.fences = FenceAllocator::after(handover.fence);
         self.last_announcement = handover.announcement;
+        self.last_order_id = handover.order;
         self.newest_map = handover.map.number;
         self.stored_map = handover.map.number;
         self.suspended = true;
@@ -235,6 +236,11 @@
         self.stored_map == self.newest_map
     }
 
+    /// Returns the number of the last order of the term.
+    pub fn last_order(&self) -> u64 {
+        self.last_order_id
+    }
+
     /// Returns the last fence that was used in the term.
     pub fn last_fence(&self) -> Fence {
         self.fences.last()
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -158,6 +158,7 @@
             map: self.leader.map().version,
             fence: self.leader.last_fence(),
             announcement: self.leader.sequence().number,
+            order: self.leader.last_order(),
             terms: self.own_terms.clone(),
             unreported: is_short.then(|| unreported.collect()),
             has_restarted: recovery.has_restarted(),
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -15,6 +15,7 @@
 use crate::keys_simulation::Simulation;
 use crate::keys_simulation::TestRng;
 use gooseberryloft::ids::TargetId;
+use gooseberryloft::node::keys::election::Handover;
 use gooseberryloft::node::keys::key_load::KeyLoad;
 use gooseberryloft::node::keys::leader::Action;
 use gooseberryloft::node::keys::leader::Command;
@@ -312,6 +313,37 @@
     Leader::new(term, Inherited::Map(&map), MS(10_000), now)
 }
 
+/// Returns a leader that continues the term of another one, which has handed it over, from a map in
+/// which all keys have this owner and prior owner.
+fn successor_of(former: &Leader, owner: &str, prior: &str, now: Instant) -> Leader {
+    let entry = Ownership {
+        range: KeyRange::ALL,
+        owner: Some(process(owner)),
+        prior: Some(process(prior)),
+    };
+    let version = MapVersion {
+        term: former.term(),
+        number: 1,
+    };
+    let map = KeyMap {
+        version,
+        max_grant_ms: Some(2_500),
+        ranges: vec![entry],
+    };
+    let handover = Handover {
+        map: version,
+        fence: former.last_fence(),
+        announcement: 0,
+        order: former.last_order(),
+        terms: [former.term()].into(),
+        unreported: Some(Vec::new()),
+        has_restarted: false,
+        previous_ended: true,
+    };
+    let inherited = Inherited::HandedOver(&map, &handover);
+    Leader::new(former.term(), inherited, MS(10_000), now)
+}
+
 fn orders(actions: Vec<Action>) -> Vec<Order> {
     let order = |action| match action {
         Action::Send(order) => Some(order),
@@ -393,6 +425,25 @@
     expect_that!(fences.first(), not(eq(fences.last())));
 }
 
+#[googletest::test]
+fn a_late_answer_of_a_leader_that_handed_its_term_over_does_not_end_a_release() {
+    let now = Instant::now() + MS(1_000_000);
+    let candidates = [listed("t0"), listed("t1")];
+    let load = KeyLoad::new(now);
+    let mut former = leader_of(2, "t0", None, now);
+    let granted = orders(former.tick(now, &candidates, &load));
+    let mut leader = successor_of(&former, "t1", "t0", now);
+    let released = orders(leader.tick(now, &candidates, &load));
+    assert_that!(released[0].command, eq(&Command::Release));
+    let reply = OrderReply {
+        handover: None,
+        opened: now,
+    };
+    let mut actions = leader.order_ended(granted[0].id, OrderOutcome::Done(reply), now);
+    actions.extend(leader.tick(now + MS(50), &candidates, &load));
+    expect_that!(orders(actions), is_empty());
+}
+
 #[googletest::test]
 fn a_restarted_target_that_was_granted_keys_as_its_former_process_releases_them() {
     let mut simulation = simulation_with_held_keys(4, 3);
