Do not take a lease that a restore lost for one that was never written

Two targets held the same keys (OWNER): if the table was restored from a copy that is older than the first lease, a node that had taken part in the first start of the system found no lease row, took the system for new, and granted all keys while targets held them by grants of the lost leader.

A missing row now stands for a new system only at the first start, while the table reports the generation with which the node began and no leader is known; otherwise the keys are granted when the lost grants have expired, as after any restore.

Evidence: a_lease_that_a_restore_lost_is_not_taken_for_one_that_was_never_written guards the decision, which had no function of its own before.

--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -36,6 +36,7 @@
 use crate::node::state::BootClock;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
+use crate::platform::Generation;
 use crate::platform::Row;
 use crate::platform::Table;
 use crate::platform::TableError;
@@ -151,6 +152,8 @@
     platform: Rc<P>,
     clock: BootClock,
     election: Election,
+    /// The generation of the table's data when the group began to take part in the election.
+    first_generation: Generation,
     leading: Option<Leadership>,
     key_load: KeyLoad,
     /// Moving averages of the targets' service times in milliseconds, as all nodes report them.
@@ -193,6 +196,7 @@
         platform: platform.clone(),
         clock,
         election: Election::new(service.clone(), now),
+        first_generation: Generation::default(),
         leading: None,
         key_load: KeyLoad::new(now),
         service_times: BTreeMap::new(),
@@ -281,6 +285,9 @@
             return;
         }
         let now = self.clock.now();
+        if self.first_generation == Generation::default() {
+            self.first_generation = self.table.generation();
+        }
         self.key_load.decay(now);
         if self.leading.is_some() {
             self.lead(now);
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -232,6 +232,13 @@
         }
     }
 
+    /// Returns the lease that a missing row stands for: none if no node can have led before, which is
+    /// so only at the first start of all nodes, while the table has not been restored since.
+    pub fn missing_lease(&self, first_start: bool, restored: bool) -> Option<Lease> {
+        let is_first = first_start && !restored && self.term == 0;
+        (!is_first).then(Lease::lost)
+    }
+
     /// Returns the lease with which a new leader replaces `held`, in a table of this generation.
     ///
     /// If `held` was written in an earlier generation, later leases may be lost. Their leaders are
--- a/tests/node_election.rs
+++ b/tests/node_election.rs
@@ -50,6 +50,20 @@
     expect_that!(election.should_campaign(0, now + MS(11)), eq(true));
 }
 
+#[googletest::test]
+fn a_lease_that_a_restore_lost_is_not_taken_for_one_that_was_never_written() {
+    let now = start();
+    let mut election = Election::new(ServiceId::from("search"), now);
+    expect_that!(election.missing_lease(true, false), none());
+    expect_that!(election.missing_lease(true, true), some(eq(&Lease::lost())));
+    expect_that!(election.missing_lease(false, false), some(anything()));
+    election.record_leader(3, &VmId::from("a"), BootId(1), now);
+    expect_that!(election.missing_lease(true, false), some(anything()));
+    let lost = election.missing_lease(true, true);
+    let next = election.next_lease(lost.as_ref(), Generation(2), &VmId::from("b"), BootId(9));
+    expect_that!(next.lost_term(), some(anything()));
+}
+
 #[googletest::test]
 fn a_later_process_on_its_node_ends_a_leader() {
     let now = start();
