Separate probes and relays from dispatch, and remove a path that nothing uses

Found by a reading of the whole change. It used a function of control to connect to targets; probes are in src/node/probe.rs now, which both use, and control::reach is private again. - The surplus of previous leaders in a lease is drained, since the entry for lost leaders comes first; Retry-After is spread in one place. - Names and comments use reported, sent and responded for what nodes and targets do; asks is awaits_reports.

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -65,9 +65,10 @@
             return;
         }
         let is_restored = self.table.generation() > self.first_generation;
-        let first_start = row.is_none() && self.state.conf.first_start;
+        // A malformed row was written, too.
+        let may_be_first = row.is_none() && self.state.conf.first_start;
         let revision = row.map_or(0, |row| row.revision);
-        let held = lease.or_else(|| self.election.missing_lease(first_start, is_restored));
+        let held = lease.or_else(|| self.election.missing_lease(may_be_first, is_restored));
         let next = self.next_lease(held.as_ref());
         match write_lease(&self.state, &*self.table, self.lease_key(), &next, revision).await {
             Some(revision) => {
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -106,8 +106,8 @@
     pub leads: Option<u64>,
     /// The last term that this process led, if it sends no more orders in that term.
     pub ended: Option<u64>,
-    /// Whether this process waits for reports of other nodes that they do not lead.
-    pub asks: bool,
+    /// Whether this process waits until other nodes report that they do not lead.
+    pub awaits_reports: bool,
 }
 
 /// Sends messages to a group's task and reads its status.
@@ -398,7 +398,7 @@
         let leading = self.leading.as_ref();
         status.term = leading.map_or(self.election.term(), |it| it.tenure.leader.term());
         status.leader = self.election.leader().map(|(node, _)| node.clone());
-        status.asks = leading.is_some_and(|it| it.tenure.awaits_reports());
+        status.awaits_reports = leading.is_some_and(|it| it.tenure.awaits_reports());
         status.leads = self
             .leading
             .as_ref()
--- a/src/node/control/mod.rs
+++ b/src/node/control/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod group;
 pub mod peers;
-pub(crate) mod reach;
+mod reach;
 pub mod rows;
 pub mod run;
 pub mod watch;
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -89,8 +89,8 @@
     /// Whether the rows of the other nodes have been read.
     rows_read: Cell<bool>,
     period_count: Cell<u64>,
-    /// When the other nodes were last told of all targets that this node does not reach.
-    reach_told: Cell<Option<Instant>>,
+    /// When all targets that this node does not reach were last reported to the other nodes.
+    reach_reported: Cell<Option<Instant>>,
     /// When another node last read the list of targets from the platform.
     last_table_read: Cell<Option<Instant>>,
 }
@@ -109,7 +109,7 @@
             crashes_sent: Cell::new(0),
             rows_read: Cell::new(false),
             period_count: Cell::new(0),
-            reach_told: Cell::new(None),
+            reach_reported: Cell::new(None),
             last_table_read: Cell::new(None),
         }
     }
@@ -287,8 +287,8 @@
         self.record_list(node, heartbeat.list, now);
         // Nodes of this data centre send heartbeats in every period.
         let is_remote = row.data_centre != self.state.conf.data_centre;
-        if is_remote && heartbeat.terms.iter().any(|term| term.asks) {
-            self.answer(from);
+        if is_remote && heartbeat.terms.iter().any(|term| term.awaits_reports) {
+            self.send_heartbeat_to(from);
         }
         for term in heartbeat.terms {
             let leads = term.leads;
--- a/src/node/control/peers/reach.rs
+++ b/src/node/control/peers/reach.rs
@@ -1,4 +1,4 @@
-//! Tells the other nodes which targets this node does not reach, and learns the same from them.
+//! Reports to the other nodes which targets this node does not reach, and records their reports.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -12,7 +12,7 @@
 use crate::node::limit::ProcessTag;
 use crate::node::relays::RelayNode;
 
-/// Time between two reports of all unreachable targets, per node and at least; changes are told at
+/// Time between two reports of all unreachable targets, per node and at least; changes are reported at
 /// once.
 const REFRESH_PER_NODE: Duration = Duration::from_millis(10);
 const MIN_REFRESH: Duration = Duration::from_millis(800);
@@ -22,48 +22,36 @@
 impl Peers {
     /// Determines the nodes to which requests may be passed on.
     pub fn update_relays(&self, now: Instant) {
-        let nodes = self.reaching_nodes(now, |_| true);
-        self.state.relays.set(nodes, now);
-    }
-
-    /// Returns the other nodes that are alive and reach a process, as far as this node knows.
-    pub fn reaching(&self, process: ProcessTag, now: Instant) -> Vec<RelayNode> {
-        self.reaching_nodes(now, |node| {
-            !self.state.reach.is_reported(node, process, now)
-        })
-    }
-
-    fn reaching_nodes(&self, now: Instant, is_able: impl Fn(&VmId) -> bool) -> Vec<RelayNode> {
         let peers = self.peers.borrow();
         let able = peers
             .iter()
-            .filter(|(name, peer)| peer.is_alive(now) && !peer.stranded && is_able(name));
+            .filter(|(_, peer)| peer.is_alive(now) && !peer.stranded);
         let nodes = able.map(|(name, peer)| RelayNode {
             name: name.clone(),
             address: peer.address,
             data_centre: peer.data_centre.clone(),
             rules: peer.rules,
         });
-        nodes.collect()
+        self.state.relays.set(nodes.collect(), now);
     }
 
-    /// Tells the other nodes what has changed, and from time to time of all unreachable targets. A
-    /// stranded node does not: its heartbeats say so.
+    /// Sends the changes to the other nodes, and periodically all unreachable targets. A stranded node
+    /// sends neither, since its heartbeats contain that it is stranded.
     pub fn send_reach(&self, now: Instant) {
         let refresh = REFRESH_PER_NODE * self.state.nodes.get() as u32;
         let refresh = refresh.max(MIN_REFRESH);
         let reach = &self.state.reach;
-        let changes = reach.take_untold();
+        let changes = reach.take_unsent();
         if reach.is_stranded() {
             return;
         }
-        let told = self.reach_told.get();
-        let is_due = told.is_none_or(|at| now.saturating_duration_since(at) >= refresh);
+        let reported = self.reach_reported.get();
+        let is_due = reported.is_none_or(|at| now.saturating_duration_since(at) >= refresh);
         let reached = changes.iter().filter(|(_, is_unreachable)| !is_unreachable);
         let reached: Vec<_> = reached.map(|(process, _)| *process).collect();
         let unreachable = match is_due && reach.any_unreachable() {
             true => {
-                self.reach_told.set(Some(now));
+                self.reach_reported.set(Some(now));
                 self.unreachable(now)
             }
             false => {
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -79,8 +79,8 @@
         }
     }
 
-    /// Sends a heartbeat to a node that waits for reports.
-    pub(super) fn answer(&self, to: SocketAddr) {
+    /// Sends a heartbeat to one node.
+    pub(super) fn send_heartbeat_to(&self, to: SocketAddr) {
         let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new()));
         self.send_to(to, &self.datagram(heartbeat));
     }
@@ -129,7 +129,7 @@
                 term: status.term,
                 leads: status.leads,
                 ended: status.ended,
-                asks: status.asks,
+                awaits_reports: status.awaits_reports,
             }
         });
         Heartbeat {
--- a/src/node/control/reach.rs
+++ b/src/node/control/reach.rs
@@ -4,23 +4,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
-use rand::seq::IndexedRandom;
-
 use crate::events::Event;
-use crate::ids::TargetId;
 use crate::node::control::peers::Peers;
 use crate::node::counters::Counter;
-use crate::node::fleet::Target;
 use crate::node::links;
+use crate::node::probe;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
 
 /// How often it is decided whether a check is due.
 const TICK: Duration = Duration::from_millis(100);
-/// Number of targets that a check of whether the node is stranded connects to.
-const CHECKED_TARGETS: usize = 4;
 /// Maximum number of doubted targets whose links are checked in one tick.
 const DOUBTED_TARGETS: usize = 8;
 
@@ -34,18 +27,18 @@
         }
         let now = Instant::now();
         links::expire(&state, now);
-        if state.reach.has_untold() {
+        if state.reach.has_unsent() {
             peers.send_reach(now);
         }
         check_doubted(&state, now);
         if !state.reach.is_check_due(now) {
             continue;
         }
-        let targets = sample(&state, None);
+        let targets = probe::sample(&state, None);
         if targets.is_empty() {
             continue;
         }
-        let reached = reaches_any(&state, &targets).await;
+        let reached = probe::reaches_any(&state, &targets).await;
         if !state.reach.record_check(reached, Instant::now()) {
             continue;
         }
@@ -78,56 +71,6 @@
     for target in doubted.into_iter().take(DOUBTED_TARGETS) {
         target.link.begin_check(now);
         let (state, target) = (state.clone(), Rc::clone(target));
-        tokio::task::spawn_local(async move { check(&state, &target).await });
-    }
-}
-
-/// Opens a connection to a target, records whether that succeeds, and keeps the connection if there
-/// is no other for requests.
-async fn check(state: &State, target: &Rc<Target>) -> bool {
-    let begun = Instant::now();
-    let opened = state.pool.open(target).await;
-    let now = Instant::now();
-    match opened {
-        Ok(connection) => {
-            links::record_connected(state, target, now);
-            if !state.pool.has_idle(target) {
-                state.pool.put(connection, None, now);
-            }
-            true
-        }
-        Err(error) => {
-            links::record_failure(state, target, &error, begun, now);
-            false
-        }
-    }
-}
-
-/// Returns true if this node reaches another target than this one, or if there is no other. Otherwise
-/// its own links may be lost, and say nothing about the target.
-pub async fn reaches_others(state: &State, target: &TargetId) -> bool {
-    let targets = sample(state, Some(target));
-    targets.is_empty() || reaches_any(state, &targets).await
-}
-
-/// Returns some of the targets that are not leaving, of any service, without `excluded`.
-fn sample(state: &State, excluded: Option<&TargetId>) -> Vec<Rc<Target>> {
-    let fleet = state.fleet.borrow();
-    let staying = fleet.iter().filter(|target| !target.leaving.get());
-    let staying = staying.filter(|target| Some(&target.entry.id) != excluded);
-    let staying: Vec<_> = staying.collect();
-    let chosen = staying.choose_multiple(&mut rand::rng(), CHECKED_TARGETS);
-    chosen.map(|target| Rc::clone(target)).collect()
-}
-
-/// Returns true as soon as a connection to one of the targets is open; keeps it for requests.
-async fn reaches_any(state: &State, targets: &[Rc<Target>]) -> bool {
-    let checks = targets.iter().map(|target| check(state, target));
-    let mut checks: FuturesUnordered<_> = checks.collect();
-    while let Some(reached) = checks.next().await {
-        if reached {
-            return true;
-        }
+        tokio::task::spawn_local(async move { probe::check(&state, &target).await });
     }
-    false
 }
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -237,9 +237,9 @@
     /// The last term that the sender led, once it has stopped sending orders in it.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub ended: Option<u64>,
-    /// Whether the sender waits for reports of nodes that they do not lead.
+    /// Whether the sender waits until other nodes report that they do not lead.
     #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
-    pub asks: bool,
+    pub awaits_reports: bool,
 }
 
 impl Datagram {
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
+use std::iter;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -258,10 +259,7 @@
                     node: VmId::from(""),
                     boot: BootId(0),
                 };
-                [lost]
-                    .into_iter()
-                    .chain(self.known_in(generation))
-                    .collect()
+                iter::once(lost).chain(self.known_in(generation)).collect()
             }
             Some(held) => {
                 let current = PreviousLeader {
@@ -278,12 +276,10 @@
         let lost = last_term_before(generation);
         let is_lost = |previous: &PreviousLeader| previous.term == lost;
         maybe_active.retain(|it| is_lost(it) || !self.has_ended(it, node));
-        let mut surplus = maybe_active.len().saturating_sub(MAX_PREVIOUS_LEADERS);
-        maybe_active.retain(|it| {
-            let is_kept = surplus == 0 || is_lost(it);
-            surplus -= usize::from(!is_kept);
-            is_kept
-        });
+        let surplus = maybe_active.len().saturating_sub(MAX_PREVIOUS_LEADERS);
+        // The entry for lost leaders has the lowest term and comes first.
+        let oldest = usize::from(maybe_active.first().is_some_and(is_lost));
+        maybe_active.drain(oldest..oldest + surplus);
         let newest = held.map_or(0, |held| held.term).max(self.term);
         Lease {
             term: newest.max(generation.0 * TERMS_PER_GENERATION) + 1,
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -5,6 +5,8 @@
 use std::io::ErrorKind;
 use std::time::Instant;
 
+use rustix::io::Errno;
+
 use crate::events::Event;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
@@ -70,7 +72,6 @@
 
 /// Returns true if the process has run out of descriptors or ports.
 fn is_local(error: &io::Error) -> bool {
-    use rustix::io::Errno;
     let code = error.raw_os_error().map(Errno::from_raw_os_error);
     matches!(
         code,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 pub mod pause;
 pub mod pick;
 pub mod platform;
+pub mod probe;
 pub mod proxy;
 pub mod reach;
 pub mod reader;
--- a/src/node/proxy/dispatch.rs
+++ b/src/node/proxy/dispatch/mod.rs
@@ -1,5 +1,7 @@
 //! Selects targets for a request: the first one, and further ones for retries and hedged requests.
 
+mod relay;
+
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,14 +16,13 @@
 use crate::events::Event;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
-use crate::ids::VmId;
-use crate::node::control::reach::reaches_others;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
 use crate::node::limit::ProcessTag;
 use crate::node::links;
 use crate::node::pick;
 use crate::node::pick::PickContext;
+use crate::node::probe::reaches_others;
 use crate::node::proxy::attempt::AttemptContext;
 use crate::node::proxy::attempt::AttemptOutcome;
 use crate::node::proxy::attempt::Request;
@@ -30,7 +31,6 @@
 use crate::node::proxy::attempt::attempt;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::serve::Origin;
-use crate::node::relays::RelayCriteria;
 use crate::node::rules::RequestKind;
 use crate::node::state::State;
 use crate::route::Verdict;
@@ -50,10 +50,6 @@
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Maximum number of sends of one request, including those that a target refused.
 const MAX_SENDS: u32 = 5;
-/// Maximum number of nodes that are asked in turn to serve a request.
-const MAX_RELAYS: u32 = 3;
-/// How long a node that refused a request because it does not reach the target is not asked again.
-const UNREACHED_TIME: Duration = Duration::from_millis(1_000);
 /// HTTP statuses from this value on count as failures of the target.
 const MIN_SERVER_ERROR: u16 = 500;
 
@@ -276,20 +272,6 @@
         }
     }
 
-    /// Returns true if another node should serve the request, since this one reaches no target, or
-    /// not the owner of the key.
-    fn needs_relay(&self, now: Instant) -> bool {
-        let reach = &self.state.reach;
-        self.routed.origin == Origin::Caller
-            && (reach.is_stranded()
-                || reach.any_unreachable()
-                    && self
-                        .routed
-                        .key
-                        .and_then(|key| self.owner(key).ok())
-                        .is_some_and(|owner| !owner.link.takes_requests(now)))
-    }
-
     /// Returns the target for the next send, or the reason to wait.
     fn next_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
         if self.routed.origin == Origin::Caller && self.state.reach.is_stranded() {
@@ -308,28 +290,6 @@
         }
     }
 
-    /// Returns a node to pass the request on to, which reaches the process in `relayed_to`. A request
-    /// that was passed on once is not passed on again.
-    fn choose_relay(&self, now: Instant) -> Option<Rc<Target>> {
-        if self.routed.origin == Origin::Node || self.relays_asked >= MAX_RELAYS {
-            return None;
-        }
-        let State { conf, relays, .. } = &**self.state;
-        let reaches = |node: &VmId| self.is_reached_by(node, self.relayed_to, now);
-        let criteria = RelayCriteria {
-            data_centre: &conf.data_centre,
-            rules: self.routed.rules,
-            tried: &self.tried,
-            now,
-        };
-        relays.choose(&criteria, reaches, rand::random)
-    }
-
-    fn is_reached_by(&self, node: &VmId, process: Option<ProcessTag>, now: Instant) -> bool {
-        let reach = &self.state.reach;
-        process.is_none_or(|process| !reach.is_reported(node, process, now))
-    }
-
     fn choose_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
         let fleet = self.state.fleet.borrow();
         let targets = fleet.of(&self.routed.service);
@@ -360,20 +320,6 @@
         }
     }
 
-    /// Returns a node that reaches one of the targets that has capacity.
-    fn choose_relay_to_any(&mut self, targets: &[Rc<Target>], now: Instant) -> Option<Rc<Target>> {
-        let able = targets.iter().filter(|target| {
-            !target.leaving.get()
-                && !target.is_withheld(now)
-                && pick::has_capacity(target, self.routed.objective, 1)
-        });
-        let able: Vec<_> = able.map(|target| target.process_tag()).collect();
-        able.into_iter().find_map(|process| {
-            self.relayed_to = Some(process);
-            self.choose_relay(now)
-        })
-    }
-
     fn pick(&self, targets: &[Rc<Target>], now: Instant) -> Result<Rc<Target>, Refusal> {
         let context = PickContext {
             now,
@@ -616,68 +562,6 @@
         }
     }
 
-    /// Handles the result of another node, which has made all attempts that are useful.
-    fn handle_relayed(
-        &mut self,
-        relay: &Target,
-        outcome: AttemptOutcome,
-        now: Instant,
-        none_running: bool,
-    ) -> Option<Outcome> {
-        match outcome {
-            AttemptOutcome::Complete(response) => {
-                relay.record_response(now.saturating_duration_since(self.routed.started), false);
-                Some(Outcome::Response(response))
-            }
-            AttemptOutcome::Streaming(response, stream) => Some(Outcome::Stream(response, stream)),
-            AttemptOutcome::NotRun { status } if status != 421 => {
-                self.take_back_relay();
-                self.log_failure(relay, "not-run", status);
-                none_running.then(|| self.give_up(Refusal::Busy))
-            }
-            AttemptOutcome::NotRun { .. } if self.relayed_to.is_some() => {
-                self.take_back_relay();
-                self.record_unreached_by(relay, now);
-                self.log_failure(relay, "not-relayed", 0);
-                None
-            }
-            AttemptOutcome::NotRun { .. }
-            | AttemptOutcome::NotSent
-            | AttemptOutcome::Withheld
-            | AttemptOutcome::RateLimited => {
-                self.take_back_relay();
-                relay.eject(now);
-                self.log_failure(relay, "not-relayed", 0);
-                None
-            }
-            AttemptOutcome::CallerLeft => {
-                self.log_send_skipped();
-                Some(Outcome::CallerLeft)
-            }
-            AttemptOutcome::NoValidResponse(reason) => {
-                relay.record_failure(now);
-                self.failure = Some(reason);
-                self.log_failure(relay, reason, 0);
-                self.retry_or_give_up(none_running)
-            }
-        }
-    }
-
-    /// Uncounts a request that another node did not run.
-    fn take_back_relay(&mut self) {
-        self.possible_runs -= self.relayed_runs.take().unwrap_or(0);
-        self.sends -= 1;
-    }
-
-    /// Records that a node does not reach the target that it was to send the request to.
-    fn record_unreached_by(&self, relay: &Target, now: Instant) {
-        if let Some(process) = self.relayed_to {
-            let node = VmId::from(relay.entry.id.as_str());
-            let until = now + UNREACHED_TIME;
-            self.state.reach.record_report(&node, process, until);
-        }
-    }
-
     /// Records that a target served the request.
     fn record_served(&self, now: Instant) {
         let crashes = &self.state.crashes;
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -314,9 +314,7 @@
     let is_able = |target: &&Rc<Target>| owner.is_none_or(|owner| target.entry.id == *owner);
     let able = fleet.of(&routed.service).iter().filter(is_able);
     let next = able.filter_map(|target| target.withheld_until(now)).min();
-    let wait = next.map_or(Duration::ZERO, |until| until - now);
-    let spread = 1.0 + rand::random::<f64>();
-    wait.mul_f64(spread).min(MAX_RETRY_AFTER)
+    spread(next, now)
 }
 
 /// Returns when the owner of the request's key is asked again whether it holds the key, spread over
@@ -325,10 +323,14 @@
     let views = state.views.borrow();
     let view = views.get(&routed.service);
     let next = routed.key.and_then(|key| view?.next_send(key));
-    let wait = next.map(|next| next.saturating_duration_since(Instant::now()));
-    let spread = 1.0 + rand::random::<f64>();
-    let wait = wait.unwrap_or_default().mul_f64(spread);
-    wait.min(MAX_RETRY_AFTER)
+    spread(next, Instant::now())
+}
+
+/// Returns a random time of once to twice the time until `next`, within the bounds of `Retry-After`.
+fn spread(next: Option<Instant>, now: Instant) -> Duration {
+    let wait = next.map_or(Duration::ZERO, |next| next.saturating_duration_since(now));
+    let factor = 1.0 + rand::random::<f64>();
+    wait.mul_f64(factor).min(MAX_RETRY_AFTER)
 }
 
 /// Logs the state on which a refusal was based.
--- a/src/node/reach.rs
+++ b/src/node/reach.rs
@@ -99,7 +99,7 @@
     /// When the first request or order was sent that no response has followed.
     silent_since: Cell<Option<Instant>>,
     /// When a response was last received or a connection last opened.
-    heard_at: Cell<Option<Instant>>,
+    last_contact: Cell<Option<Instant>>,
     /// Connections that failed since one was last opened.
     failures: Cell<u32>,
     last_check: Cell<Option<Instant>>,
@@ -120,8 +120,8 @@
     /// Returns true if the target has just responded and owes no response for long, so that connections
     /// that are open carry requests even if no other can be opened.
     pub fn is_carrying(&self, now: Instant) -> bool {
-        let heard = self.heard_at.get();
-        heard.is_some_and(|at| elapsed(at, now) < CARRYING_TIME) && !self.is_silent(now)
+        let contact = self.last_contact.get();
+        contact.is_some_and(|at| elapsed(at, now) < CARRYING_TIME) && !self.is_silent(now)
     }
 
     /// Returns true if requests that were sent have arrived, as far as this node knows.
@@ -140,7 +140,7 @@
     /// can be opened.
     pub fn record_response(&self, now: Instant) -> Option<BeliefChange> {
         self.silent_since.set(None);
-        self.heard_at.set(Some(now));
+        self.last_contact.set(Some(now));
         let is_refuted = |belief: &Belief| belief.evidence == Evidence::Silent;
         let belief = self.belief.get().filter(is_refuted)?;
         self.belief.set(None);
@@ -150,7 +150,7 @@
     /// Records that a connection was opened.
     pub fn record_connected(&self, now: Instant) -> Option<BeliefChange> {
         self.silent_since.set(None);
-        self.heard_at.set(Some(now));
+        self.last_contact.set(Some(now));
         self.failures.set(0);
         let belief = self.belief.take()?;
         Some(BeliefChange::Ended(belief, BeliefEnd::Connected))
@@ -173,8 +173,8 @@
             }));
             return None;
         }
-        let was_heard = self.heard_at.get().is_some_and(|at| at >= begun);
-        if !refused && was_heard && failures < FAILED_CONNECTIONS {
+        let had_contact = self.last_contact.get().is_some_and(|at| at >= begun);
+        if !refused && had_contact && failures < FAILED_CONNECTIONS {
             return None;
         }
         let belief = Belief {
@@ -239,14 +239,14 @@
     }
 }
 
-/// A change that the other nodes are to be told of.
+/// A change that has not been sent to the other nodes as often as it should be.
 #[derive(Clone, Copy, Debug)]
-struct UntoldChange {
+struct UnsentChange {
     is_unreachable: bool,
     sends_left: u8,
 }
 
-/// What a node knows of its links to all targets, and what the other nodes have told of theirs.
+/// What a node knows of its links to all targets, and what the other nodes have reported of theirs.
 #[derive(Debug, Default)]
 pub struct Reach {
     /// When the first request was sent that no response has followed, from any target.
@@ -257,7 +257,7 @@
     stranded: Cell<bool>,
     /// Number of targets that are believed to be unreachable, as last counted, or more.
     believed: Cell<usize>,
-    untold: RefCell<BTreeMap<ProcessTag, UntoldChange>>,
+    unsent: RefCell<BTreeMap<ProcessTag, UnsentChange>>,
     /// Until when the reports of other nodes hold that they do not reach a process.
     reports: RefCell<BTreeMap<VmId, BTreeMap<ProcessTag, Instant>>>,
     /// Notified when the node begins or ceases to be stranded, or to believe that it does not reach a
@@ -304,37 +304,37 @@
         self.unreachable.borrow_mut().insert(target.clone());
     }
 
-    /// Records a change of what this node believes of a process, so that the others are told.
+    /// Records a change of what this node believes of a process, to be sent to the other nodes.
     pub fn record_change(&self, process: ProcessTag, change: BeliefChange) {
         let is_unreachable = matches!(change, BeliefChange::Gained(_));
         if is_unreachable {
             self.believed.set(self.believed.get() + 1);
         }
-        let untold = UntoldChange {
+        let unsent = UnsentChange {
             is_unreachable,
             sends_left: CHANGE_SENDS,
         };
-        self.untold.borrow_mut().insert(process, untold);
+        self.unsent.borrow_mut().insert(process, unsent);
         self.changed.notify_waiters();
     }
 
-    /// Returns true if there are changes that the other nodes have not been told of at all.
-    pub fn has_untold(&self) -> bool {
-        let untold = self.untold.borrow();
-        untold
+    /// Returns true if there are changes that have not been sent to the other nodes at all.
+    pub fn has_unsent(&self) -> bool {
+        let unsent = self.unsent.borrow();
+        unsent
             .values()
             .any(|change| change.sends_left == CHANGE_SENDS)
     }
 
-    /// Returns the changes that the other nodes are to be told of now: the processes with true if they
-    /// are unreachable. Each one is returned twice.
-    pub fn take_untold(&self) -> Vec<(ProcessTag, bool)> {
-        let mut untold = self.untold.borrow_mut();
-        let changes = untold
+    /// Returns the changes to send to the other nodes now: the processes with true if they are
+    /// unreachable. Each one is returned twice.
+    pub fn take_unsent(&self) -> Vec<(ProcessTag, bool)> {
+        let mut unsent = self.unsent.borrow_mut();
+        let changes = unsent
             .iter()
             .map(|(process, change)| (*process, change.is_unreachable));
         let changes = changes.collect();
-        untold.retain(|_, change| {
+        unsent.retain(|_, change| {
             change.sends_left -= 1;
             change.sends_left > 0
         });
--- a/tests/node_reach.rs
+++ b/tests/node_reach.rs
@@ -129,7 +129,7 @@
     expect_true!(link.is_unreachable(start + ms(400)));
     expect_true!(link.is_carrying(start + ms(400)));
     expect_true!(link.takes_requests(start + ms(400)));
-    // Nothing has been heard for a while.
+    // The target has not responded for a while.
     expect_false!(link.takes_requests(start + ms(1_000)));
 }
 
@@ -190,13 +190,13 @@
     let (link, target) = (Link::default(), process("t", 1));
     let lost = link.record_failure(true, start, start);
     reach.record_change(target, lost.expect("a belief is gained"));
-    expect_that!(reach.take_untold(), elements_are![eq(&(target, true))]);
+    expect_that!(reach.take_unsent(), elements_are![eq(&(target, true))]);
     let regained = link.record_connected(start);
     reach.record_change(target, regained.expect("the belief ends"));
     for _ in 0..2 {
-        expect_that!(reach.take_untold(), elements_are![eq(&(target, false))]);
+        expect_that!(reach.take_unsent(), elements_are![eq(&(target, false))]);
     }
-    expect_that!(reach.take_untold(), is_empty());
+    expect_that!(reach.take_unsent(), is_empty());
 }
 
 #[googletest::test]
