--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -14,6 +14,7 @@
 use crate::keys_simulation::Faults;
 use crate::keys_simulation::Simulation;
 use crate::keys_simulation::TestRng;
+use crate::keys_simulation::start_with_faults;
 use gooseberryloft::ids::TargetId;
 use gooseberryloft::node::keys::election::Handover;
 use gooseberryloft::node::keys::key_load::KeyLoad;
@@ -22,6 +23,7 @@
 use gooseberryloft::node::keys::leader::Inherited;
 use gooseberryloft::node::keys::leader::Leader;
 use gooseberryloft::node::keys::leader::Order;
+use gooseberryloft::node::keys::leader::OrderId;
 use gooseberryloft::node::keys::leader::OrderOutcome;
 use gooseberryloft::node::keys::leader::OrderReply;
 use gooseberryloft::node::keys::map::Holder;
@@ -352,25 +354,33 @@
     actions.into_iter().filter_map(order).collect()
 }
 
-#[googletest::test]
-fn a_late_answer_of_a_former_term_does_not_end_a_release_of_the_next_term() {
-    let now = Instant::now() + MS(1_000_000);
+/// Checks that a leader that has to release the keys of t0 sends no grant of them after the answer to
+/// an order that a former leader of the same process sent.
+fn expect_release_outlasts(mut leader: Leader, former: OrderId, now: Instant) {
     let candidates = [listed("t0"), listed("t1")];
     let load = KeyLoad::new(now);
-    let former = orders(leader_of(2, "t0", None, now).tick(now, &candidates, &load));
-    // The same process loses the lease and acquires it again while the order is under way.
-    let mut leader = leader_of(3, "t1", Some("t0"), now);
     let released = orders(leader.tick(now, &candidates, &load));
     assert_that!(released[0].command, eq(&Command::Release));
     let reply = OrderReply {
         handover: None,
         opened: now,
     };
-    let mut actions = leader.order_ended(former[0].id, OrderOutcome::Done(reply), now);
+    let mut actions = leader.order_ended(former, OrderOutcome::Done(reply), now);
     actions.extend(leader.tick(now + MS(50), &candidates, &load));
     expect_that!(orders(actions), is_empty());
 }
 
+#[googletest::test]
+fn a_late_answer_of_a_former_term_does_not_end_a_release_of_the_next_term() {
+    let now = Instant::now() + MS(1_000_000);
+    let candidates = [listed("t0"), listed("t1")];
+    let load = KeyLoad::new(now);
+    let former = orders(leader_of(2, "t0", None, now).tick(now, &candidates, &load));
+    // The same process loses the lease and acquires it again while the order is under way.
+    let leader = leader_of(3, "t1", Some("t0"), now);
+    expect_release_outlasts(leader, former[0].id, now);
+}
+
 #[googletest::test]
 fn a_late_result_of_a_former_terms_write_does_not_begin_a_move_that_is_not_stored() {
     let now = Instant::now() + MS(1_000_000);
@@ -432,16 +442,8 @@
     let load = KeyLoad::new(now);
     let mut former = leader_of(2, "t0", None, now);
     let granted = orders(former.tick(now, &candidates, &load));
-    let mut leader = successor_of(&former, "t1", "t0", now);
-    let released = orders(leader.tick(now, &candidates, &load));
-    assert_that!(released[0].command, eq(&Command::Release));
-    let reply = OrderReply {
-        handover: None,
-        opened: now,
-    };
-    let mut actions = leader.order_ended(granted[0].id, OrderOutcome::Done(reply), now);
-    actions.extend(leader.tick(now + MS(50), &candidates, &load));
-    expect_that!(orders(actions), is_empty());
+    let leader = successor_of(&former, "t1", "t0", now);
+    expect_release_outlasts(leader, granted[0].id, now);
 }
 
 #[googletest::test]
@@ -507,15 +509,7 @@
 
     #[test]
     fn no_key_is_held_twice(seed in any::<u64>(), lost in 0u64..20, late in 0u64..30, writes in 0u64..30) {
-        let mut simulation = Simulation::new(4, 3, seed);
-        let mut rng = TestRng::new(seed ^ 0x5eed);
-        simulation.run(MS(2_000));
-        simulation.faults = Faults {
-            lost,
-            unanswered: lost,
-            late,
-            writes_lost: writes,
-        };
+        let (mut simulation, mut rng) = start_with_faults(seed, lost, late, writes);
         for _ in 0..60 {
             inject_fault(&mut simulation, &mut rng);
             simulation.run(MS(50 + rng.below(1_200)));
@@ -525,15 +519,7 @@
 
     #[test]
     fn no_key_is_held_twice_if_targets_restart_before_they_are_listed(seed in any::<u64>(), lost in 0u64..20, late in 0u64..30, writes in 0u64..30) {
-        let mut simulation = Simulation::new(4, 3, seed);
-        let mut rng = TestRng::new(seed ^ 0x5eed);
-        simulation.run(MS(2_000));
-        simulation.faults = Faults {
-            lost,
-            unanswered: lost,
-            late,
-            writes_lost: writes,
-        };
+        let (mut simulation, mut rng) = start_with_faults(seed, lost, late, writes);
         for _ in 0..60 {
             match rng.below(4) {
                 0 => simulation.restart_unlisted(rng.below(4) as usize),
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -10,9 +10,9 @@
 use proptest::prelude::*;
 
 use crate::keys_simulation::Backup;
-use crate::keys_simulation::Faults;
 use crate::keys_simulation::Simulation;
 use crate::keys_simulation::TestRng;
+use crate::keys_simulation::start_with_faults;
 use gooseberryloft::ids::BootId;
 use gooseberryloft::ids::ServiceId;
 use gooseberryloft::ids::VmId;
@@ -399,15 +399,7 @@
 
     #[test]
     fn no_key_is_held_twice_across_restores(seed in any::<u64>(), lost in 0u64..20, late in 0u64..30, writes in 0u64..30) {
-        let mut simulation = Simulation::new(4, 3, seed);
-        let mut rng = TestRng::new(seed ^ 0x5eed);
-        simulation.run(MS(2_000));
-        simulation.faults = Faults {
-            lost,
-            unanswered: lost,
-            late,
-            writes_lost: writes,
-        };
+        let (mut simulation, mut rng) = start_with_faults(seed, lost, late, writes);
         let mut backups = Vec::new();
         for _ in 0..60 {
             inject_fault(&mut simulation, &mut rng, &mut backups);
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -211,6 +211,21 @@
     a.first <= b.last && b.first <= a.last
 }
 
+/// Starts a simulation of 4 targets and 3 nodes, with faults of these probabilities after 2 s; answers to
+/// orders are lost as often as orders.
+pub fn start_with_faults(seed: u64, lost: u64, late: u64, writes: u64) -> (Simulation, TestRng) {
+    let mut simulation = Simulation::new(4, 3, seed);
+    let rng = TestRng::new(seed ^ 0x5eed);
+    simulation.run(Duration::from_millis(2_000));
+    simulation.faults = Faults {
+        lost,
+        unanswered: lost,
+        late,
+        writes_lost: writes,
+    };
+    (simulation, rng)
+}
+
 impl Simulation {
     /// Creates a simulation with all targets listed and all nodes running, but no leader yet.
     pub fn new(targets: usize, nodes: usize, seed: u64) -> Self {
