--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,12 +51,12 @@
         await asyncio.sleep(0.03)
         for path in ("/alpha/x", "/beta/x"):
             node = rnd.choice(world.nodes)
-            asyncio.create_task(world.request(node, "GET", path, key=rnd.randrange(65536)))
+            world.spawn(world.request(node, "GET", path, key=rnd.randrange(65536)))
 
 
 async def scenario(world, trouble):
     await world.store.start()
-    asyncio.create_task(world.store.expire())
+    world.spawn(world.store.expire())
     routes = {"r-a": standin.route("/alpha/", "safe", "alpha"),
               "r-b": standin.route("/beta/", "safe", "beta")}
     services = {name: standin.service(sharded=True) for name in ("alpha", "beta")}
@@ -69,9 +69,9 @@
     for node in world.nodes:
         node.start()
     await world.wait_ready()
-    asyncio.create_task(watch_holders(world))
+    world.spawn(watch_holders(world))
     stop = asyncio.Event()
-    asyncio.create_task(traffic(world, stop))
+    world.spawn(traffic(world, stop))
     await asyncio.sleep(8)
     if trouble:
         world.store.set_mode("reset")
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -268,7 +268,7 @@
         self.born = int(time.time() * 1e3)
         self.alive = True
         self.world.instances.append(self)
-        self.beating = asyncio.create_task(self.beat())
+        self.beating = self.world.spawn(self.beat())
         self.world.record.write(f"instance {self.name} of {self.service} starts at %s:%d" % self.address)
 
     async def beat(self):
@@ -508,7 +508,14 @@
         self.instances, self.nodes = [], []
         self.runs, self.answers, self.sent = {}, {}, {}
         self.ids = itertools.count(1)
-        self.results = {}
+        self.results, self.tasks = {}, set()
+
+    def spawn(self, work):
+        """Starts a task and keeps it, as the event loop itself holds no reference."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
 
     def next_host(self):
         self.hosts += 1
