--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -587,29 +587,35 @@
     return {**plain, "sharded": True, "warm_s": 3.0, "grants": "rpc"} if sharded else plain
 
 
+BROKEN = 71  # run.sh turns it into 1; Python itself exits with 1 if it can't load a script
+
+
 def main(folder, scenario):
-    """Runs a scenario; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    """Runs a scenario; exits with BROKEN if the rule was broken, 0 if it held, 2 if it couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         world = World(folder)
+        code = 2
         try:
             await asyncio.wait_for(scenario(world, trouble), 115)
-            code = 1 if world.record.violations else 0
+            code = BROKEN if world.record.violations else 0
         except CannotRun as error:
             world.record.write(f"cannot run: {error}")
-            code = 2
+        except asyncio.CancelledError:
+            world.record.write("stopped")
         except Exception as error:  # a fault of the script is no fault of the project
             world.record.write(f"script failed: {error!r}")
             print(f"script failed: {error!r}", file=sys.stderr)
-            code = 2
         finally:
             world.end()
             world.record.write("end")
             world.record.file.flush()
         for line in world.record.violations[:10]:
             print(line)
-        print({0: "held", 1: "broken", 2: "could not run"}[code])
+        print({0: "held", BROKEN: "broken", 2: "could not run"}[code])
         return code
 
     code = asyncio.run(play())
