Send orders only to the process they are meant for

While the store was down, an instance crashed and an instance of another keyed service started at its address 2.1 s later. The leader of the first service granted the lost keys again at that address.

Cause: an order went to an address, and nothing checked which process listens there. Fences of two services are not comparable, so the process accepted the grant.

Change: a new connection for an order is used only if the process responded under its id less than reuse_after_s ago (an answered order or request). Otherwise the process is asked for its id at the health path first, and the order gets a connection of its own, so that a copy of that answer cannot end a release. Nothing is sent to another process: OtherTarget counts as lost, Unidentified as unanswered. Requests name the target already.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -17,6 +17,7 @@
 use crate::node::datagram::Tag;
 use crate::node::datagram::target_tag;
 use crate::node::fleet::Target;
+use crate::node::identity::Identity;
 use crate::node::keys::election::Lease;
 use crate::node::keys::leader::Action;
 use crate::node::keys::leader::Command;
@@ -156,12 +157,23 @@
         let (platform, handle) = (self.platform.clone(), self.handle.clone());
         let (state, service) = (self.state.clone(), self.service.clone());
         tokio::task::spawn_local(async move {
-            let begun = Instant::now();
-            if let Some(target) = target_of(&state, &order.to) {
-                links::record_sent(&state, &target, begun);
+            let (begun, boot_begun) = (Instant::now(), state.boot_clock.now());
+            let target = target_of(&state, &order.to);
+            if let Some(target) = &target {
+                links::record_sent(&state, target, begun);
             }
-            let answer = platform.order(&order).await;
+            let path = state.health_path(&service);
+            let identity = Identity {
+                id: &order.to.id,
+                path: &path,
+                field: state.conf.headers.target,
+                proven_at: target.and_then(|target| target.proven_at()),
+                reuse_after: state.conf.reuse_after,
+                clock: state.boot_clock,
+            };
+            let answer = platform.order(&order, identity).await;
             record_reach(&state, &order.to, &answer.outcome, begun);
+            record_proof(&state, &order.to, &answer.outcome, boot_begun);
             record_notices(&state, &order.to, &answer);
             let outcome = answer.outcome;
             if !matches!(outcome, OrderOutcome::Done(_) | OrderOutcome::Reconnected) {
@@ -430,7 +442,19 @@
             let error = ErrorKind::TimedOut.into();
             links::record_failure(state, &target, &error, begun, now);
         }
-        OrderOutcome::Reconnected | OrderOutcome::Unknown => {}
+        OrderOutcome::Reconnected
+        | OrderOutcome::OtherTarget
+        | OrderOutcome::Unidentified
+        | OrderOutcome::Unknown => {}
+    }
+}
+
+/// Records that the process which an order was meant for executed or refused it.
+fn record_proof(state: &State, holder: &Holder, outcome: &OrderOutcome, begun: Instant) {
+    if let OrderOutcome::Done(_) | OrderOutcome::StaleFence = outcome
+        && let Some(target) = target_of(state, holder)
+    {
+        target.record_proof(begun);
     }
 }
 
@@ -455,6 +479,8 @@
         OrderOutcome::StaleFence => "Outdated",
         OrderOutcome::NotSent => "NotSent",
         OrderOutcome::Reconnected => "Reconnected",
+        OrderOutcome::OtherTarget => "OtherTarget",
+        OrderOutcome::Unidentified => "Unidentified",
         OrderOutcome::Unknown => "Unknown",
     }
 }
--- a/src/node/control/group/mod.rs
+++ b/src/node/control/group/mod.rs
@@ -186,7 +186,7 @@
         sender,
         status: Rc::default(),
     };
-    let clock = BootClock::new();
+    let clock = state.boot_clock;
     let now = clock.now();
     let group = Group {
         service: service.clone(),
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -96,6 +96,8 @@
     pub limit: TargetLimit,
     /// What this node knows of its link to the process.
     pub link: Link,
+    /// When the last exchange began in which the process responded under its id, on the boot clock.
+    proven_at: Cell<Option<Instant>>,
     /// Requests in flight from this node.
     pub in_flight: Cell<u32>,
     /// Requests in flight from other nodes, by their latest reports.
@@ -128,6 +130,7 @@
             is_relay: false,
             limit: TargetLimit::default(),
             link: Link::default(),
+            proven_at: Cell::new(None),
             in_flight: Cell::new(0),
             peer_in_flight: Cell::new(0),
             connections: Cell::new(0),
@@ -234,6 +237,17 @@
         self.warm_at.get().is_some_and(|at| now < at)
     }
 
+    /// Returns when the last exchange began in which the process responded under its id.
+    pub fn proven_at(&self) -> Option<Instant> {
+        self.proven_at.get()
+    }
+
+    /// Records that the process responded under its id in an exchange that began at `begun`, on the
+    /// boot clock.
+    pub fn record_proof(&self, begun: Instant) {
+        self.proven_at.set(self.proven_at.get().max(Some(begun)));
+    }
+
     /// Records that the target's process announced in a response that it is shutting down; returns
     /// true if that was not known.
     pub fn record_leaving(&self) -> bool {
--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -8,9 +8,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout_at;
 
+use crate::clock::Clock;
+use crate::node::identity::Identity;
 use crate::node::proxy::conn::Conn;
 use crate::platform::client::CallError;
 use crate::traffic::body::BodyDecoder;
@@ -23,6 +26,8 @@
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// How long an idle connection may be reused: shorter than the idle timeout of the servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a process may take to name itself.
+const IDENTIFICATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum size of a response body, above the largest response of the platform.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
@@ -49,6 +54,20 @@
     Never,
 }
 
+/// Why a call to a given process got no response.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum IdentifiedCallError {
+    /// The call failed like any other.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// Nothing was sent, because another process listens at the address.
+    #[error("another process listens at the address; read the list of targets again")]
+    OtherProcess,
+    /// Nothing was sent, because the process that listens at the address did not name itself.
+    #[error("the process did not name itself in time; check its health path, then retry")]
+    Unidentified,
+}
+
 /// A request to send.
 #[derive(Clone, Copy, Debug)]
 pub struct Call<'a> {
@@ -108,6 +127,79 @@
         self.send(conn, opened, call, deadline).await
     }
 
+    /// Sends a call like [`Self::call`], but only to the given process: on a new connection that may
+    /// lead to another one, the process first has to name itself. All calls of the client must be for
+    /// the same process, since idle connections are not checked again.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::call`], or without sending the call if another process listens at the address
+    /// or if it does not name itself in time.
+    pub async fn call_identified(
+        &self,
+        call: Call<'_>,
+        identity: Identity<'_>,
+        timeout: Duration,
+    ) -> Result<Reply, IdentifiedCallError> {
+        let deadline = Instant::now() + timeout;
+        let idle = match call.reuse {
+            Reuse::Any | Reuse::UntilRefused => self.take(None),
+            Reuse::Never => None,
+        };
+        let (conn, opened) = match idle {
+            Some(idle) => idle,
+            None => self.open_identified(identity, deadline).await?,
+        };
+        Ok(self.send(conn, opened, call, deadline).await?)
+    }
+
+    /// Opens a connection to the given process.
+    async fn open_identified(
+        &self,
+        identity: Identity<'_>,
+        deadline: Instant,
+    ) -> Result<(Conn, Instant), IdentifiedCallError> {
+        let mut conn = self.open(deadline).await?;
+        let opened = Instant::now();
+        if identity.is_certain() {
+            return Ok((conn, opened));
+        }
+        let deadline = deadline.min(opened + IDENTIFICATION_TIMEOUT);
+        let begun = identity.clock.now();
+        let call = Call {
+            method: "GET",
+            path: identity.path,
+            content_type: None,
+            body: &[],
+            reuse: Reuse::Never,
+        };
+        conn.begin_exchange();
+        let exchange = exchange(&mut conn, self.address, call);
+        let Ok(Ok((head, _))) = timeout_at(deadline.into(), exchange).await else {
+            return Err(IdentifiedCallError::Unidentified);
+        };
+        conn.end_exchange();
+        match head.fields.only(identity.field) {
+            None => return Err(IdentifiedCallError::Unidentified),
+            Some(id) if id != identity.id.as_str().as_bytes() => {
+                return Err(IdentifiedCallError::OtherProcess);
+            }
+            Some(_) => {}
+        }
+        let proven = identity.proven(begun);
+        if proven.is_certain() {
+            // A copy of the response would be taken for the response to the call.
+            drop(conn);
+            let conn = self.open(deadline).await?;
+            if proven.is_certain() {
+                return Ok((conn, Instant::now()));
+            }
+        } else if head.keep_alive && conn.data().is_empty() {
+            return Ok((conn, opened));
+        }
+        Err(IdentifiedCallError::Unidentified)
+    }
+
     /// Sends a call on an idle connection that was opened no later than `opened_by`. Returns `None`
     /// without sending anything if there is no such connection.
     pub async fn call_reusing(
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -330,6 +330,14 @@
                 state.held_until = state.held_until_before_order;
                 state.not_sent += 1;
             }
+            OrderOutcome::OtherTarget => {
+                state.held_until = state.held_until_before_order;
+                state.not_sent = LOST_AFTER_NOT_SENT;
+            }
+            OrderOutcome::Unidentified => {
+                state.held_until = state.held_until_before_order;
+                state.unanswered += 1;
+            }
             OrderOutcome::Unknown => {
                 // The next attempt may reach another process, which requires another fence.
                 state.set_fence(fence);
@@ -348,9 +356,14 @@
                 self.ranges[at].handover = reply.handover;
                 self.complete_move(at, now);
             }
+            // The owner has ended: there is no work to wait for, and the grant expires.
+            OrderOutcome::OtherTarget => {
+                self.ranges[at].next_order_at = self.ranges[at].held_until;
+            }
             OrderOutcome::StaleFence
             | OrderOutcome::NotSent
             | OrderOutcome::Reconnected
+            | OrderOutcome::Unidentified
             | OrderOutcome::Unknown => {
                 self.ranges[at].next_order_at = now + ORDER_RETRY_DELAY;
             }
--- a/src/node/keys/leader/order.rs
+++ b/src/node/keys/leader/order.rs
@@ -65,6 +65,10 @@
     /// Nothing was sent, because the connection of the grant is closed and another process may
     /// listen at the address.
     Reconnected,
+    /// Nothing was sent, because a process of another target listens at the address.
+    OtherTarget,
+    /// Nothing was sent, because the process that listens at the address did not name itself in time.
+    Unidentified,
     /// The order was sent, but not answered; the target may still execute it later.
     Unknown,
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 pub mod datagram;
 pub mod fleet;
 pub mod http;
+pub mod identity;
 pub mod keys;
 pub mod limit;
 pub mod links;
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -10,6 +10,7 @@
 
 use crate::node::fleet::TargetEntry;
 use crate::node::fleet::TargetUpdate;
+use crate::node::identity::Identity;
 use crate::node::keys::leader::Order;
 use crate::node::keys::leader::OrderOutcome;
 use crate::node::limit::InvalidRate;
@@ -90,6 +91,7 @@
         wait: Duration,
     ) -> impl Future<Output = Result<(Cursor, TargetListUpdate), PlatformError>>;
 
-    /// Sends a grant or release order to a target and waits for its reply.
-    fn order(&self, order: &Order) -> impl Future<Output = OrderAnswer>;
+    /// Sends a grant or release order to a target and waits for its reply. Nothing is sent to a process
+    /// of another target.
+    fn order(&self, order: &Order, identity: Identity<'_>) -> impl Future<Output = OrderAnswer>;
 }
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -7,6 +7,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
+use crate::clock::Clock;
 use crate::ids::ServiceId;
 use crate::node::fleet::Target;
 use crate::node::limit::Evidence;
@@ -177,7 +178,7 @@
         return AttemptOutcome::RateLimited;
     }
     let out = encode_request(context, request, target);
-    let sent_at = Instant::now();
+    let (sent_at, boot_sent_at) = (Instant::now(), context.state.boot_clock.now());
     if !target.is_relay {
         links::record_sent(context.state, target, sent_at);
     }
@@ -187,6 +188,10 @@
         Ok((response, partial)) => {
             if !target.is_relay {
                 note_restrictions(context, target, &response.head, sent_at);
+                // Other processes respond with 421 to a request that names the target.
+                if response.head.status != 421 {
+                    target.record_proof(boot_sent_at);
+                }
             }
             if request_sent && partial.is_none() {
                 connection.conn.end_exchange();
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -64,6 +64,8 @@
     pub reloadable: ReloadableConf,
     /// Longest grant of keys that targets accept.
     pub max_grant: Duration,
+    /// How long after the end of a target its address is not given to another one.
+    pub reuse_after: Duration,
     /// Maximum number of open sockets of the process.
     pub max_sockets: usize,
     /// Maximum memory of the process, in bytes.
@@ -90,6 +92,8 @@
     pub conf: NodeConf,
     /// The reloadable settings in force.
     reloadable: Cell<ReloadableConf>,
+    /// The clock for leases and identities.
+    pub boot_clock: BootClock,
     /// Random id of this process.
     pub boot: BootId,
     /// The rules in force; `None` until the first read.
@@ -149,6 +153,7 @@
         Self {
             reloadable: Cell::new(conf.reloadable),
             conf,
+            boot_clock: BootClock::new(),
             boot: BootId(rand::random()),
             router: RefCell::default(),
             fleet: RefCell::default(),
@@ -266,6 +271,16 @@
         (share as u32).max(1)
     }
 
+    /// Returns the path at which the targets of a service name themselves; empty if the rules in force
+    /// do not contain the service.
+    pub fn health_path(&self, service: &ServiceId) -> String {
+        let router = self.router.borrow();
+        let rule = router
+            .as_ref()
+            .and_then(|router| router.rules().services.get(service));
+        rule.map_or_else(String::new, |rule| rule.health_path.clone())
+    }
+
     /// Counts a request for a key in the load report.
     pub fn count_key(&self, service: &ServiceId, key: u16) {
         let mut requests = self.key_requests.borrow_mut();
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -435,6 +435,36 @@
     expect_that!(fences.first(), not(eq(fences.last())));
 }
 
+#[googletest::test]
+fn keys_of_an_owner_whose_address_belongs_to_another_target_are_moved() {
+    let now = Instant::now() + MS(1_000_000);
+    let candidates = [listed("t0"), listed("t1")];
+    let load = KeyLoad::new(now);
+    let mut leader = leader_of(2, "t0", None, now);
+    let granted = orders(leader.tick(now, &candidates, &load));
+    leader.order_ended(granted[0].id, OrderOutcome::OtherTarget, now);
+    let actions = leader.tick(now + MS(50), &candidates, &load);
+    let moved = actions.iter().any(|action| match action {
+        Action::Write(map) => map.ranges[0].owner == Some(process("t1")),
+        _ => false,
+    });
+    expect_that!(moved, eq(true));
+    expect_that!(orders(actions), is_empty());
+}
+
+#[googletest::test]
+fn an_owner_that_does_not_name_itself_is_asked_again_under_the_same_fence() {
+    let now = Instant::now() + MS(1_000_000);
+    let candidates = [listed("t0")];
+    let load = KeyLoad::new(now);
+    let mut leader = leader_of(2, "t0", None, now);
+    let first = orders(leader.tick(now, &candidates, &load));
+    leader.order_ended(first[0].id, OrderOutcome::Unidentified, now);
+    let second = orders(leader.tick(now + MS(150), &candidates, &load));
+    expect_that!(second, len(eq(1)));
+    expect_that!(second[0].fence, eq(first[0].fence));
+}
+
 #[googletest::test]
 fn a_late_answer_of_a_leader_that_handed_its_term_over_does_not_end_a_release() {
     let now = Instant::now() + MS(1_000_000);
