--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -162,7 +162,7 @@
             if let Some(target) = &target {
                 links::record_sent(&state, target, begun);
             }
-            let path = state.health_path(&service);
+            let path = state.identity_path(&service);
             let identity = Identity {
                 id: &order.to.id,
                 path: &path,
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -144,31 +144,9 @@
     if context.caller.has_left() {
         return AttemptOutcome::CallerLeft;
     }
-    let now = Instant::now();
-    let pooled = match context.refused_before {
-        true => None,
-        false => context.pool.take(target, context.idempotent, now),
-    };
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => match context.pool.open(target).await {
-            Ok(connection) => {
-                if !target.is_relay {
-                    links::record_connected(context.state, target, Instant::now());
-                }
-                if context.caller.has_left() {
-                    context.pool.put(connection, None, Instant::now());
-                    return AttemptOutcome::CallerLeft;
-                }
-                connection
-            }
-            Err(error) => {
-                if !target.is_relay {
-                    links::record_failure(context.state, target, &error, now, Instant::now());
-                }
-                return AttemptOutcome::NotSent;
-            }
-        },
+    let mut connection = match connect(context, target).await {
+        Ok(connection) => connection,
+        Err(outcome) => return outcome,
     };
     if target.leaving.get() {
         return AttemptOutcome::Withheld;
@@ -202,6 +180,39 @@
     }
 }
 
+/// Returns a connection to the target, or the outcome of an attempt without one.
+async fn connect(
+    context: AttemptContext<'_>,
+    target: &Rc<Target>,
+) -> Result<TargetConn, AttemptOutcome> {
+    let now = Instant::now();
+    let pooled = match context.refused_before {
+        true => None,
+        false => context.pool.take(target, context.idempotent, now),
+    };
+    if let Some(connection) = pooled {
+        return Ok(connection);
+    }
+    match context.pool.open(target).await {
+        Ok(connection) => {
+            if !target.is_relay {
+                links::record_connected(context.state, target, Instant::now());
+            }
+            if context.caller.has_left() {
+                context.pool.put(connection, None, Instant::now());
+                return Err(AttemptOutcome::CallerLeft);
+            }
+            Ok(connection)
+        }
+        Err(error) => {
+            if !target.is_relay {
+                links::record_failure(context.state, target, &error, now, Instant::now());
+            }
+            Err(AttemptOutcome::NotSent)
+        }
+    }
+}
+
 /// Sends the request and concurrently reads the response, which may arrive before the request is
 /// sent completely. The returned flag is true if the whole request was sent.
 async fn exchange(
--- a/src/node/rules.rs
+++ b/src/node/rules.rs
@@ -75,8 +75,8 @@
 /// Settings for the targets of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
-    /// The path at which a target reports its health and its id.
-    pub health_path: String,
+    /// The path at which a target names itself.
+    pub identity_path: String,
     /// Maximum connections to one target, summed over all nodes.
     pub max_connections: u32,
     /// Whether each key of the service belongs to one target.
