Bound the bytes that faulty instances make a node hold

What callers would see: an instance that answers without end makes the platform kill the node at its memory limit, and the requests of other callers on that node end with it (LOST).

Cause: an answer to an order could have 16 MB, the limit of the store's responses; and 256 KB of each response to a request were buffered, with no limit on the sum, and kept in two copies while the rest was streamed.

Ruled out: heads, chunk extensions and trailers (fixed limits); requests that don't end (platform/tests/endless.rs); buffers of connections (8 KB a read); store and other nodes, which make few calls at a time.

All buffered responses together have a sixteenth of the memory, as guards that give back on drop; a response that does not fit is streamed from then on, its first 16 KB are buffered in any case. The buffered part of a stream is dropped once sent.

--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -28,7 +28,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a process may take to name itself.
 const IDENTIFICATION_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum size of a response body, above the largest response of the platform.
+/// Default limit on a response body, above the largest response of the platform.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// A complete response.
@@ -95,6 +95,7 @@
 #[derive(Debug)]
 pub struct HttpClient {
     address: SocketAddr,
+    max_body: usize,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
@@ -103,10 +104,17 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            max_body: MAX_BODY_BYTES,
             idle: Mutex::default(),
         }
     }
 
+    /// Sets the limit on a response body, in bytes; a call with a longer response fails.
+    #[must_use]
+    pub fn with_max_body(self, max_body: usize) -> Self {
+        Self { max_body, ..self }
+    }
+
     /// Returns the address that calls are sent to.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -174,7 +182,7 @@
             reuse: Reuse::Never,
         };
         conn.begin_exchange();
-        let exchange = exchange(&mut conn, self.address, call);
+        let exchange = self.exchange(&mut conn, call);
         let Ok(Ok((head, _))) = timeout_at(deadline.into(), exchange).await else {
             return Err(IdentifiedCallError::Unidentified);
         };
@@ -221,7 +229,7 @@
         deadline: Instant,
     ) -> Result<Reply, CallError> {
         conn.begin_exchange();
-        let exchange = timeout_at(deadline.into(), exchange(&mut conn, self.address, call));
+        let exchange = timeout_at(deadline.into(), self.exchange(&mut conn, call));
         let (head, body) = match exchange.await {
             Ok(Ok(response)) => response,
             Ok(Err(cause)) => return Err(self.lost(cause.to_owned())),
@@ -281,6 +289,59 @@
         }
     }
 
+    async fn exchange(
+        &self,
+        conn: &mut Conn,
+        call: Call<'_>,
+    ) -> Result<(ResponseHead, Vec<u8>), &'static str> {
+        let mut request = Vec::with_capacity(256 + call.body.len());
+        let (method, path) = (call.method, call.path);
+        put(&mut request, format_args!("{method} {path} HTTP/1.1\r\n"));
+        put(&mut request, format_args!("Host: {}\r\n", self.address));
+        if let Some(content_type) = call.content_type {
+            let length = call.body.len();
+            put(
+                &mut request,
+                format_args!("Content-Type: {content_type}\r\n"),
+            );
+            put(&mut request, format_args!("Content-Length: {length}\r\n"));
+        }
+        request.extend_from_slice(b"\r\n");
+        request.extend_from_slice(call.body);
+        let (_, mut write, _) = conn.split();
+        write
+            .write_all(&request)
+            .await
+            .map_err(|_| "connection reset")?;
+        let length = loop {
+            match head_length(conn.data()).map_err(|_| "not an HTTP response")? {
+                Some(length) => break length,
+                None => fill(conn).await?,
+            }
+        };
+        let head =
+            parse_response(&conn.data()[..length], method).map_err(|_| "malformed response")?;
+        conn.consume(length);
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut body = Vec::new();
+        loop {
+            while !decoder.is_done() && !conn.data().is_empty() {
+                let piece = decoder
+                    .decode(conn.data())
+                    .map_err(|_| "malformed response body")?;
+                body.extend_from_slice(&conn.data()[piece.skip..piece.used()]);
+                conn.consume(piece.used());
+            }
+            if decoder.is_done() {
+                return Ok((head, body));
+            }
+            if body.len() > self.max_body {
+                return Err("response too large");
+            }
+            fill(conn).await?;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -291,58 +352,6 @@
     }
 }
 
-async fn exchange(
-    conn: &mut Conn,
-    address: SocketAddr,
-    call: Call<'_>,
-) -> Result<(ResponseHead, Vec<u8>), &'static str> {
-    let mut request = Vec::with_capacity(256 + call.body.len());
-    let (method, path) = (call.method, call.path);
-    put(&mut request, format_args!("{method} {path} HTTP/1.1\r\n"));
-    put(&mut request, format_args!("Host: {address}\r\n"));
-    if let Some(content_type) = call.content_type {
-        let length = call.body.len();
-        put(
-            &mut request,
-            format_args!("Content-Type: {content_type}\r\n"),
-        );
-        put(&mut request, format_args!("Content-Length: {length}\r\n"));
-    }
-    request.extend_from_slice(b"\r\n");
-    request.extend_from_slice(call.body);
-    let (_, mut write, _) = conn.split();
-    write
-        .write_all(&request)
-        .await
-        .map_err(|_| "connection reset")?;
-    let length = loop {
-        match head_length(conn.data()).map_err(|_| "not an HTTP response")? {
-            Some(length) => break length,
-            None => fill(conn).await?,
-        }
-    };
-    let head = parse_response(&conn.data()[..length], method).map_err(|_| "malformed response")?;
-    conn.consume(length);
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::new();
-    loop {
-        while !decoder.is_done() && !conn.data().is_empty() {
-            let piece = decoder
-                .decode(conn.data())
-                .map_err(|_| "malformed response body")?;
-            body.extend_from_slice(&conn.data()[piece.skip..piece.used()]);
-            conn.consume(piece.used());
-        }
-        if decoder.is_done() {
-            return Ok((head, body));
-        }
-        if body.len() > MAX_BODY_BYTES {
-            return Err("response too large");
-        }
-        fill(conn).await?;
-    }
-}
-
 async fn fill(conn: &mut Conn) -> Result<(), &'static str> {
     match conn.fill().await {
         Ok(0) => Err("connection closed"),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 pub mod counters;
 pub mod datagram;
 pub mod fleet;
+pub mod held_bytes;
 pub mod http;
 pub mod identity;
 pub mod keys;
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::ids::ServiceId;
 use crate::node::fleet::Target;
+use crate::node::held_bytes::HeldBytes;
 use crate::node::limit::Evidence;
 use crate::node::limit::RequestRate;
 use crate::node::limit::obtain_permit;
@@ -38,7 +39,7 @@
 use crate::traffic::head::parse_response;
 
 /// Responses up to this body size are read completely before any of it is forwarded, so that the
-/// request can be retried when the response is cut off.
+/// request can be retried when the response is cut off, unless other responses occupy the memory.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 /// Maximum number of responses (to other requests, or interim ones) read for one request.
 const MAX_RESPONSES_READ: usize = 4;
@@ -90,6 +91,15 @@
     pub head: ResponseHead,
     /// The part of the body received so far, without transfer encoding.
     pub body: Vec<u8>,
+    held: HeldBytes,
+}
+
+impl Response {
+    /// Drops the response, and returns the memory that it is counted with, which its encoded form needs
+    /// until it has been sent.
+    pub fn into_held(self) -> HeldBytes {
+        self.held
+    }
 }
 
 /// The remaining body of a response that is streamed.
@@ -351,9 +361,10 @@
         if !matches_request && head.framing == Framing::UntilClose {
             return Err("response to another request");
         }
-        let (body, partial) = read_body(reader, buffer, &head).await?;
+        let mut held = context.state.buffered.hold();
+        let (body, partial) = read_body(reader, buffer, &head, &mut held).await?;
         if matches_request {
-            return Ok((Response { head, body }, partial));
+            return Ok((Response { head, body, held }, partial));
         }
         if partial.is_some() {
             return Err("long response to another request");
@@ -430,6 +441,7 @@
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut ReadBuffer,
     head: &ResponseHead,
+    held: &mut HeldBytes,
 ) -> Result<(Vec<u8>, Option<PartialBody>), &'static str> {
     let until_close = head.framing == Framing::UntilClose;
     let mut decoder = BodyDecoder::new(head.framing);
@@ -439,7 +451,7 @@
         if decoder.is_done() {
             return Ok((body, None));
         }
-        if body.len() >= MAX_BUFFERED_BYTES {
+        if body.len() >= MAX_BUFFERED_BYTES || !held.grow(body.len()) {
             let partial = PartialBody {
                 decoder,
                 until_close,
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -14,6 +14,7 @@
 use crate::ids::VmId;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
+use crate::node::held_bytes::HeldBytes;
 use crate::node::log::Line;
 use crate::node::proxy::attempt::Request;
 use crate::node::proxy::attempt::ResponseStream;
@@ -253,12 +254,14 @@
         Outcome::Response(response) => {
             count_request(state, routed, "answered");
             let out = respond::encode_response(&response, close);
+            let _held = response.into_held();
             send(conn, &out, close).await
         }
         Outcome::Stream(response, body_stream) => {
             count_request(state, routed, "streamed");
             let (out, chunked) = respond::encode_response_start(&response, close);
-            match stream_response(state, conn, out, body_stream, chunked, routed.deadline).await {
+            let start = (out, response.into_held());
+            match stream_response(state, conn, start, body_stream, chunked, routed.deadline).await {
                 Ok(()) if close => NextStep::Close,
                 Ok(()) => NextStep::KeepOpen,
                 Err(reason) => {
@@ -277,28 +280,38 @@
             state.counters.add(Counter::CallersGone);
             NextStep::Abort
         }
-        Outcome::Refused(refusal) => {
-            let reason: &'static str = refusal.into();
-            count_request(state, routed, reason);
-            state.log.record(Event::RequestRefused, |line| {
-                line.text("id", &String::from_utf8_lossy(&request.id));
-                line.text("service", routed.service.as_str());
-                line.text("why", reason);
-                log_refusal_state(state, routed, line);
-            });
-            let time_left = routed.deadline.saturating_duration_since(Instant::now());
-            let mut pause = retry_after(time_left, routed.objective);
-            match refusal {
-                Refusal::RateLimited => pause = pause.max(next_opening(state, routed)),
-                Refusal::Unheld => pause = pause.max(next_send(state, routed)),
-                _ => {}
-            }
-            let out = LocalResponse::refusal(refusal, pause);
-            let echo = echo(state, routed.origin, Some(&request.id));
-            let out = out.encode(close, echo);
-            send(conn, &out, close).await
-        }
+        Outcome::Refused(refusal) => refuse(state, conn, routed, request, refusal, close).await,
+    }
+}
+
+/// Sends the response to a request that was not run.
+async fn refuse(
+    state: &State,
+    conn: &mut Conn,
+    routed: &RoutedRequest,
+    request: &Request,
+    refusal: Refusal,
+    close: bool,
+) -> NextStep {
+    let reason: &'static str = refusal.into();
+    count_request(state, routed, reason);
+    state.log.record(Event::RequestRefused, |line| {
+        line.text("id", &String::from_utf8_lossy(&request.id));
+        line.text("service", routed.service.as_str());
+        line.text("why", reason);
+        log_refusal_state(state, routed, line);
+    });
+    let time_left = routed.deadline.saturating_duration_since(Instant::now());
+    let mut pause = retry_after(time_left, routed.objective);
+    match refusal {
+        Refusal::RateLimited => pause = pause.max(next_opening(state, routed)),
+        Refusal::Unheld => pause = pause.max(next_send(state, routed)),
+        _ => {}
     }
+    let out = LocalResponse::refusal(refusal, pause);
+    let echo = echo(state, routed.origin, Some(&request.id));
+    let out = out.encode(close, echo);
+    send(conn, &out, close).await
 }
 
 /// Returns when a target of the request is expected to take requests again, spread over as much time
@@ -445,16 +458,16 @@
 async fn stream_response(
     state: &State,
     conn: &mut Conn,
-    mut out: Vec<u8>,
+    (start, held): (Vec<u8>, HeldBytes),
     mut body_stream: Box<ResponseStream>,
     chunked: bool,
     deadline: Instant,
 ) -> Result<(), &'static str> {
+    if send(conn, &start, false).await == NextStep::Abort {
+        return Err("the caller does not read");
+    }
+    drop((start, held));
     loop {
-        if send(conn, &out, false).await == NextStep::Abort {
-            return Err("the caller does not read");
-        }
-        out.clear();
         let (mut read, write, buffer) = conn.split();
         let caller = CallerStatus::new(&write);
         let next = tokio::select! {
@@ -467,7 +480,13 @@
             () = caller_disconnected(&mut read, buffer, caller) => return Err("the caller has disconnected"),
         };
         match next {
-            Ok(Some(body)) => respond::append_body(&mut out, &body, chunked),
+            Ok(Some(body)) => {
+                let mut out = Vec::with_capacity(body.len() + 32);
+                respond::append_body(&mut out, &body, chunked);
+                if send(conn, &out, false).await == NextStep::Abort {
+                    return Err("the caller does not read");
+                }
+            }
             Ok(None) => break,
             Err(_) => return Err("the target broke off or sent a malformed body"),
         }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -17,6 +17,7 @@
 use crate::ids::VmId;
 use crate::node::counters::Counters;
 use crate::node::fleet::Fleet;
+use crate::node::held_bytes::ByteAccount;
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::table_health::TableHealth;
 use crate::node::keys::view::KeyView;
@@ -116,6 +117,8 @@
     pub key_requests: RefCell<BTreeMap<ServiceId, BTreeMap<u16, u16>>>,
     /// Fingerprints of requests that crashed targets.
     pub(crate) crashes: CrashTracker,
+    /// The bytes of buffered responses.
+    pub buffered: ByteAccount,
     /// Notified when a waiting request may be routable: a slot is free, or keys have an owner.
     pub routing_changed: Notify,
     /// Current stage of the graceful shutdown.
@@ -152,7 +155,6 @@
     pub fn new(conf: NodeConf, log: Log) -> Self {
         Self {
             reloadable: Cell::new(conf.reloadable),
-            conf,
             boot_clock: BootClock::new(),
             boot: BootId(rand::random()),
             router: RefCell::default(),
@@ -165,6 +167,8 @@
             views: RefCell::default(),
             key_requests: RefCell::default(),
             crashes: CrashTracker::default(),
+            buffered: ByteAccount::new(conf.memory_bytes),
+            conf,
             routing_changed: Notify::new(),
             stage: Cell::new(ShutdownStage::Serving),
             abort_at: Cell::new(None),
