End a suspended leader's orders with its lease of before the restore

What callers would see: two targets hold the same keys (OWNER).

Cause: a leader that writes its lease again after a restore of the table is suspended and continues in its former term; the confirmation of that write let it send orders for 20 s more. A leader whose lease the restore lost, cut off from it and from the table, counts on the former lease's end 20 s after its own was written, and then gives the keys on that it does not reach. A handover of a suspended term prolonged it in the same way.

Ruled out: that the lost leader stops earlier (its lease is valid and it learns of no restore), or waits from later on (it cannot see the write).

Change: confirmations after a restore count once the new term begins. A handover names the rest of the time, counted from the last heartbeat of the leader that handed over; without one the successor sends no orders. When the time has passed without all reports, the leader waits for 20 s plus the longest lost grant, which is now bounded by the number of targets as for outdated maps (3 s instead of 10.8 s on small sites), and grants all keys again under fences of the new term: those of a lost leader may be higher than the former ones.

Price: a known node that stays silent for 20 s beside a restore costs all keys their owners for some seconds, within the 15 s of recover_s (new test).

Evidence: on the listed test, the same with a handover (a_leader_that_continues_a_suspended_term_does_not_outlast_...) and keys_are_held_again_soon_after_the_lease_of_a_suspended_leader_has_expired fail; now they pass, and so do node_keys and node_restored_table with 1,000 cases of each property.

--- a/src/node/control/group/campaign.rs
+++ b/src/node/control/group/campaign.rs
@@ -132,12 +132,13 @@
             line.text("map", map_name(inherited));
         });
         let (node, boot) = (&self.state.conf.name, self.state.boot);
+        let heard = self.election.last_heard(replaced.boot);
         self.election.record_leader(lease.term, node, boot, now);
         self.newest_announced = leader.sequence();
         let nodes = self.peers.processes();
         let mut tenure = Tenure::new(leader, lease, revision, nodes, now);
         if let Inherited::HandedOver(_, handover) = inherited {
-            tenure.resume(handover, node, boot, now);
+            tenure.resume(handover, heard, (node, boot), now);
         }
         self.load_map(map, self.newest_announced);
         self.leading = Some(Leadership {
--- a/src/node/keys/election.rs
+++ b/src/node/keys/election.rs
@@ -73,6 +73,9 @@
     pub has_restarted: bool,
     /// Whether the leaders before this one are known to have ended.
     pub previous_ended: bool,
+    /// How much longer orders could have been sent in the term, in milliseconds.
+    #[serde(default)]
+    pub valid_ms: u64,
 }
 
 /// Number of terms reserved for each generation of the table's data, so that a term that was lost in
@@ -143,6 +146,8 @@
     term: u64,
     leader: Option<(VmId, BootId)>,
     last_heartbeat: Instant,
+    /// The process whose heartbeats as a leader arrived last, and when the last one did.
+    heard: Option<(BootId, Instant)>,
     next_attempt: Instant,
     /// Terms whose leaders are known to send no more orders.
     ended: BTreeSet<u64>,
@@ -158,6 +163,7 @@
             last_heartbeat: now
                 .checked_sub(HEARTBEAT_TIMEOUT - INITIAL_HEARTBEAT_TIMEOUT)
                 .unwrap_or(now),
+            heard: None,
             next_attempt: now,
             ended: BTreeSet::new(),
         }
@@ -178,6 +184,7 @@
     /// After a restore of the table, the process that holds the newest lease leads in its previous term
     /// for a while, and must not be replaced meanwhile.
     pub fn record_leader(&mut self, term: u64, node: &VmId, boot: BootId, now: Instant) -> bool {
+        self.heard = Some((boot, now));
         if term < self.term {
             let is_newest = |(name, leading): &(VmId, BootId)| name == node && *leading == boot;
             if self.leader.as_ref().is_some_and(is_newest) && !self.ended.contains(&self.term) {
@@ -191,6 +198,12 @@
         true
     }
 
+    /// Returns when the last heartbeat arrived from a process that leads, if no other one has led since.
+    pub fn last_heard(&self, boot: BootId) -> Option<Instant> {
+        let (heard, at) = self.heard?;
+        (heard == boot).then_some(at)
+    }
+
     /// Records the lease row as read from the table.
     pub fn record_lease(&mut self, lease: &Lease, now: Instant) {
         if lease.term > self.term {
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -113,8 +113,7 @@
     fn grants_until(&self, targets: usize, grant_limit: Duration) -> Instant {
         let entries = self.map.iter().flat_map(|map| &map.ranges);
         let holders: BTreeSet<_> = entries.filter_map(|entry| entry.owner.as_ref()).collect();
-        // The previous leader may have known up to twice as many targets.
-        let grant = longest_grant(2 * holders.len().max(targets)).min(grant_limit);
+        let grant = lost_grant(holders.len().max(targets)).min(grant_limit);
         let stored = self.map.as_ref().and_then(|map| map.max_grant_ms);
         let stored = stored.map_or(Duration::ZERO, Duration::from_millis);
         self.leaders_until + ORDER_TIMEOUT + max_time_at_target(grant.max(stored))
@@ -262,9 +261,24 @@
     /// Records that the table confirmed the lease by its answer to a call started at `begun`.
     pub fn lease_confirmed(&mut self, begun: Instant) {
         self.confirmed_at = self.confirmed_at.max(begun);
+        self.end_doubt(begun);
+    }
+
+    /// Records that the table showed no later leader in its answer to a call started at `begun`.
+    pub fn end_doubt(&mut self, begun: Instant) {
         self.refused_at = self.refused_at.filter(|refused_at| begun < *refused_at);
     }
 
+    /// Returns until when the leader may send orders unless its lease is confirmed again.
+    pub fn valid_until(&self) -> Instant {
+        self.confirmed_at + LEASE_VALIDITY
+    }
+
+    /// Sets until when the leader may send orders unless its lease is confirmed again.
+    pub fn set_valid_until(&mut self, until: Instant) {
+        self.confirmed_at = until.checked_sub(LEASE_VALIDITY).unwrap_or(until);
+    }
+
     /// Returns true if a target has refused an order since the lease was confirmed, so that another
     /// node may lead.
     pub fn is_doubted(&self) -> bool {
@@ -300,7 +314,10 @@
 
     /// Returns the longest time for which a target may hold keys after the last order of any leader.
     pub fn longest_hold(&self) -> Duration {
-        ORDER_TIMEOUT + max_time_at_target(self.grant_limit)
+        let owners = self.ranges.iter().filter_map(|state| state.owner.as_ref());
+        let owners: BTreeSet<_> = owners.collect();
+        let grant = lost_grant(owners.len().max(self.targets)).max(self.max_grant);
+        ORDER_TIMEOUT + max_time_at_target(grant.min(self.grant_limit))
     }
 
     /// Returns true while the map is not written.
@@ -330,16 +347,32 @@
         self.ranges.iter().all(is_confirmed)
     }
 
-    /// Continues in a new term, whose fences are higher; stores and announces the map again.
-    pub fn begin_term(&mut self, term: u64) {
+    /// Continues in a new term, whose fences are higher; stores and announces the map again. If the lease
+    /// was not valid any more, another leader may have used higher fences than those of the grants.
+    pub fn begin_term(&mut self, term: u64, now: Instant) {
         self.term = term;
         self.fences = FenceAllocator::new(term);
+        if !self.is_lease_valid(now) {
+            self.grant_again(now);
+        }
         self.suspended = false;
         self.last_announcement = 0;
         self.announce_all = true;
         self.newest_map += 1;
     }
 
+    /// Makes the owners be granted their keys again, under new fences.
+    fn grant_again(&mut self, now: Instant) {
+        for state in &mut self.ranges {
+            state.set_fence(self.fences.allocate());
+            state.pending_order = None;
+            state.next_order_at = now;
+            if state.stage == Stage::Held {
+                state.stage = Stage::Granting;
+            }
+        }
+    }
+
     /// Records the end of the write of this version of the map; `written` is true if it was stored.
     /// Writes that a former leader of this process began are ignored.
     pub fn map_write_ended(&mut self, version: MapVersion, written: bool) {
@@ -513,6 +546,12 @@
     RENEWAL_PERIOD.max(period).mul_f64(PERIODS_PER_GRANT)
 }
 
+/// Returns the longest duration of grants by a leader that this one does not know of, which may have
+/// known up to twice as many targets.
+fn lost_grant(targets: usize) -> Duration {
+    longest_grant(2 * targets)
+}
+
 /// Returns the longest real time that a target may take for a grant of this duration.
 fn max_time_at_target(duration: Duration) -> Duration {
     duration.mul_f64(CLOCK_DRIFT_FACTOR) + ORDER_BUFFERING_MARGIN
--- a/src/node/keys/recovery.rs
+++ b/src/node/keys/recovery.rs
@@ -9,7 +9,7 @@
 use crate::ids::VmId;
 
 /// How long a heartbeat of a new leader may take to reach this node.
-const HEARTBEAT_DELAY: Duration = Duration::from_millis(700);
+pub(super) const HEARTBEAT_DELAY: Duration = Duration::from_millis(700);
 
 /// The search for unknown leaders after the table's data was restored.
 ///
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::BootId;
@@ -21,6 +22,7 @@
 use crate::node::keys::leader::LEASE_VALIDITY;
 use crate::node::keys::leader::Leader;
 use crate::node::keys::map::KeyMap;
+use crate::node::keys::recovery::HEARTBEAT_DELAY;
 use crate::node::keys::recovery::Recovery;
 use crate::platform::Generation;
 
@@ -41,6 +43,8 @@
     revision: u64,
     /// The nodes and processes known when the lease was last confirmed.
     known: KnownNodes,
+    /// When the last call began by whose answer the table confirmed the lease.
+    confirmed_at: Instant,
     /// When the lease was known to be written.
     held_since: Instant,
     /// Set until no unknown leader remains, after a restore of the table's data.
@@ -107,14 +111,27 @@
             lease,
             revision,
             known: nodes,
+            confirmed_at: now,
             held_since: now,
             recovery,
             suspended_at: None,
         }
     }
 
-    /// Continues as the leader that left this state, on another node; this one runs on `node`.
-    pub fn resume(&mut self, handover: &Handover, node: &VmId, boot: BootId, now: Instant) {
+    /// Continues as the leader that left this state, on another node; this one runs on `node`. `heard`
+    /// is when the last heartbeat of that leader arrived.
+    pub fn resume(
+        &mut self,
+        handover: &Handover,
+        heard: Option<Instant>,
+        (node, boot): (&VmId, BootId),
+        now: Instant,
+    ) {
+        // The leader still led shortly before its heartbeat arrived.
+        let sent = heard.and_then(|heard| heard.checked_sub(HEARTBEAT_DELAY));
+        let valid = Duration::from_millis(handover.valid_ms).min(LEASE_VALIDITY);
+        self.leader
+            .set_valid_until(sent.map_or(now, |sent| sent + valid));
         self.own_terms.extend(&handover.terms);
         self.suspended_at = Some(self.lease.generation());
         let all = self.known.iter().map(|(node, _)| (node.clone(), None));
@@ -133,7 +150,7 @@
             return None;
         }
         let handover = match self.is_suspended() {
-            true => Some(self.handover()?),
+            true => Some(self.handover(now)?),
             false if self.leader.is_map_stored() => return None,
             false => None,
         };
@@ -146,8 +163,9 @@
     }
 
     /// Returns the state of a suspended leader, if it holds a lease.
-    fn handover(&self) -> Option<Handover> {
+    fn handover(&self, now: Instant) -> Option<Handover> {
         let recovery = self.recovery.as_ref()?;
+        let valid = self.leader.valid_until().saturating_duration_since(now);
         if self.lease.term <= self.leader.term() {
             return None;
         }
@@ -163,6 +181,7 @@
             unreported: is_short.then(|| unreported.collect()),
             has_restarted: recovery.has_restarted(),
             previous_ended: self.leader.has_previous_ended(),
+            valid_ms: valid.as_millis() as u64,
         })
     }
 
@@ -226,7 +245,17 @@
     /// `nodes` were known.
     pub fn confirm(&mut self, begun: Instant, nodes: KnownNodes) {
         self.known = nodes;
-        self.leader.lease_confirmed(begun);
+        self.record_confirmation(begun);
+    }
+
+    /// Records a confirmation of the lease. It does not let a suspended leader send orders for longer: a
+    /// leader whose lease the table has lost counts on their end.
+    fn record_confirmation(&mut self, begun: Instant) {
+        self.confirmed_at = self.confirmed_at.max(begun);
+        match self.is_suspended() {
+            true => self.leader.end_doubt(begun),
+            false => self.leader.lease_confirmed(begun),
+        }
     }
 
     /// Records that the lease was written again after a restore, in a call that began at `begun`.
@@ -235,7 +264,7 @@
         self.lease = lease;
         self.revision = revision;
         self.held_since = now;
-        self.leader.lease_confirmed(begun);
+        self.record_confirmation(begun);
     }
 
     /// Returns true if another node's report shows that a later leader exists or existed.
@@ -280,7 +309,8 @@
             }
         }
         if begins {
-            self.leader.begin_term(self.lease.term);
+            self.leader.begin_term(self.lease.term, now);
+            self.leader.lease_confirmed(self.confirmed_at);
         }
         election.record_expiry(&self.lease, self.held_since, now);
         let mut previous = self.lease.maybe_active.iter();
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -341,6 +341,7 @@
         unreported: Some(Vec::new()),
         has_restarted: false,
         previous_ended: true,
+        valid_ms: 20_000,
     };
     let inherited = Inherited::HandedOver(&map, &handover);
     Leader::new(former.term(), inherited, MS(10_000), now)
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -323,6 +323,50 @@
     expect_that!(simulation.violations.first(), none());
 }
 
+#[googletest::test]
+fn a_leader_that_continues_a_suspended_term_does_not_outlast_the_wait_of_a_lost_leader() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let paused = simulation.leader().expect("a node leads");
+    let backup = simulation.backup();
+    simulation.nodes[paused].running = false;
+    for node in (0..3).filter(|node| *node != paused) {
+        simulation.nodes[node].unreachable.push(1);
+    }
+    simulation.run(MS(8_000));
+    let lost = simulation.leader().expect("another node leads");
+    simulation.nodes[lost].cut_off = true;
+    simulation.nodes[lost].reaches_table = false;
+    let next = (0..3).find(|node| *node != paused && *node != lost);
+    let next = next.expect("a third node");
+    simulation.restart_node(next);
+    simulation.nodes[next].unreachable.clear();
+    simulation.restore(&backup);
+    simulation.nodes[paused].running = true;
+    simulation.run(MS(5_000));
+    simulation.resign(paused);
+    simulation.nodes[paused].running = false;
+    simulation.run(MS(35_000));
+    expect_that!(simulation.violations.first(), none());
+}
+
+#[googletest::test]
+fn keys_are_held_again_soon_after_the_lease_of_a_suspended_leader_has_expired() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    let leader = simulation.leader().expect("a node leads");
+    let silent = (leader + 1) % 3;
+    simulation.nodes[silent].running = false;
+    let backup = simulation.backup();
+    simulation.restore(&backup);
+    simulation.run(MS(16_000));
+    expect_that!(simulation.is_suspended(leader), eq(true));
+    expect_that!(simulation.held_share(), gt(0.999));
+    simulation.run(MS(6_000));
+    let rest = recovery_time(&mut simulation);
+    expect_that!(MS(6_000) + rest, le(RECOVERY_TIME));
+    expect_that!(simulation.is_suspended(leader), eq(false));
+    expect_that!(simulation.violations, is_empty());
+}
+
 #[googletest::test]
 fn a_lease_of_an_earlier_generation_that_is_written_late_does_not_hide_the_current_leader() {
     let now = Instant::now() + Duration::from_secs(100);
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -472,10 +472,13 @@
         let inherited = inherit(&lease, stored, handover, &mut fake.election, now);
         let mut leader = Leader::new(lease.term, inherited, Duration::from_secs(10), now);
         leader.lease_confirmed(now);
+        let heard = held
+            .as_ref()
+            .and_then(|held| fake.election.last_heard(held.boot));
         fake.election.record_leader(lease.term, &name, boot, now);
         let mut tenure = Tenure::new(leader, lease, self.revision, nodes, now);
         if let Inherited::HandedOver(_, handover) = inherited {
-            tenure.resume(handover, &name, boot, now);
+            tenure.resume(handover, heard, (&name, boot), now);
         }
         fake.leading = Some(Leadership {
             tenure,
