Send no body in a node's own answers to HEAD

Cause: LocalResponse::encode wrote its text whatever the method was.

Ruled out, by tests that passed before: answers of an instance to HEAD with a length, and with 204 and 304.

Change: the method decides whether the text is sent; its length stays. The same holds for answers to other nodes.

--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -152,9 +152,9 @@
         matches!(self.status, 421 | 503)
     }
 
-    /// Encodes the response, with `Connection: close` if `close`; `echo` is given if another node
-    /// passed the request on.
-    pub fn encode(&self, close: bool, echo: Option<Echo<'_>>) -> Vec<u8> {
+    /// Encodes the response to a request with this method, with `Connection: close` if `close`; `echo`
+    /// is given if another node passed the request on. A response to HEAD has no body, only its length.
+    pub fn encode(&self, method: &str, close: bool, echo: Option<Echo<'_>>) -> Vec<u8> {
         let mut out = Vec::with_capacity(256);
         let (status, reason) = (self.status, reason(self.status));
         put(&mut out, format_args!("HTTP/1.1 {status} {reason}\r\n"));
@@ -174,7 +174,9 @@
         put(&mut out, format_args!("Content-Type: text/plain\r\n"));
         put(&mut out, format_args!("Content-Length: {length}\r\n"));
         end_head(&mut out, close);
-        put(&mut out, format_args!("{}\n", self.text));
+        if method != "HEAD" {
+            put(&mut out, format_args!("{}\n", self.text));
+        }
         out
     }
 }
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -310,7 +310,7 @@
     }
     let out = LocalResponse::refusal(refusal, pause);
     let echo = echo(state, routed.origin, Some(&request.id));
-    let out = out.encode(close, echo);
+    let out = out.encode(&request.head.method, close, echo);
     send(conn, &out, close).await
 }
 
@@ -432,7 +432,9 @@
         line.text("why", response.text);
         line.number("rules", state.rules_version());
     });
-    let out = response.encode(close, echo(state, origin, id));
+    // Without a head, the connection is closed after the response.
+    let method = head.map_or("", |head| &head.method);
+    let out = response.encode(method, close, echo(state, origin, id));
     send(conn, &out, close).await
 }
 
