Read through: share the set-up of two tests and the choice of a connection

Two tests of a suspended leader had the same set-up, and two calls of HttpClient the same choice of an idle connection; both are shared now. A service without rules has no identity path, so that nothing malformed is sent to its targets.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -165,7 +165,7 @@
             let path = state.identity_path(&service);
             let identity = Identity {
                 id: &order.to.id,
-                path: &path,
+                path: path.as_deref(),
                 field: state.conf.headers.target,
                 proven_at: target.and_then(|target| target.proven_at()),
                 reuse_after: state.conf.reuse_after,
--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -124,11 +124,7 @@
     /// within `timeout`.
     pub async fn call(&self, call: Call<'_>, timeout: Duration) -> Result<Reply, CallError> {
         let deadline = Instant::now() + timeout;
-        let idle = match call.reuse {
-            Reuse::Any | Reuse::UntilRefused => self.take(None),
-            Reuse::Never => None,
-        };
-        let (conn, opened) = match idle {
+        let (conn, opened) = match self.take_for(call.reuse) {
             Some(idle) => idle,
             None => (self.open(deadline).await?, Instant::now()),
         };
@@ -150,11 +146,7 @@
         timeout: Duration,
     ) -> Result<Reply, IdentifiedCallError> {
         let deadline = Instant::now() + timeout;
-        let idle = match call.reuse {
-            Reuse::Any | Reuse::UntilRefused => self.take(None),
-            Reuse::Never => None,
-        };
-        let (conn, opened) = match idle {
+        let (conn, opened) = match self.take_for(call.reuse) {
             Some(idle) => idle,
             None => self.open_identified(identity, deadline).await?,
         };
@@ -172,11 +164,14 @@
         if identity.is_certain() {
             return Ok((conn, opened));
         }
+        let Some(path) = identity.path else {
+            return Err(IdentifiedCallError::Unidentified);
+        };
         let deadline = deadline.min(opened + IDENTIFICATION_TIMEOUT);
         let begun = identity.clock.now();
         let call = Call {
             method: "GET",
-            path: identity.path,
+            path,
             content_type: None,
             body: &[],
             reuse: Reuse::Never,
@@ -272,6 +267,14 @@
         }
     }
 
+    /// Removes and returns an idle connection that may carry such a call, if there is one.
+    fn take_for(&self, reuse: Reuse) -> Option<(Conn, Instant)> {
+        match reuse {
+            Reuse::Any | Reuse::UntilRefused => self.take(None),
+            Reuse::Never => None,
+        }
+    }
+
     /// Removes and returns the most recently used idle connection. If `opened_by` is given, only
     /// connections opened no later than that are considered.
     fn take(&self, opened_by: Option<Instant>) -> Option<(Conn, Instant)> {
--- a/src/node/identity.rs
+++ b/src/node/identity.rs
@@ -13,8 +13,8 @@
 pub struct Identity<'a> {
     /// The target's id, by which its process names itself.
     pub id: &'a TargetId,
-    /// The path of the call to which the process responds with its id.
-    pub path: &'a str,
+    /// The path of the call to which the process responds with its id; `None` if there is none.
+    pub path: Option<&'a str>,
     /// The header field of the response that contains the id.
     pub field: &'a str,
     /// When the last exchange began in which the process responded under its id, on `clock`.
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -275,14 +275,14 @@
         (share as u32).max(1)
     }
 
-    /// Returns the path at which the targets of a service name themselves; empty if the rules in force
+    /// Returns the path at which the targets of a service name themselves; `None` if the rules in force
     /// do not contain the service.
-    pub fn identity_path(&self, service: &ServiceId) -> String {
+    pub fn identity_path(&self, service: &ServiceId) -> Option<String> {
         let router = self.router.borrow();
         let rule = router
             .as_ref()
             .and_then(|router| router.rules().services.get(service));
-        rule.map_or_else(String::new, |rule| rule.identity_path.clone())
+        rule.map(|rule| rule.identity_path.clone())
     }
 
     /// Counts a request for a key in the load report.
--- a/tests/node_restored_table.rs
+++ b/tests/node_restored_table.rs
@@ -300,25 +300,32 @@
     expect_that!(simulation.held_share(), gt(0.999));
 }
 
-#[googletest::test]
-fn a_suspended_leader_does_not_outlast_the_wait_of_a_lost_leader() {
-    let mut simulation = simulation_with_held_keys(4, 3);
+/// Pauses the leader, and cuts its successor off from everything after it has moved keys of a target that
+/// it does not reach. Then restores the table to its state of before, and resumes the former leader;
+/// returns it and the third node, which has restarted.
+fn resume_beside_a_lost_leader(simulation: &mut Simulation) -> (usize, usize) {
     let paused = simulation.leader().expect("a node leads");
     let backup = simulation.backup();
     simulation.nodes[paused].running = false;
     for node in (0..3).filter(|node| *node != paused) {
         simulation.nodes[node].unreachable.push(1);
     }
-    // The lost leader stores a map that moves the keys of the target that it cannot reach.
     simulation.run(MS(8_000));
     let lost = simulation.leader().expect("another node leads");
     simulation.nodes[lost].cut_off = true;
     simulation.nodes[lost].reaches_table = false;
-    for node in (0..3).filter(|node| *node != paused && *node != lost) {
-        simulation.restart_node(node);
-    }
+    let third = (0..3).find(|node| *node != paused && *node != lost);
+    let third = third.expect("there are three nodes");
+    simulation.restart_node(third);
     simulation.restore(&backup);
     simulation.nodes[paused].running = true;
+    (paused, third)
+}
+
+#[googletest::test]
+fn a_suspended_leader_does_not_outlast_the_wait_of_a_lost_leader() {
+    let mut simulation = simulation_with_held_keys(4, 3);
+    resume_beside_a_lost_leader(&mut simulation);
     simulation.run(MS(35_000));
     expect_that!(simulation.violations.first(), none());
 }
@@ -326,22 +333,8 @@
 #[googletest::test]
 fn a_leader_that_continues_a_suspended_term_does_not_outlast_the_wait_of_a_lost_leader() {
     let mut simulation = simulation_with_held_keys(4, 3);
-    let paused = simulation.leader().expect("a node leads");
-    let backup = simulation.backup();
-    simulation.nodes[paused].running = false;
-    for node in (0..3).filter(|node| *node != paused) {
-        simulation.nodes[node].unreachable.push(1);
-    }
-    simulation.run(MS(8_000));
-    let lost = simulation.leader().expect("another node leads");
-    simulation.nodes[lost].cut_off = true;
-    simulation.nodes[lost].reaches_table = false;
-    let next = (0..3).find(|node| *node != paused && *node != lost);
-    let next = next.expect("a third node");
-    simulation.restart_node(next);
+    let (paused, next) = resume_beside_a_lost_leader(&mut simulation);
     simulation.nodes[next].unreachable.clear();
-    simulation.restore(&backup);
-    simulation.nodes[paused].running = true;
     simulation.run(MS(5_000));
     simulation.resign(paused);
     simulation.nodes[paused].running = false;
