--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -6,7 +6,6 @@
 //! fence. The stored map therefore contains every target that may hold a key, and a later leader
 //! can continue from it.
 
-mod answers;
 mod balance;
 mod candidate_index;
 mod moves;
@@ -20,7 +19,6 @@
 use crate::ids::Fence;
 use crate::node::keys::election::Handover;
 use crate::node::keys::key_load::KeyLoad;
-use crate::node::keys::leader::answers::Answers;
 use crate::node::keys::leader::balance::EXCLUSION_TIME;
 use crate::node::keys::leader::balance::LostTarget;
 use crate::node::keys::leader::balance::MAX_DOUBLINGS;
@@ -100,7 +98,6 @@
     previous_grants_until: Option<Instant>,
     balanced_at: Instant,
     lost_targets: Vec<LostTarget>,
-    answers: Answers,
     /// The number of targets at the last tick.
     targets: usize,
     /// A stored map that is used once the keys in it can be held by no target.
@@ -170,7 +167,6 @@
             previous_grants_until: None,
             balanced_at: now,
             lost_targets: Vec::new(),
-            answers: Answers::default(),
             targets: 0,
             outdated: None,
             suspended: false,
@@ -447,11 +443,6 @@
             return actions;
         };
         self.ranges[at].pending_order = None;
-        if let OrderOutcome::Done(_) | OrderOutcome::StaleFence = outcome
-            && let Some(owner) = &self.ranges[at].owner
-        {
-            self.answers.record(owner, self.ranges[at].sent_at);
-        }
         let mut locations = Vec::new();
         match self.ranges[at].stage {
             Stage::Releasing => self.release_ended(at, outcome, now),
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -28,9 +28,6 @@
 const LOST_AFTER_UNANSWERED: u32 = 3;
 /// Number of consecutive orders without a connection after which a target counts as lost.
 const LOST_AFTER_NOT_SENT: u32 = 2;
-/// How long a leader takes the loss of all targets at once for one of its own links. Then their keys
-/// move, in case that all of them have ended.
-const MAX_OWN_LOSS: Duration = Duration::from_millis(4_000);
 /// How long a new leader waits for owners that are missing from the list of targets: entries that
 /// expired during an outage of the table are back within about two seconds.
 const LIST_RECOVERY_TIME: Duration = Duration::from_millis(2_200);
@@ -65,13 +62,11 @@
             held_until: grants_until,
             next_held_until: next.map(|_| grants_until),
             pending_order: None,
-            sent_at: now,
             held_until_before_order: grants_until,
             grant_duration: self.stored_max_grant,
             next_order_at: now,
             unanswered: 0,
             not_sent: 0,
-            failing_since: None,
             confirmed: false,
         }
     }
@@ -109,13 +104,11 @@
                 held_until: now,
                 next_held_until: None,
                 pending_order: None,
-                sent_at: now,
                 held_until_before_order: now,
                 grant_duration: Duration::ZERO,
                 next_order_at: now,
                 unanswered: 0,
                 not_sent: 0,
-                failing_since: None,
                 confirmed: false,
             });
         }
@@ -144,7 +137,8 @@
             state.set_fence(fence);
             state.pending_order = None;
             state.next_order_at = now;
-            state.forget_failures();
+            state.unanswered = 0;
+            state.not_sent = 0;
             locations.extend(location(state));
         }
         let state = &self.ranges[at];
@@ -176,7 +170,8 @@
         state.pending_order = None;
         state.held_until = state.next_held_until.take().unwrap_or(now).max(now);
         state.next_order_at = now;
-        state.forget_failures();
+        state.unanswered = 0;
+        state.not_sent = 0;
     }
 
     /// Returns true if the range's owner cannot keep it: it leaves, has ended or is lost.
@@ -196,17 +191,7 @@
             Some(candidate) => candidate.leaving,
             None => is_list_complete || candidates.has_ended(owner),
         };
-        is_leaving || self.is_lost(state, now)
-    }
-
-    /// Returns true if the owner has not answered several orders in a row, and this node's own links are
-    /// not the likely cause: another target has answered since, or none has for some time.
-    fn is_lost(&self, state: &RangeState, now: Instant) -> bool {
-        let (Some(owner), Some(since)) = (&state.owner, state.failing_since) else {
-            return false;
-        };
-        let is_own_loss = || now.saturating_duration_since(since) < MAX_OWN_LOSS;
-        has_failed(state) && (self.answers.any_other(owner, since) || !is_own_loss())
+        is_leaving || is_lost(state)
     }
 
     /// Starts to move a range to the least loaded other target, if there is one.
@@ -228,7 +213,7 @@
         let Some(next) = next else {
             return;
         };
-        let is_lost = self.is_lost(&self.ranges[at], now);
+        let is_lost = is_lost(&self.ranges[at]);
         if let Some(owner) = owner.filter(|_| is_lost) {
             self.record_loss(owner, now);
         }
@@ -252,7 +237,6 @@
     ) -> Option<Order> {
         let duration = self.grant_duration();
         let is_doubted = self.is_doubted();
-        let is_lost = self.is_lost(&self.ranges[at], now);
         let state = &mut self.ranges[at];
         if state.pending_order.is_some() || now < state.next_order_at {
             return None;
@@ -267,6 +251,7 @@
             Stage::Releasing => candidates.get_latest(&owner)?,
             _ => candidates.get(&owner)?,
         };
+        let is_lost = is_lost(state);
         let command = match state.stage {
             Stage::Vacant => return None,
             Stage::Releasing => Command::Release,
@@ -294,7 +279,6 @@
             number: self.last_order_id,
         };
         state.pending_order = Some(id);
-        state.sent_at = now;
         Some(Order {
             id,
             to: candidate.holder.clone(),
@@ -317,7 +301,6 @@
         let fence = self.fences.allocate();
         let state = &mut self.ranges[at];
         state.next_order_at = now + ORDER_RETRY_DELAY;
-        let sent_at = state.sent_at;
         match outcome {
             OrderOutcome::Done(reply) => {
                 state.opened = Some(reply.opened);
@@ -330,7 +313,8 @@
                 }
                 state.held_until = now + max_time_at_target(state.grant_duration);
                 state.next_order_at = now + period;
-                state.forget_failures();
+                state.unanswered = 0;
+                state.not_sent = 0;
             }
             OrderOutcome::StaleFence => {
                 state.held_until = state.held_until_before_order;
@@ -345,27 +329,22 @@
             OrderOutcome::NotSent => {
                 state.held_until = state.held_until_before_order;
                 state.not_sent += 1;
-                state.failing_since.get_or_insert(sent_at);
             }
             OrderOutcome::OtherTarget => {
                 state.held_until = state.held_until_before_order;
                 state.not_sent = LOST_AFTER_NOT_SENT;
-                // The address answers, so the links are not the cause.
-                state.failing_since = sent_at.checked_sub(MAX_OWN_LOSS);
             }
             OrderOutcome::Unidentified => {
                 state.held_until = state.held_until_before_order;
                 state.unanswered += 1;
-                state.failing_since.get_or_insert(sent_at);
             }
             OrderOutcome::Unknown => {
                 // The next attempt may reach another process, which requires another fence.
                 state.set_fence(fence);
                 state.unanswered += 1;
-                state.failing_since.get_or_insert(sent_at);
             }
         }
-        if has_failed(state) {
+        if is_lost(state) {
             state.next_order_at = now + period;
         }
     }
@@ -393,6 +372,6 @@
 }
 
 /// Returns true if the owner has not answered several orders in a row.
-fn has_failed(state: &RangeState) -> bool {
+fn is_lost(state: &RangeState) -> bool {
     state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT
 }
--- a/src/node/keys/leader/range_state.rs
+++ b/src/node/keys/leader/range_state.rs
@@ -29,8 +29,6 @@
     /// finished the move; `None` for moves that this leader began.
     pub(super) next_held_until: Option<Instant>,
     pub(super) pending_order: Option<OrderId>,
-    /// When the last order was sent.
-    pub(super) sent_at: Instant,
     /// The value of `held_until` before the pending grant, restored if the grant has no effect.
     pub(super) held_until_before_order: Instant,
     /// The duration of the last grant sent.
@@ -41,8 +39,6 @@
     pub(super) unanswered: u32,
     /// Consecutive orders that could not be sent.
     pub(super) not_sent: u32,
-    /// When the first of these orders was sent.
-    pub(super) failing_since: Option<Instant>,
     /// Whether the owner has accepted a grant since confirmations were last required.
     pub(super) confirmed: bool,
 }
@@ -70,13 +66,6 @@
         self.opened = None;
     }
 
-    /// Forgets the orders that failed.
-    pub(super) fn forget_failures(&mut self) {
-        self.unanswered = 0;
-        self.not_sent = 0;
-        self.failing_since = None;
-    }
-
     /// Returns the state of a part of a held range, under the same fence.
     pub(super) fn with_range(&self, range: KeyRange) -> Self {
         Self {
@@ -90,13 +79,11 @@
             held_until: self.held_until,
             next_held_until: self.next_held_until,
             pending_order: None,
-            sent_at: self.sent_at,
             held_until_before_order: self.held_until,
             grant_duration: self.grant_duration,
             next_order_at: self.next_order_at,
             unanswered: self.unanswered,
             not_sent: self.not_sent,
-            failing_since: self.failing_since,
             confirmed: self.confirmed,
         }
     }
