--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -356,7 +356,7 @@
                 self.ranges[at].handover = reply.handover;
                 self.complete_move(at, now);
             }
-            // The owner has ended: there is no work to wait for, and the grant expires.
+            // The owner has ended, so that there is no work to wait for; the grant still has to expire.
             OrderOutcome::OtherTarget => {
                 self.ranges[at].next_order_at = self.ranges[at].held_until;
             }
--- a/src/node/keys/tenure.rs
+++ b/src/node/keys/tenure.rs
@@ -248,8 +248,8 @@
         self.record_confirmation(begun);
     }
 
-    /// Records a confirmation of the lease. It does not let a suspended leader send orders for longer: a
-    /// leader whose lease the table has lost counts on their end.
+    /// Records a confirmation of the lease. It does not let a suspended leader send orders for longer,
+    /// since a leader whose lease the table has lost may give the keys on after that time.
     fn record_confirmation(&mut self, begun: Instant) {
         self.confirmed_at = self.confirmed_at.max(begun);
         match self.is_suspended() {
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -284,7 +284,7 @@
     }
 }
 
-/// Sends the response to a request that was not run.
+/// Sends the node's own response to a request that received none from a target.
 async fn refuse(
     state: &State,
     conn: &mut Conn,
