Read the bounds of evacuations, cold starts and stated load

The configuration states how long targets are cold after their start and how many requests they tolerate, the settings by how much that may be exceeded and how soon an evacuated data centre must get no requests. Nothing uses them yet.

--- a/src/node/proxy/headers.rs
+++ b/src/node/proxy/headers.rs
@@ -30,6 +30,11 @@
     pub leaving: &'static str,
     /// The requests per second that a target which is overloaded accepts from all nodes together.
     pub limit: &'static str,
+    /// The load of the target that responds: requests running and waiting, slots, and the time that work
+    /// takes at present in percent of the usual, separated by commas.
+    pub load: &'static str,
+    /// How much longer the target that responds is cold, in milliseconds.
+    pub cold_ms: &'static str,
     /// The key, required in requests to services whose keys have exclusive owners.
     pub key: &'static str,
 }
--- a/src/node/rules.rs
+++ b/src/node/rules.rs
@@ -83,6 +83,17 @@
     pub keyed: bool,
     /// How long a target is slower for keys that it received without their state.
     pub warm_up: Duration,
+    /// What a target tolerates after its start; `None` if that is not limited.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a target tolerates while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long a target is cold after its start.
+    pub time: Duration,
+    /// Requests per second that a cold target tolerates; above 0.
+    pub rate: f64,
 }
 
 /// Size and time limits of callers' requests and connections.
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -48,6 +48,16 @@
     pub shutdown_grace: Duration,
 }
 
+/// By how much the requests that a cold target gets in one second may exceed its rate:
+/// `rate * factor + slack`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdExcess {
+    /// Factor on the rate; at least 1.
+    pub factor: f64,
+    /// Requests in addition.
+    pub slack: f64,
+}
+
 /// The configuration of a node.
 #[derive(Clone, Debug)]
 pub struct NodeConf {
@@ -67,6 +77,11 @@
     pub max_grant: Duration,
     /// How long after the end of a target its address is not given to another one.
     pub reuse_after: Duration,
+    /// How long after the acknowledgement of an evacuation targets of that data centre may still get
+    /// requests; `None` if the platform states no bound.
+    pub evacuation_time: Option<Duration>,
+    /// By how much requests to cold targets may exceed their rate.
+    pub cold_excess: ColdExcess,
     /// Maximum number of open sockets of the process.
     pub max_sockets: usize,
     /// Maximum memory of the process, in bytes.
