--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -237,6 +237,11 @@
         self.warm_at.get().is_some_and(|at| now < at)
     }
 
+    /// Records that the target is slower until `until`, unless it is known to be for longer.
+    pub fn record_cold(&self, until: Instant) {
+        self.warm_at.set(self.warm_at.get().max(Some(until)));
+    }
+
     /// Returns when the last exchange began in which the process responded under its id.
     pub fn proven_at(&self) -> Option<Instant> {
         self.proven_at.get()
