Send nothing to data centres that operators evacuate

Cause: an operator has no way to empty a data centre; the rows evacuate/ZONE in the table op were ignored, and requests and keys stayed there.

Change: Platform::rules also returns these rows. src/evacuation decides from their position which data centres are evacuated and until when keyed requests go there; reader broadcasts and heartbeats carry them. Dispatch and attempts check it; the leader treats the targets as leaving, moves the busiest ranges first, and grants them nothing new.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod control;
 pub mod ctl;
+pub mod evacuation;
 pub mod events;
 pub mod ids;
 pub mod inifile;
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -16,6 +16,7 @@
 use crate::node::datagram::Message;
 use crate::node::datagram::Tag;
 use crate::node::datagram::target_tag;
+use crate::node::evacuations::grant_scope;
 use crate::node::fleet::Target;
 use crate::node::identity::Identity;
 use crate::node::keys::election::Lease;
@@ -27,6 +28,7 @@
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::map::MapVersion;
 use crate::node::keys::plan::Candidate;
+use crate::node::keys::plan::GrantScope;
 use crate::node::keys::tenure::LeaseCheck;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
@@ -402,6 +404,7 @@
                 .get(&target_tag(&target.entry.id))
                 .copied()
         };
+        let now = Instant::now();
         let known: Vec<f64> = targets.iter().filter_map(service_time).collect();
         let mean = match known.len() {
             0 => DEFAULT_SERVICE_TIME_MS,
@@ -411,10 +414,8 @@
             .iter()
             .map(|target| {
                 let ms = service_time(target).unwrap_or(mean);
-                candidate(
-                    target,
-                    ms.clamp(mean / MAX_RELATIVE_SPEED, mean / MIN_RELATIVE_SPEED),
-                )
+                let ms = ms.clamp(mean / MAX_RELATIVE_SPEED, mean / MIN_RELATIVE_SPEED);
+                candidate(target, ms, grant_scope(&self.state, target, now))
             })
             .collect()
     }
@@ -485,8 +486,9 @@
     }
 }
 
-/// Returns a target as a candidate to own keys; `ms` is its service time.
-fn candidate(target: &Target, ms: f64) -> Candidate {
+/// Returns a target as a candidate to own keys; `ms` is its service time. One whose data centre is
+/// evacuated has to give up its keys.
+fn candidate(target: &Target, ms: f64, grants: GrantScope) -> Candidate {
     let capacity = f64::from(target.entry.slots.max(1)) * 1e3 / ms;
     let capacity = match target.limit.rate() {
         Some(limit) => capacity.min(issue_rate(limit)),
@@ -499,7 +501,8 @@
         },
         address: target.entry.address,
         capacity,
-        leaving: target.leaving.get(),
+        leaving: target.leaving.get() || grants != GrantScope::All,
+        grants,
         on_probation: false,
     }
 }
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -16,6 +16,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::evacuation::Report;
 use crate::events::Event;
 use crate::ids::BootId;
 use crate::ids::DataCentre;
@@ -32,6 +33,7 @@
 use crate::node::datagram::MAX_DATAGRAM_BYTES;
 use crate::node::datagram::Message;
 use crate::node::datagram::Tag;
+use crate::node::evacuations;
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::election::Election;
 use crate::node::keys::tenure::KnownNodes;
@@ -256,6 +258,7 @@
             Message::PermitRequest(request) => self.handle_permit_request(request, from, now),
             Message::Permit(number, wait_ms) => self.handle_permit(number, wait_ms),
             Message::Reach(report) => self.handle_reach(&node, boot, &report, now),
+            Message::Evacuations(report) => self.merge_evacuations(&report, now),
         }
     }
 
@@ -283,6 +286,9 @@
         let newest = self.state.generation.get().max(generation);
         self.state.generation.set(newest);
         self.compare_rules(heartbeat.rules, now);
+        if let Some(report) = &heartbeat.evacuations {
+            self.merge_evacuations(report, now);
+        }
         self.record_table_read(heartbeat.list, now);
         self.record_list(node, heartbeat.list, now);
         // Nodes of this data centre send heartbeats in every period.
@@ -302,6 +308,12 @@
         }
     }
 
+    fn merge_evacuations(&self, report: &Report, now: Instant) {
+        if !evacuations::merge(&self.state, report, now) {
+            self.rules_hint.notify_waiters();
+        }
+    }
+
     fn record_leaving(&self, targets: &[(Tag, u64)]) {
         for (tag, incarnation) in targets {
             let target = self.state.fleet.borrow().by_tag(*tag).cloned();
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::evacuation::Report;
 use crate::ids::ServiceId;
 use crate::node::control::group::GroupMessage;
 use crate::node::control::peers::Peers;
@@ -72,7 +73,12 @@
 
     /// Sends a heartbeat to every node at once, so that all learn what has changed on this node.
     pub fn send_heartbeat_to_all(&self) {
-        let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new()));
+        let report = self
+            .state
+            .evacuations
+            .borrow()
+            .remote_report(Instant::now());
+        let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new(), report));
         let bytes = self.datagram(heartbeat);
         for peer in self.peers.borrow().values() {
             self.send_to(peer.address, &bytes);
@@ -81,7 +87,12 @@
 
     /// Sends a heartbeat to one node.
     pub(super) fn send_heartbeat_to(&self, to: SocketAddr) {
-        let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new()));
+        let report = self
+            .state
+            .evacuations
+            .borrow()
+            .remote_report(Instant::now());
+        let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new(), report));
         self.send_to(to, &self.datagram(heartbeat));
     }
 
@@ -120,7 +131,11 @@
         let _ = self.socket.try_send_to(bytes, to);
     }
 
-    pub(super) fn heartbeat(&self, loads: Vec<(Tag, u16)>) -> Heartbeat {
+    pub(super) fn heartbeat(
+        &self,
+        loads: Vec<(Tag, u16)>,
+        evacuations: Option<Report>,
+    ) -> Heartbeat {
         let groups = self.groups.borrow();
         let terms = groups.iter().map(|(service, group)| {
             let status = group.status();
@@ -141,6 +156,7 @@
             table_fails: self.state.table_health.borrow().is_failing(),
             terms: terms.collect(),
             loads,
+            evacuations,
         }
     }
 
@@ -155,10 +171,13 @@
         } else {
             REMOTE_PERIODS
         };
-        let local = self.datagram(Message::Heartbeat(self.heartbeat(self.loads())));
-        let remote = period
-            .is_multiple_of(remote_periods)
-            .then(|| self.datagram(Message::Heartbeat(self.heartbeat(Vec::new()))));
+        let evacuations = self.state.evacuations.borrow();
+        let report = evacuations.report(now);
+        let local = self.datagram(Message::Heartbeat(self.heartbeat(self.loads(), report)));
+        let remote = period.is_multiple_of(remote_periods).then(|| {
+            let report = evacuations.remote_report(now);
+            self.datagram(Message::Heartbeat(self.heartbeat(Vec::new(), report)))
+        });
         for peer in self.peers.borrow().values() {
             let is_local = peer.data_centre == self.state.conf.data_centre;
             match &remote {
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -27,6 +27,7 @@
 use crate::node::control::rows::NodeRow;
 use crate::node::control::watch;
 use crate::node::counters::Counter;
+use crate::node::evacuations;
 use crate::node::notices::end_pauses;
 use crate::node::platform::Platform;
 use crate::node::proxy::conn::Conn;
@@ -119,8 +120,7 @@
         line.show("callers", addresses.callers);
         line.number("boot", state.boot.0);
     });
-    let hint = peers.rules_hint.clone();
-    spawn(watch::rules(state.clone(), platform.clone(), hint));
+    spawn(watch::rules(state.clone(), platform.clone(), peers.clone()));
     spawn(watch::targets(
         state.clone(),
         platform.clone(),
@@ -151,6 +151,7 @@
                 maintenance_runs += 1;
                 start_groups(&state, &peers, &table, &platform, &mut groups);
                 watch::expire_targets(&state);
+                evacuations::expire(&state, Instant::now());
                 end_pauses(&state, Instant::now());
                 if maintenance_runs.is_multiple_of(SWEEP_PERIODS) {
                     let now = Instant::now();
--- a/src/node/control/watch.rs
+++ b/src/node/control/watch.rs
@@ -7,11 +7,14 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::evacuation::Rows;
 use crate::events::Event;
 use crate::ids::TargetId;
 use crate::node::control::peers::Peers;
 use crate::node::counters::Counter;
 use crate::node::datagram::ListDigest;
+use crate::node::datagram::Message;
+use crate::node::evacuations;
 use crate::node::fleet::FleetChange;
 use crate::node::fleet::TargetUpdate;
 use crate::node::list_schedule;
@@ -83,12 +86,12 @@
     }
 }
 
-/// Keeps the rules current until the process ends; `hint` is notified when another node has newer
-/// rules.
+/// Keeps the rules and the evacuations current until the process ends.
 ///
 /// The data centre's reader polls for them. The others read them when a heartbeat shows newer ones,
 /// or when no reader is known to reach the platform.
-pub async fn rules(state: Rc<State>, platform: Rc<impl Platform>, hint: Rc<Notify>) {
+pub async fn rules(state: Rc<State>, platform: Rc<impl Platform>, peers: Rc<Peers>) {
+    let hint = peers.rules_hint.clone();
     let mut health = CallHealth::new("rules", MAX_RULES_DOUBLINGS);
     let mut cursor: Option<Cursor> = None;
     let mut read = Instant::now();
@@ -117,8 +120,19 @@
         };
         state.counters.add(Counter::TableCalls);
         match update {
-            Ok((next, rules)) => {
+            Ok((next, rows)) => {
                 read = Instant::now();
+                apply_evacuations(&state, &peers, next, rows.evacuations);
+                let rules = match rows.rules {
+                    Ok(rules) => rules,
+                    Err(error) => {
+                        // Changes of the evacuations must not wait until the rules can be used.
+                        cursor = (state.rules_version() > 0).then_some(next);
+                        let backoff = health.record_failure(&state, &error);
+                        let _ = timeout(backoff, hint.notified()).await;
+                        continue;
+                    }
+                };
                 health.record_success(&state);
                 cursor = Some(next);
                 let found_newer = rules.is_some_and(|rules| apply_rules(&state, rules));
@@ -184,6 +198,14 @@
     }
 }
 
+/// Records the evacuations that this node read at a position. The reader sends changes to all nodes.
+fn apply_evacuations(state: &State, peers: &Peers, position: Cursor, rows: Rows) {
+    let report = evacuations::record_rows(state, position, rows, Instant::now());
+    if let Some(report) = report.filter(|_| state.is_reader.get()) {
+        peers.broadcast(Message::Evacuations(report));
+    }
+}
+
 /// Puts rules in force; returns false if they are not newer.
 fn apply_rules(state: &State, rules: Rules) -> bool {
     let (version, before) = (rules.version, state.rules_version());
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -53,6 +53,10 @@
     ReachRegained,
     /// Requests passed on to another node, which reaches targets that this one does not.
     RequestsRelayed,
+    /// Evacuations of data centres that this node learned of.
+    EvacuationsBegun,
+    /// Evacuations of data centres that have ended on this node.
+    EvacuationsEnded,
     /// Log lines dropped because of the rate or buffer limit.
     LogLinesDropped,
 }
@@ -69,7 +73,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 18],
+    unlabelled: [Cell<u64>; 20],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::evacuation::Report;
 use crate::ids::BootId;
 use crate::ids::DataCentre;
 use crate::ids::TargetId;
@@ -92,6 +93,9 @@
     /// Targets that the sender does not reach, or reaches again.
     #[serde(rename = "u")]
     Reach(ReachReport),
+    /// The evacuated data centres, sent when they change.
+    #[serde(rename = "e")]
+    Evacuations(Report),
 }
 
 /// What a node believes of its links to targets.
@@ -192,6 +196,9 @@
     /// Requests in flight from the node, by target; sent only within its own data centre.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<(Tag, u16)>,
+    /// The evacuated data centres, if the node reports them.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Report>,
 }
 
 /// Version and age of a node's list of targets.
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -8,6 +8,7 @@
 
 mod balance;
 mod candidate_index;
+mod evacuation;
 mod moves;
 mod order;
 mod range_state;
@@ -409,6 +410,7 @@
             locations.extend(self.ranges.iter().filter_map(location));
         }
         let index = CandidateIndex::new(candidates);
+        self.move_evacuated(&index, key_load, now);
         for at in 0..self.ranges.len() {
             self.advance(at, &index, key_load, now, &mut locations);
             if let Some(order) = self.next_order(at, &index, now) {
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -20,6 +20,7 @@
 use crate::node::keys::map::Ownership;
 use crate::node::keys::plan;
 use crate::node::keys::plan::Candidate;
+use crate::node::keys::plan::GrantScope;
 use crate::node::keys::view::RangeLocation;
 
 /// Delay before a failed order is sent again.
@@ -188,7 +189,8 @@
         let listed = candidates.get(owner);
         let is_list_complete = now.saturating_duration_since(self.started_at) >= LIST_RECOVERY_TIME;
         let is_leaving = match listed {
-            Some(candidate) => candidate.leaving,
+            // Those of evacuated targets are moved together.
+            Some(candidate) => candidate.leaving && candidate.grants == GrantScope::All,
             None => is_list_complete || candidates.has_ended(owner),
         };
         is_leaving || is_lost(state)
@@ -255,6 +257,7 @@
         let command = match state.stage {
             Stage::Vacant => return None,
             Stage::Releasing => Command::Release,
+            _ if !may_grant(candidate.grants, state) => return None,
             // The grant of a lost target is not renewed, so that it expires. If its keys cannot be moved
             // by then, it is tried again.
             _ if is_lost && now < state.held_until => return None,
@@ -371,6 +374,15 @@
     }
 }
 
+/// Returns true if the owner of a range, which may be given these grants, may be granted it now.
+fn may_grant(grants: GrantScope, state: &RangeState) -> bool {
+    match grants {
+        GrantScope::All => true,
+        GrantScope::Renewals => state.opened.is_some(),
+        GrantScope::None => false,
+    }
+}
+
 /// Returns true if the owner has not answered several orders in a row.
 fn is_lost(state: &RangeState) -> bool {
     state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT
--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -24,6 +24,17 @@
 /// A whole range is moved only if its load is at most this multiple of the desired load.
 const MAX_LOAD_RATIO: f64 = 1.4;
 
+/// Which grants of keys a target may be given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantScope {
+    /// All grants.
+    All,
+    /// Renewals of grants that it has accepted.
+    Renewals,
+    /// None.
+    None,
+}
+
 /// A target that may own keys.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -35,6 +46,9 @@
     pub capacity: f64,
     /// True if it is shutting down and must give up its keys.
     pub leaving: bool,
+    /// Which grants it may be given; those of a leaving target are restricted if its data centre is
+    /// evacuated.
+    pub grants: GrantScope,
     /// True if it was lost recently, so that it is given one key first.
     pub on_probation: bool,
 }
@@ -74,6 +88,49 @@
     })
 }
 
+/// Places ranges one after the other on the targets with the lowest utilisation.
+#[derive(Debug)]
+pub struct Placement<'a> {
+    open: Vec<Share<'a>>,
+}
+
+/// What a target has been given.
+#[derive(Debug)]
+struct Share<'a> {
+    candidate: &'a Candidate,
+    load: f64,
+    keys: u32,
+}
+
+impl<'a> Placement<'a> {
+    /// Starts from the present owners of ranges.
+    pub fn new(candidates: &'a [Candidate], ranges: &[OwnedRange<'_>], key_load: &KeyLoad) -> Self {
+        let loads = Loads::new(candidates, ranges, key_load);
+        let share = |candidate: &'a Candidate| Share {
+            candidate,
+            load: loads.utilisation(candidate) * candidate.capacity,
+            keys: loads.keys.get(&candidate.holder).copied().unwrap_or(0),
+        };
+        let open = candidates.iter().filter(|candidate| candidate.is_open());
+        Self {
+            open: open.map(share).collect(),
+        }
+    }
+
+    /// Returns the target for a range with this load and number of keys: the one with the lowest
+    /// utilisation; of equal ones, the one with the fewest keys. `None` if no target may get keys.
+    pub fn place(&mut self, load: f64, keys: u32) -> Option<&'a Holder> {
+        let utilisation = |share: &Share<'_>| share.load / share.candidate.capacity;
+        let best = self.open.iter_mut().min_by(|a, b| {
+            let by_load = utilisation(a).total_cmp(&utilisation(b));
+            by_load.then_with(|| a.keys.cmp(&b.keys))
+        })?;
+        best.load += load;
+        best.keys += keys;
+        Some(&best.candidate.holder)
+    }
+}
+
 /// Divides all keys into equal ranges, one per candidate.
 pub fn equal_ranges(candidates: &[Candidate]) -> Vec<(KeyRange, Holder)> {
     let open: Vec<_> = candidates.iter().filter(|c| c.is_open()).collect();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod counters;
 pub mod datagram;
+pub mod evacuations;
 pub mod fleet;
 pub mod held_bytes;
 pub mod http;
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::evacuation::Position;
+use crate::evacuation::Rows;
 use crate::node::fleet::TargetEntry;
 use crate::node::fleet::TargetUpdate;
 use crate::node::identity::Identity;
@@ -30,6 +32,24 @@
     pub version: u64,
 }
 
+impl From<Cursor> for Position {
+    fn from(cursor: Cursor) -> Self {
+        Self {
+            generation: cursor.generation,
+            version: cursor.version,
+        }
+    }
+}
+
+/// The result of reading what the operators have written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OperatorRows {
+    /// The rules; `None` if there are no new ones, or the reason why they cannot be used.
+    pub rules: Result<Option<Rules>, PlatformError>,
+    /// The evacuations of data centres, which apply also if the rules cannot be used.
+    pub evacuations: Rows,
+}
+
 /// The result of reading the list of targets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TargetListUpdate {
@@ -75,13 +95,13 @@
 
 /// A source of rules and targets, and the channel for orders to targets.
 pub trait Platform: 'static {
-    /// Waits up to `wait` for rules newer than the cursor; returns `None` for them if there are
-    /// none. Without a cursor, returns the rules in force immediately.
+    /// Waits up to `wait` for rules and evacuations newer than the cursor; returns none if there are
+    /// none. Without a cursor, returns those in force immediately.
     fn rules(
         &self,
         after: Option<Cursor>,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Cursor, Option<Rules>), PlatformError>>;
+    ) -> impl Future<Output = Result<(Cursor, OperatorRows), PlatformError>>;
 
     /// Waits up to `wait` for target changes after the cursor. Without a cursor, returns the
     /// complete list immediately.
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Clock;
 use crate::ids::ServiceId;
+use crate::node::evacuations::may_send;
 use crate::node::fleet::Target;
 use crate::node::held_bytes::HeldBytes;
 use crate::node::limit::Evidence;
@@ -74,7 +75,8 @@
     NotSent,
     /// The caller disconnected before the request was sent.
     CallerLeft,
-    /// The target announced that it is shutting down while a connection to it was opened.
+    /// The target announced that it is shutting down, or its data centre was evacuated, while a
+    /// connection to it was opened.
     Withheld,
     /// The target has named a limit, and no permit to send the request was available, or it asked for a
     /// pause while a connection to it was opened.
@@ -134,6 +136,8 @@
     pub max_attempts: u32,
     /// The version of the rules by which the request was routed.
     pub rules: u64,
+    /// True if the request has a key, which the target owns.
+    pub keyed: bool,
     /// The service that the request is sent to.
     pub service: &'a ServiceId,
     /// When the caller stops waiting; sent to the target as the remaining time.
@@ -161,6 +165,10 @@
     if target.leaving.get() {
         return AttemptOutcome::Withheld;
     }
+    if !may_send(context.state, target, context.keyed, Instant::now()) {
+        context.pool.put(connection, None, Instant::now());
+        return AttemptOutcome::Withheld;
+    }
     if target.pause.until(Instant::now()).is_some() {
         context.pool.put(connection, None, Instant::now());
         return AttemptOutcome::RateLimited;
--- a/src/node/proxy/dispatch/mod.rs
+++ b/src/node/proxy/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod relay;
 
+use std::borrow::Cow;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::node::counters::Counter;
+use crate::node::evacuations::may_send;
 use crate::node::fleet::Target;
 use crate::node::limit::ProcessTag;
 use crate::node::links;
@@ -97,6 +99,8 @@
 pub enum Refusal {
     /// The service has no available target.
     NoTarget,
+    /// All targets of the service are in data centres that are evacuated.
+    Evacuated,
     /// No target has free capacity.
     Busy,
     /// The targets that could run the request have named limits, which are used up, or asked for a
@@ -274,6 +278,9 @@
 
     /// Returns the target for the next send, or the reason to wait.
     fn next_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
+        if self.is_evacuated(now) {
+            return Err(Refusal::Evacuated);
+        }
         if self.routed.origin == Origin::Caller && self.state.reach.is_stranded() {
             let owner = self.routed.key.and_then(|key| self.owner(key).ok());
             self.relayed_to = owner.map(|owner| owner.process_tag());
@@ -290,9 +297,32 @@
         }
     }
 
-    fn choose_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
+    /// Returns the targets that may get unkeyed requests, as their data centres are not evacuated.
+    fn open_targets<'t>(&self, targets: &'t [Rc<Target>], now: Instant) -> Cow<'t, [Rc<Target>]> {
+        if self.state.evacuations.borrow().is_empty() {
+            return Cow::Borrowed(targets);
+        }
+        let is_open = |target: &&Rc<Target>| may_send(self.state, target, false, now);
+        Cow::Owned(targets.iter().filter(is_open).cloned().collect())
+    }
+
+    /// Returns true if the service has targets, but all of them are in evacuated data centres, so that
+    /// no keys can move either.
+    fn is_evacuated(&self, now: Instant) -> bool {
+        if self.state.evacuations.borrow().is_empty() {
+            return false;
+        }
         let fleet = self.state.fleet.borrow();
         let targets = fleet.of(&self.routed.service);
+        let mut open = targets
+            .iter()
+            .filter(|target| may_send(self.state, target, false, now));
+        pick::has_any(targets) && open.all(|target| target.leaving.get())
+    }
+
+    fn choose_target(&mut self, now: Instant) -> Result<Rc<Target>, Refusal> {
+        let fleet = self.state.fleet.borrow();
+        let targets = &*self.open_targets(fleet.of(&self.routed.service), now);
         if !pick::has_any(targets) {
             return Err(Refusal::NoTarget);
         }
@@ -353,6 +383,9 @@
 
     fn find_owner(&mut self, key: u16, now: Instant) -> Result<Rc<Target>, Refusal> {
         let owner = self.owner(key)?;
+        if !may_send(self.state, &owner, true, now) {
+            return Err(Refusal::NoOwner);
+        }
         if !links::can_send(self.state, &owner, now) {
             self.relayed_to = Some(owner.process_tag());
             return match self.routed.origin {
@@ -427,6 +460,7 @@
             refused_before: self.refused_by.contains(&target.entry.id),
             max_attempts: runs,
             rules: routed.rules,
+            keyed: routed.key.is_some(),
             service: &routed.service,
             deadline: routed.deadline,
             caller: self.caller,
@@ -475,6 +509,8 @@
             Refusal::NoOwner => self.routed.objective.mul_f64(MOVE_WAIT_FRACTION),
             // More requests are made than the targets accept, so others take the next permits.
             Refusal::RateLimited | Refusal::Unheld => Duration::ZERO,
+            // No target returns before the operators end an evacuation.
+            Refusal::Evacuated => Duration::ZERO,
             // Another node may reach the target, or none does.
             Refusal::Stranded | Refusal::Unreached => Duration::ZERO,
             _ => self.routed.objective.mul_f64(QUEUE_WAIT_FRACTION),
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -114,6 +114,10 @@
             Refusal::NoTarget => {
                 Self::not_run("no target is in service; come back later", retry_after)
             }
+            Refusal::Evacuated => Self::not_run(
+                "the data centres of all targets are evacuated; come back later",
+                retry_after,
+            ),
             Refusal::Busy | Refusal::Shed => {
                 Self::not_run("all targets are busy; come back later", retry_after)
             }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::evacuation::Evacuations;
 use crate::ids::BootId;
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
@@ -124,6 +125,8 @@
     pub is_reader: Cell<bool>,
     /// Notified when the time of the next read of rules or targets may have changed.
     pub list_check: Notify,
+    /// The data centres that the operators have evacuated.
+    pub evacuations: RefCell<Evacuations>,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Known owners of keys, by service.
@@ -178,6 +181,7 @@
             generation: Cell::default(),
             is_reader: Cell::new(false),
             list_check: Notify::new(),
+            evacuations: RefCell::new(Evacuations::new(conf.evacuation_time)),
             pool: Pool::default(),
             views: RefCell::default(),
             key_requests: RefCell::default(),
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -32,6 +32,7 @@
 use gooseberryloft::node::keys::map::MapVersion;
 use gooseberryloft::node::keys::map::Ownership;
 use gooseberryloft::node::keys::plan::Candidate;
+use gooseberryloft::node::keys::plan::GrantScope;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -296,6 +297,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         capacity: 4.0,
         leaving: false,
+        grants: GrantScope::All,
         on_probation: false,
     }
 }
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -26,6 +26,7 @@
 use gooseberryloft::node::keys::map::KeyMap;
 use gooseberryloft::node::keys::map::KeyRange;
 use gooseberryloft::node::keys::plan::Candidate;
+use gooseberryloft::node::keys::plan::GrantScope;
 use gooseberryloft::node::keys::table_health::TableHealth;
 use gooseberryloft::node::keys::tenure::LeaseCheck;
 use gooseberryloft::node::keys::tenure::Tenure;
@@ -418,6 +419,7 @@
                 address: SocketAddr::from(([127, 0, 0, 1], index as u16 + 1)),
                 capacity: 4.0,
                 leaving: target.leaving,
+                grants: GrantScope::All,
                 on_probation: false,
             })
             .collect()
