Limit the rate at which all nodes together send to a cold target

A target that has just started tolerates a fraction of its usual rate and crashes above it.

Permits for it are issued by the mechanism for named limits, with two differences: no node has a share while its issuer does not answer, and a node issues only if it has heard a majority of the members for 5.5 s. The reader repeats cold targets to its data centre, and a request for a permit carries the limit. In the key plan the capacity of a cold target is its rate, and an empty one gets no half of a range.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -106,6 +106,8 @@
     FieldInvalid = 515,
     /// A target asked for a pause in a 503 response, or its pause has ended.
     TargetPaused = 516,
+    /// A target is cold, or for longer than was known, and gets only a limited rate of requests.
+    TargetCold = 517,
     /// The table service does not respond.
     TableDown = 600,
     /// The table service responds again.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod burn;
 pub mod clock;
+pub mod cold_start;
 pub mod control;
 pub mod ctl;
 pub mod events;
--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -1,13 +1,16 @@
 //! Carries out the decisions of [`Leader`](crate::node::keys::leader::Leader): sends orders,
 //! writes the map, announces moves and renews the lease.
 
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::clock::Clock;
+use crate::cold_start::Source;
 use crate::events::Event;
+use crate::node::cold;
 use crate::node::control::group::Group;
 use crate::node::control::group::GroupMessage;
 use crate::node::control::group::campaign::write_lease;
@@ -30,6 +33,7 @@
 use crate::node::keys::tenure::LeaseCheck;
 use crate::node::keys::view::RangeLocation;
 use crate::node::keys::view::Sequence;
+use crate::node::limit::ColdLimit;
 use crate::node::limit::issue_rate;
 use crate::node::links;
 use crate::node::notices::NoticeSource;
@@ -163,11 +167,14 @@
                 links::record_sent(&state, target, begun);
             }
             let path = state.identity_path(&service);
+            let cold_left = Cell::new(None);
             let identity = Identity {
                 id: &order.to.id,
                 path: path.as_deref(),
                 field: state.conf.headers.target,
-                proven_at: target.and_then(|target| target.proven_at()),
+                cold_field: state.conf.headers.cold_ms,
+                cold_left: &cold_left,
+                proven_at: target.as_ref().and_then(|target| target.proven_at()),
                 reuse_after: state.conf.reuse_after,
                 clock: state.boot_clock,
             };
@@ -175,6 +182,9 @@
             record_reach(&state, &order.to, &answer.outcome, begun);
             record_proof(&state, &order.to, &answer.outcome, boot_begun);
             record_notices(&state, &order.to, &answer);
+            if let (Some(target), Some(left)) = (&target, cold_left.get()) {
+                cold::record(&state, target, left, Source::Health, Instant::now());
+            }
             let outcome = answer.outcome;
             if !matches!(outcome, OrderOutcome::Done(_) | OrderOutcome::Reconnected) {
                 state.counters.add(Counter::OrderFailures);
@@ -402,6 +412,7 @@
                 .get(&target_tag(&target.entry.id))
                 .copied()
         };
+        let now = Instant::now();
         let known: Vec<f64> = targets.iter().filter_map(service_time).collect();
         let mean = match known.len() {
             0 => DEFAULT_SERVICE_TIME_MS,
@@ -414,6 +425,7 @@
                 candidate(
                     target,
                     ms.clamp(mean / MAX_RELATIVE_SPEED, mean / MIN_RELATIVE_SPEED),
+                    cold::limit(&self.state, target, now),
                 )
             })
             .collect()
@@ -485,13 +497,15 @@
     }
 }
 
-/// Returns a target as a candidate to own keys; `ms` is its service time.
-fn candidate(target: &Target, ms: f64) -> Candidate {
+/// Returns a target as a candidate to own keys; `ms` is its service time, and `cold` its limit if it is
+/// cold.
+fn candidate(target: &Target, ms: f64, cold: Option<ColdLimit>) -> Candidate {
     let capacity = f64::from(target.entry.slots.max(1)) * 1e3 / ms;
     let capacity = match target.limit.rate() {
         Some(limit) => capacity.min(issue_rate(limit)),
         None => capacity,
     };
+    let capacity = cold.map_or(capacity, |cold| capacity.min(cold.rate.per_second()));
     Candidate {
         holder: Holder {
             id: target.entry.id.clone(),
@@ -501,5 +515,6 @@
         capacity,
         leaving: target.leaving.get(),
         on_probation: false,
+        cold: cold.is_some(),
     }
 }
--- a/src/node/control/peers/limits.rs
+++ b/src/node/control/peers/limits.rs
@@ -5,19 +5,29 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::cold_start::Audience;
+use crate::cold_start::MAX_COLD_TIME;
+use crate::cold_start::Source;
 use crate::ids::VmId;
+use crate::node::cold;
 use crate::node::control::peers::Peer;
 use crate::node::control::peers::Peers;
+use crate::node::datagram::ColdReport;
+use crate::node::datagram::ColdRequest;
 use crate::node::datagram::LimitReport;
 use crate::node::datagram::Message;
 use crate::node::datagram::PermitRequest;
 use crate::node::datagram::Tag;
+use crate::node::fleet::Target;
+use crate::node::limit::ColdLimit;
 use crate::node::limit::Evidence;
 use crate::node::limit::PERMIT_TIMEOUT;
 use crate::node::limit::ProcessTag;
 use crate::node::limit::QueuedRequest;
 use crate::node::limit::Verdict;
+use crate::node::limit::issue_rate;
 use crate::node::limit::issuer;
+use crate::node::limit::issuer_rank;
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_limit;
 
@@ -25,6 +35,10 @@
 const LIMITS_PER_DATAGRAM: usize = 24;
 /// Time after which a node that has not read the rows of the other nodes asks again for a permit.
 const UNKNOWN_NODES_WAIT: Duration = Duration::from_millis(200);
+/// Time after which a node asks again for a permit for a cold target that this node may not issue.
+const NO_ISSUER_WAIT: Duration = Duration::from_millis(200);
+/// Maximum number of cold targets in one datagram.
+const COLD_PER_DATAGRAM: usize = 40;
 
 impl Peers {
     /// Passes requests for permits on to the nodes that issue them, until the process ends.
@@ -43,6 +57,7 @@
             number,
             process,
             evidence,
+            cold,
         } = request;
         let limits = &self.state.limits;
         if !self.rows_read.get() {
@@ -50,7 +65,9 @@
             return;
         }
         let Some(name) = self.issuer(process.target, now) else {
-            limits.answer(number, limits.issue(process, evidence, now));
+            let rate = evidence.and_then(|evidence| evidence.rate);
+            let rate = rate.map(issue_rate);
+            limits.answer(number, self.issue(process, rate, cold, now));
             return;
         };
         let mut peers = self.peers.borrow_mut();
@@ -58,12 +75,29 @@
         let asked = *peer.asked_since.get_or_insert(now);
         if now.saturating_duration_since(asked) > PERMIT_TIMEOUT {
             let nodes = self.state.nodes.get();
-            limits.answer(number, limits.take_own_share(process, evidence, nodes));
+            limits.answer(
+                number,
+                limits.replace_answer(process, evidence, cold, nodes),
+            );
+            // Without a share of the rate of a cold target, its issuer is asked again.
+            peer.asked_since = cold.map_or(Some(asked), |_| None);
             return;
         }
+        let limit = match evidence {
+            Some(evidence) => LimitReport::new(process, evidence, now),
+            None => LimitReport {
+                process,
+                rate: None,
+                age_ms: u32::MAX,
+            },
+        };
         let request = PermitRequest {
             number,
-            limit: LimitReport::new(process, evidence, now),
+            limit,
+            cold: cold.map(|cold| ColdRequest {
+                rate: cold.rate,
+                left_ms: millis(cold.left),
+            }),
             origin: None,
         };
         let bytes = self.datagram(Message::PermitRequest(request));
@@ -81,6 +115,27 @@
         issuer.filter(|name| *name != own).cloned()
     }
 
+    /// Issues a permit at the rate of a limit that the target names, or at a lower one if it is cold.
+    fn issue(
+        &self,
+        process: ProcessTag,
+        rate: Option<f64>,
+        cold: Option<ColdLimit>,
+        now: Instant,
+    ) -> Verdict {
+        let Some(cold) = cold else {
+            return self.state.limits.issue(process, rate, now);
+        };
+        let rank = |node: &VmId| issuer_rank(process.target, node);
+        let members = self.members.borrow();
+        if !members.may_issue(&self.state.conf.name, rank, now) {
+            return Verdict::Denied(NO_ISSUER_WAIT);
+        }
+        let cold_rate = cold.rate.per_second();
+        let rate = rate.map_or(cold_rate, |rate| rate.min(cold_rate));
+        self.state.limits.issue(process, Some(rate), now)
+    }
+
     /// Issues a permit for another node, or passes the request on to the node that issues them.
     pub(super) fn handle_permit_request(
         &self,
@@ -91,9 +146,14 @@
         let PermitRequest {
             number,
             limit,
+            cold,
             origin,
         } = request;
-        let evidence = self.merge_limit(limit, now);
+        let rate = match limit.rate {
+            Some(_) => self.merge_limit(limit, now).rate,
+            None => None,
+        };
+        let cold = self.merge_cold(limit.process, cold, now);
         if let (None, Some(name)) = (origin, self.issuer(limit.process.target, now)) {
             let peers = self.peers.borrow();
             let peer = peers.get(&name).expect("the issuer is a known node");
@@ -104,7 +164,7 @@
             let bytes = self.datagram(Message::PermitRequest(passed_on));
             return self.send_to(peer.address, &bytes);
         }
-        let verdict = self.state.limits.issue(limit.process, evidence, now);
+        let verdict = self.issue(limit.process, rate.map(issue_rate), cold, now);
         let wait_ms = match verdict {
             Verdict::Granted => 0,
             Verdict::Denied(wait) => wait.as_millis().clamp(1, u32::MAX.into()) as u32,
@@ -135,18 +195,74 @@
     /// Records what another node knows of a limit; returns the newest known.
     fn merge_limit(&self, report: LimitReport, now: Instant) -> Evidence {
         let evidence = report.evidence(now);
-        let ProcessTag {
-            target,
-            incarnation,
-        } = report.process;
-        let target = self.state.fleet.borrow().by_tag(target).cloned();
-        let Some(target) = target.filter(|t| t.entry.incarnation == incarnation) else {
+        let Some(target) = self.find_process(report.process) else {
             return evidence;
         };
         record_limit(&self.state, &target, evidence, NoticeSource::OtherNode);
         target.limit.evidence().unwrap_or(evidence)
     }
 
+    /// Records what another node knows of a cold target; returns the lower one of its rate and of that
+    /// which this node knows.
+    fn merge_cold(
+        &self,
+        process: ProcessTag,
+        cold: Option<ColdRequest>,
+        now: Instant,
+    ) -> Option<ColdLimit> {
+        let target = self.find_process(process);
+        let asked = cold.map(|cold| ColdLimit {
+            rate: cold.rate,
+            left: time_left(cold.left_ms),
+        });
+        if let (Some(target), Some(asked)) = (&target, asked) {
+            cold::record(&self.state, target, asked.left, Source::OtherNode, now);
+        }
+        let own = target.and_then(|target| cold::limit(&self.state, &target, now));
+        match (asked, own) {
+            (Some(asked), Some(own)) if own.rate < asked.rate => Some(own),
+            (Some(asked), _) => Some(asked),
+            (None, own) => own,
+        }
+    }
+
+    pub(super) fn handle_cold(&self, reports: &[ColdReport], now: Instant) {
+        for report in reports {
+            if let Some(target) = self.find_process(report.process) {
+                let left = time_left(report.left_ms);
+                cold::record(&self.state, &target, left, Source::OtherNode, now);
+            }
+        }
+    }
+
+    fn find_process(&self, process: ProcessTag) -> Option<Rc<Target>> {
+        let target = self.state.fleet.borrow().by_tag(process.target).cloned();
+        target.filter(|target| target.entry.incarnation == process.incarnation)
+    }
+
+    /// Sends the cold targets that are due to the nodes that do not learn of them otherwise.
+    pub(super) fn send_cold_reports(&self, now: Instant) {
+        let due = self.state.limits.take_cold_reports(now);
+        let own = &self.state.conf.data_centre;
+        for audience in [Audience::DataCentre, Audience::All] {
+            let reports = due.iter().filter(|(.., of)| *of == audience);
+            let reports: Vec<_> = reports
+                .map(|(process, left, _)| ColdReport {
+                    process: *process,
+                    left_ms: millis(*left),
+                })
+                .collect();
+            for chunk in reports.chunks(COLD_PER_DATAGRAM) {
+                let bytes = self.datagram(Message::Cold(chunk.to_vec()));
+                let peers = self.peers.borrow();
+                let informed = peers
+                    .values()
+                    .filter(|peer| audience == Audience::All || peer.data_centre == *own);
+                informed.for_each(|peer| self.send_to(peer.address, &bytes));
+            }
+        }
+    }
+
     /// Sends the changes of limits that this node has observed to all nodes.
     pub(super) fn send_limits(&self, now: Instant) {
         let changes = self.state.limits.take_changes();
@@ -169,3 +285,12 @@
         now.saturating_duration_since(self.last_seen()) < super::ALIVE_TIMEOUT
     }
 }
+
+fn millis(time: Duration) -> u32 {
+    time.as_millis().min(u32::MAX.into()) as u32
+}
+
+/// Returns the time that another node reports, at most as long as an entry may state.
+fn time_left(ms: u32) -> Duration {
+    Duration::from_millis(ms.into()).min(MAX_COLD_TIME)
+}
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -16,6 +16,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::cold_start::Members;
 use crate::events::Event;
 use crate::ids::BootId;
 use crate::ids::DataCentre;
@@ -81,6 +82,8 @@
     started: Instant,
     socket: UdpSocket,
     peers: RefCell<BTreeMap<VmId, Peer>>,
+    /// The other nodes, also after they were removed from `peers`.
+    members: RefCell<Members>,
     groups: RefCell<BTreeMap<ServiceId, GroupHandle>>,
     /// Notified when another node has had newer rules than this one for some time.
     pub rules_hint: Rc<Notify>,
@@ -103,6 +106,7 @@
             started: Instant::now(),
             socket,
             peers: RefCell::default(),
+            members: RefCell::default(),
             groups: RefCell::default(),
             rules_hint: Rc::default(),
             rules_lag: RefCell::default(),
@@ -198,6 +202,7 @@
         if *name == self.state.conf.name {
             return;
         }
+        self.members.borrow_mut().record_listed(name, now);
         let mut peers = self.peers.borrow_mut();
         let is_current = |peer: &Peer| match boot {
             Some(boot) => peer.boot == Some(boot),
@@ -255,6 +260,7 @@
             Message::Limits(reports) => self.handle_limits(&reports, now),
             Message::PermitRequest(request) => self.handle_permit_request(request, from, now),
             Message::Permit(number, wait_ms) => self.handle_permit(number, wait_ms),
+            Message::Cold(reports) => self.handle_cold(&reports, now),
             Message::Reach(report) => self.handle_reach(&node, boot, &report, now),
         }
     }
@@ -272,6 +278,7 @@
             data_centre: heartbeat.data_centre,
         };
         self.add_peer(node, &row, Some(boot), now);
+        self.members.borrow_mut().record_heard(node, now);
         self.update_loads(node, heartbeat.loads, now);
         if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
             peer.cpu_capacity = heartbeat.cpu_capacity;
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -56,6 +56,7 @@
             }
             self.send_crashes(now);
             self.send_limits(now);
+            self.send_cold_reports(now);
             self.send_reach(now);
             self.update_relays(now);
             self.update_counts();
--- a/src/node/control/watch.rs
+++ b/src/node/control/watch.rs
@@ -7,8 +7,10 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::cold_start::Source;
 use crate::events::Event;
 use crate::ids::TargetId;
+use crate::node::cold;
 use crate::node::control::peers::Peers;
 use crate::node::counters::Counter;
 use crate::node::datagram::ListDigest;
@@ -304,12 +306,22 @@
 
 fn handle_changes(state: &State, changes: &[(TargetId, FleetChange)]) {
     log_changes(state, changes);
+    for (id, change) in changes {
+        let target = state.fleet.borrow().get(id).cloned();
+        if let (FleetChange::Joined | FleetChange::Cold, Some(target)) = (change, target) {
+            cold::handle_report(state, &target, Source::Entry, Instant::now());
+        }
+    }
     if !changes.is_empty() {
         state.routing_changed.notify_waiters();
     }
 }
 
 fn log_changes(state: &State, changes: &[(TargetId, FleetChange)]) {
+    // The event for cold targets is logged only for services that limit the rate.
+    let changes = changes
+        .iter()
+        .filter(|(_, change)| *change != FleetChange::Cold);
     for (id, change) in changes {
         state.log.record(Event::TargetChanged, |line| {
             line.text("target", id.as_str());
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -43,6 +43,10 @@
     PermitsDenied,
     /// Requests for a permit that were not answered in time.
     PermitTimeouts,
+    /// Reports that a target is cold, or for longer than was known, as this node learned it.
+    TargetsCold,
+    /// Requests that were not sent to a target because it is cold.
+    ColdDenied,
     /// How often targets began to ask for a pause.
     Pauses,
     /// How often this node found that it reaches no target.
@@ -69,7 +73,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 18],
+    unlabelled: [Cell<u64>; 20],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -92,6 +92,31 @@
     /// Targets that the sender does not reach, or reaches again.
     #[serde(rename = "u")]
     Reach(ReachReport),
+    /// Targets that are cold.
+    #[serde(rename = "w")]
+    Cold(Vec<ColdReport>),
+}
+
+/// How much longer a target is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdReport {
+    /// The target's process.
+    #[serde(rename = "p")]
+    pub process: ProcessTag,
+    /// The time left, in milliseconds.
+    #[serde(rename = "w")]
+    pub left_ms: u32,
+}
+
+/// The limit of a cold target in a request for a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdRequest {
+    /// The rate at which permits are issued.
+    #[serde(rename = "r")]
+    pub rate: RequestRate,
+    /// How much longer the target is cold, in milliseconds.
+    #[serde(rename = "w")]
+    pub left_ms: u32,
 }
 
 /// What a node believes of its links to targets.
@@ -128,9 +153,12 @@
     /// Identifies the request within the node that asks.
     #[serde(rename = "q")]
     pub number: u64,
-    /// The target's process, with the limit as the asking node knows it.
+    /// The target's process, with the limit that it names as the asking node knows it.
     #[serde(rename = "l")]
     pub limit: LimitReport,
+    /// The limit of the target if it is cold. The node that issues permits may not know it yet.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdRequest>,
     /// The node that asks, if another one has passed the request on.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub origin: Option<SocketAddr>,
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -13,6 +13,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::cold_start::ColdTime;
+use crate::cold_start::MAX_COLD_TIME;
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
@@ -49,9 +51,6 @@
 /// Ejection of a target that refused a request because all its slots were busy.
 const REFUSAL_EJECTION: Duration = Duration::from_millis(60);
 
-/// Longest warm-up that counts. An entry may state one that the clock cannot represent.
-const MAX_WARM_UP: Duration = Duration::from_secs(3_600);
-
 /// A target's entry in the list, as the target registered it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetEntry {
@@ -119,7 +118,8 @@
     withheld_until: Cell<Option<Instant>>,
     /// The pause that the target asked for.
     pub pause: PauseState,
-    warm_at: Cell<Option<Instant>>,
+    /// Until when it is slower because it has just started.
+    cold: ColdTime,
 }
 
 impl Target {
@@ -142,11 +142,21 @@
             ejected_until: Cell::new(None),
             withheld_until: Cell::new(None),
             pause: PauseState::default(),
-            warm_at: Cell::new(
-                (!entry.warm_up.is_zero()).then(|| now + entry.warm_up.min(MAX_WARM_UP)),
-            ),
+            cold: ColdTime::default(),
             entry,
         }
+        .cold_by_entry(now)
+    }
+
+    fn cold_by_entry(self, now: Instant) -> Self {
+        self.record_entry(&self.entry, now);
+        self
+    }
+
+    /// Records how much longer the target is cold by its entry; returns true if others should be told.
+    fn record_entry(&self, entry: &TargetEntry, now: Instant) -> bool {
+        let left = entry.warm_up.min(MAX_COLD_TIME);
+        !left.is_zero() && self.record_cold(now + left)
     }
 
     /// Creates the stand-in for another node, which passes requests on to targets.
@@ -209,11 +219,11 @@
         }
     }
 
-    /// Returns until when the target gets no requests because of its limit or of a pause that it asked
-    /// for, if it does not get any now.
+    /// Returns until when the target gets no requests because of its limit, because it is cold, or because
+    /// of a pause that it asked for, if it does not get any now.
     pub fn withheld_until(&self, now: Instant) -> Option<Instant> {
         let until = self.withheld_until.get().filter(|until| now < *until);
-        let until = until.filter(|_| self.limit.rate().is_some());
+        let until = until.filter(|_| self.limit.rate().is_some() || self.is_warming_up(now));
         until.max(self.pause.until(now))
     }
 
@@ -234,12 +244,18 @@
 
     /// Returns true while the target is slower because it has just started.
     pub fn is_warming_up(&self, now: Instant) -> bool {
-        self.warm_at.get().is_some_and(|at| now < at)
+        self.cold.left(now).is_some()
+    }
+
+    /// Returns how much longer the target is slower because it has just started.
+    pub fn cold_left(&self, now: Instant) -> Option<Duration> {
+        self.cold.left(now)
     }
 
-    /// Records that the target is slower until `until`, unless it is known to be for longer.
-    pub fn record_cold(&self, until: Instant) {
-        self.warm_at.set(self.warm_at.get().max(Some(until)));
+    /// Records that the target is slower until `until`, unless it is known to be for longer; returns
+    /// true if others should be told.
+    pub fn record_cold(&self, until: Instant) -> bool {
+        self.cold.record(until)
     }
 
     /// Returns when the last exchange began in which the process responded under its id.
@@ -347,6 +363,8 @@
     Gone,
     /// The target disappeared during an outage of the list and stays in use for a while.
     Lapsed,
+    /// The target's process is cold, or for longer than was known.
+    Cold,
 }
 
 /// An entry of the list, as far as its digest depends on it.
@@ -539,14 +557,17 @@
     }
 
     /// Adds a target, replaces it if its entry describes another process, or updates whether it is
-    /// leaving. A process that is leaving does not return.
+    /// leaving or cold. A process that is leaving does not return.
     fn upsert(&mut self, mut entry: TargetEntry, now: Instant) -> Option<(TargetId, FleetChange)> {
         let id = entry.id.clone();
         self.lapsed.remove(&id);
         if let Some(existing) = self.get(&id) {
             if is_same_process(&existing.entry, &entry) {
-                let starts_leaving = entry.draining && !existing.leaving.replace(true);
-                return starts_leaving.then_some((id, FleetChange::Leaving));
+                let is_cold = existing.record_entry(&entry, now);
+                if entry.draining && !existing.leaving.replace(true) {
+                    return Some((id, FleetChange::Leaving));
+                }
+                return is_cold.then_some((id, FleetChange::Cold));
             }
             self.remove(&id);
         }
--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout_at;
 
 use crate::clock::Clock;
+use crate::cold_start::left_from_field;
 use crate::node::identity::Identity;
 use crate::node::proxy::conn::Conn;
 use crate::platform::client::CallError;
@@ -187,7 +188,10 @@
             Some(id) if id != identity.id.as_str().as_bytes() => {
                 return Err(IdentifiedCallError::OtherProcess);
             }
-            Some(_) => {}
+            Some(_) => {
+                let left = left_from_field(head.fields.all(identity.cold_field));
+                identity.cold_left.set(left);
+            }
         }
         let proven = identity.proven(begun);
         if proven.is_certain() {
--- a/src/node/identity.rs
+++ b/src/node/identity.rs
@@ -1,6 +1,7 @@
 //! Identifies the process that listens at a target's address. The list of targets may be outdated, and
 //! the address of a target that has ended may belong to another one.
 
+use std::cell::Cell;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +18,10 @@
     pub path: Option<&'a str>,
     /// The header field of the response that contains the id.
     pub field: &'a str,
+    /// The header field of the response that says how much longer the target is cold.
+    pub cold_field: &'a str,
+    /// Set to the time that the response says.
+    pub cold_left: &'a Cell<Option<Duration>>,
     /// When the last exchange began in which the process responded under its id, on `clock`.
     pub proven_at: Option<Instant>,
     /// How long after the end of a process its address is not given to another target.
--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -24,6 +24,11 @@
 /// A whole range is moved only if its load is at most this multiple of the desired load.
 const MAX_LOAD_RATIO: f64 = 1.4;
 
+/// Utilisation that a cold target is brought to by the first keys that it is given, and the highest one
+/// that a move may cause. Requests beyond its rate are refused, so the load may not be close to it.
+const COLD_UTILISATION: f64 = 0.5;
+const MAX_COLD_UTILISATION: f64 = 0.7;
+
 /// A target that may own keys.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -37,6 +42,8 @@
     pub leaving: bool,
     /// True if it was lost recently, so that it is given one key first.
     pub on_probation: bool,
+    /// True if it is cold and tolerates no more than `capacity`.
+    pub cold: bool,
 }
 
 /// A planned move of keys to a new owner.
@@ -59,7 +66,8 @@
     pub movable: bool,
 }
 
-/// Returns the candidate with the lowest utilisation; of equal ones, the one with the fewest keys.
+/// Returns the candidate with the lowest utilisation; of equal ones, the one with the fewest keys. Cold
+/// ones count only if there are no others, since a range may be busier than they tolerate.
 pub fn least_loaded<'a>(
     candidates: &'a [Candidate],
     ranges: &[OwnedRange<'_>],
@@ -67,7 +75,9 @@
 ) -> Option<&'a Candidate> {
     let loads = Loads::new(candidates, ranges, key_load);
     let open = candidates.iter().filter(|candidate| candidate.is_open());
-    open.min_by(|a, b| {
+    let any_warm = open.clone().any(|candidate| !candidate.cold);
+    let usable = open.filter(|candidate| !candidate.cold || !any_warm);
+    usable.min_by(|a, b| {
         let by_load = loads.utilisation(a).total_cmp(&loads.utilisation(b));
         let keys = |candidate: &Candidate| loads.keys.get(&candidate.holder).copied();
         by_load.then_with(|| keys(a).cmp(&keys(b)))
@@ -106,7 +116,13 @@
         let to = probed.holder.clone();
         return Some(Move { range, to });
     }
-    let empty = open().find(is_empty);
+    let mut empty_cold = open().filter(is_empty).filter(|candidate| candidate.cold);
+    let first_move =
+        empty_cold.find_map(|cold| first_cold_move(candidates, ranges, key_load, cold));
+    if first_move.is_some() {
+        return first_move;
+    }
+    let empty = open().filter(is_empty).find(|candidate| !candidate.cold);
     let by_load =
         |a: &&Candidate, b: &&Candidate| loads.utilisation(a).total_cmp(&loads.utilisation(b));
     let coldest = match empty {
@@ -151,6 +167,32 @@
     move_hot_key(ranges, key_load, hottest, &others).filter(|_| is_hot(&hottest))
 }
 
+/// Returns the first move of keys to a cold target that has none: a part of a range whose load is known
+/// and which the target tolerates, preferably of the most loaded owner.
+fn first_cold_move(
+    candidates: &[Candidate],
+    ranges: &[OwnedRange<'_>],
+    key_load: &KeyLoad,
+    cold: &Candidate,
+) -> Option<Move> {
+    let loads = Loads::new(candidates, ranges, key_load);
+    let owners = candidates.iter().filter(|c| c.holder != cold.holder);
+    let busiest = owners.max_by(|a, b| loads.utilisation(a).total_cmp(&loads.utilisation(b)))?;
+    let desired = COLD_UTILISATION * cold.capacity;
+    let max_load = MAX_COLD_UTILISATION * cold.capacity;
+    let own = ranges
+        .iter()
+        .filter(|range| range.movable && *range.owner == busiest.holder);
+    let parts = own.flat_map(|range| parts_of(range.range, key_load, desired));
+    let with_load = parts.map(|range| (key_load.rate(range), range));
+    let fitting = with_load.filter(|(load, _)| *load > 0.0 && *load <= max_load);
+    let best = fitting.max_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, range)| Move {
+        range,
+        to: cold.holder.clone(),
+    })
+}
+
 /// Returns the move of a single key that overloads its owner to a target of much higher capacity,
 /// if there is one.
 fn move_hot_key(
@@ -212,6 +254,10 @@
     let spare = (mean - cold_utilisation) * coldest.capacity;
     let desired = excess.min(spare).max(0.0);
     let max_load = (hot_utilisation - cold_utilisation) * hot.capacity.min(coldest.capacity);
+    let max_load = match coldest.cold {
+        true => max_load.min((MAX_COLD_UTILISATION - cold_utilisation) * coldest.capacity),
+        false => max_load,
+    };
     let own = ranges.iter().filter(|range| *range.owner == hot.holder);
     let parts = own
         .filter(|range| range.movable)
--- a/src/node/limit/permits.rs
+++ b/src/node/limit/permits.rs
@@ -99,5 +99,10 @@
 /// Returns the node that issues the permits for a target: another node with the same list of nodes
 /// gets the same result, and a node that joins or is lost changes it for few targets.
 pub fn issuer<'a>(target: Tag, nodes: impl Iterator<Item = &'a VmId>) -> Option<&'a VmId> {
-    nodes.max_by_key(|node| xxh3_64_with_seed(node.as_str().as_bytes(), target.0.into()))
+    nodes.max_by_key(|node| issuer_rank(target, node))
+}
+
+/// Returns the rank of a node for a target; the highest one issues its permits.
+pub fn issuer_rank(target: Tag, node: &VmId) -> u64 {
+    xxh3_64_with_seed(node.as_str().as_bytes(), target.0.into())
 }
--- a/src/node/limit/state.rs
+++ b/src/node/limit/state.rs
@@ -12,12 +12,17 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::cold_start::Audience;
+use crate::cold_start::ColdReports;
+use crate::cold_start::PERMIT_LIFETIME;
 use crate::ids::VmId;
+use crate::node::cold;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
 use crate::node::limit::Evidence;
 use crate::node::limit::Permits;
 use crate::node::limit::ProcessTag;
+use crate::node::limit::RequestRate;
 use crate::node::limit::Verdict;
 use crate::node::limit::issue_rate;
 use crate::node::state::State;
@@ -27,6 +32,36 @@
 /// How often a change of a limit is sent, since datagrams get lost.
 const CHANGE_REPEATS: u32 = 2;
 
+/// Time after which a node asks again if no permit for a cold target was issued.
+const COLD_RETRY_WAIT: Duration = Duration::from_millis(100);
+
+/// The limit of a target that is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// The rate at which permits are issued.
+    pub rate: RequestRate,
+    /// How much longer the target is cold.
+    pub left: Duration,
+}
+
+/// The right to send one request to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Permit {
+    /// Until when a request may be sent to a cold target; `None` if the permit is not for one.
+    cold_until: Option<Instant>,
+}
+
+impl Permit {
+    /// Returns true if the request may be sent now. Before a request is sent, its connection may take
+    /// long to open, and the target may become cold.
+    pub fn is_valid(self, state: &State, target: &Target, now: Instant) -> bool {
+        match self.cold_until {
+            Some(until) => now < until,
+            None => cold::limit(state, target, now).is_none(),
+        }
+    }
+}
+
 /// A request for a permit that has not been passed on yet.
 #[derive(Clone, Copy, Debug)]
 pub struct QueuedRequest {
@@ -34,8 +69,10 @@
     pub number: u64,
     /// The process that a request is to be sent to.
     pub process: ProcessTag,
-    /// What this node knows of its limit.
-    pub evidence: Evidence,
+    /// What this node knows of the limit that it names.
+    pub evidence: Option<Evidence>,
+    /// Its limit because it is cold.
+    pub cold: Option<ColdLimit>,
 }
 
 /// A change of a limit that the other nodes should know.
@@ -66,6 +103,8 @@
     /// Permits that this node issues to itself while it does not reach the node that issues them.
     own_share: RefCell<Permits>,
     changes: RefCell<BTreeMap<ProcessTag, Change>>,
+    /// Cold targets that the other nodes are told of.
+    cold_reports: RefCell<ColdReports<ProcessTag>>,
 }
 
 /// Forgets a request for a permit when its caller no longer waits.
@@ -80,17 +119,23 @@
     }
 }
 
-/// Returns true if a request may be sent to the target now. Otherwise the target is withheld from
+/// Returns a permit if a request may be sent to the target now. Otherwise the target is withheld from
 /// this node's requests until a permit is expected.
-pub async fn obtain_permit(state: &State, target: &Target) -> bool {
-    let Some(evidence) = target.limit.evidence().filter(|e| e.rate.is_some()) else {
-        return true;
+pub async fn obtain_permit(state: &State, target: &Target) -> Option<Permit> {
+    let asked = Instant::now();
+    let evidence = target.limit.evidence().filter(|e| e.rate.is_some());
+    let cold = cold::limit(state, target, asked);
+    let permit = Permit {
+        cold_until: cold.map(|_| asked + PERMIT_LIFETIME),
     };
-    if target.is_withheld(Instant::now()) {
-        return false;
+    if evidence.is_none() && cold.is_none() {
+        return Some(permit);
+    }
+    if target.is_withheld(asked) {
+        return None;
     }
     let process = target.process_tag();
-    let (number, answer) = state.limits.request_permit(process, evidence);
+    let (number, answer) = state.limits.request_permit(process, evidence, cold);
     let _guard = WaitGuard {
         limits: &state.limits,
         number,
@@ -99,17 +144,19 @@
         Ok(Ok(verdict)) => verdict,
         Ok(Err(_)) | Err(_) => {
             state.counters.add(Counter::PermitTimeouts);
-            state
-                .limits
-                .take_own_share(process, evidence, state.nodes.get())
+            let nodes = state.nodes.get();
+            state.limits.replace_answer(process, evidence, cold, nodes)
         }
     };
     match verdict {
-        Verdict::Granted => true,
+        Verdict::Granted => Some(permit),
         Verdict::Denied(wait) => {
             state.counters.add(Counter::PermitsDenied);
+            if cold.is_some() {
+                state.counters.add(Counter::ColdDenied);
+            }
             target.withhold(Instant::now() + wait);
-            false
+            None
         }
     }
 }
@@ -118,7 +165,8 @@
     fn request_permit(
         &self,
         process: ProcessTag,
-        evidence: Evidence,
+        evidence: Option<Evidence>,
+        cold: Option<ColdLimit>,
     ) -> (u64, oneshot::Receiver<Verdict>) {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
@@ -132,6 +180,7 @@
             number,
             process,
             evidence,
+            cold,
         });
         self.queued.notify_one();
         (number, receiver)
@@ -158,20 +207,27 @@
         waiting.asked
     }
 
-    /// Issues a permit for any node.
-    pub fn issue(&self, process: ProcessTag, evidence: Evidence, now: Instant) -> Verdict {
-        match evidence.rate {
-            Some(limit) => {
-                let mut issued = self.issued.borrow_mut();
-                issued.take(process, issue_rate(limit), now)
-            }
+    /// Issues a permit for any node at the given rate; without one, the target is not limited.
+    pub fn issue(&self, process: ProcessTag, rate: Option<f64>, now: Instant) -> Verdict {
+        match rate {
+            Some(rate) => self.issued.borrow_mut().take(process, rate, now),
             None => Verdict::Granted,
         }
     }
 
-    /// Issues a permit from the share of this node, which is one of `nodes`.
-    pub fn take_own_share(&self, process: ProcessTag, evidence: Evidence, nodes: usize) -> Verdict {
-        match evidence.rate {
+    /// Returns the verdict in place of an answer that does not arrive: from the share of this node, which
+    /// is one of `nodes`. Of the rate of a cold target there are no shares.
+    pub fn replace_answer(
+        &self,
+        process: ProcessTag,
+        evidence: Option<Evidence>,
+        cold: Option<ColdLimit>,
+        nodes: usize,
+    ) -> Verdict {
+        if cold.is_some() {
+            return Verdict::Denied(COLD_RETRY_WAIT);
+        }
+        match evidence.and_then(|evidence| evidence.rate) {
             Some(limit) => {
                 let share = issue_rate(limit) / nodes.max(1) as f64;
                 let mut own_share = self.own_share.borrow_mut();
@@ -181,6 +237,16 @@
         }
     }
 
+    /// Adds a cold target that the other nodes are told of.
+    pub fn report_cold(&self, process: ProcessTag, until: Instant, audience: Audience) {
+        self.cold_reports.borrow_mut().add(process, until, audience);
+    }
+
+    /// Returns the cold targets that the other nodes are told of now, with the time that they stay cold.
+    pub fn take_cold_reports(&self, now: Instant) -> Vec<(ProcessTag, Duration, Audience)> {
+        self.cold_reports.borrow_mut().take_round(now)
+    }
+
     /// Records a change of a limit that the other nodes should know.
     pub fn add_change(&self, process: ProcessTag, evidence: Evidence) {
         let change = Change {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! [`rules`], [`fleet`], [`list_schedule`], [`pick`], [`retry_budget`], [`rules_lag`] and [`keys`]
 //! make decisions without I/O. [`proxy`] forwards requests; [`control`] does all other I/O.
 
+pub mod cold;
 pub mod control;
 pub mod counters;
 pub mod datagram;
--- a/src/node/pick.rs
+++ b/src/node/pick.rs
@@ -22,7 +22,7 @@
 const QUEUE_COST: f64 = 1.5;
 /// Cost of a target with a failure rate of 1.
 const FAILURE_COST: f64 = 8.0;
-/// Cost of a target that names a limit, so that others are preferred to it.
+/// Cost of a target that names a limit or is cold, so that others are preferred to it.
 const LIMIT_COST: f64 = 0.5;
 /// Factor on the latency of a target that has just started.
 const WARM_UP_FACTOR: f64 = 2.0;
@@ -54,12 +54,15 @@
     pub tried: &'a [TargetId],
     /// Maximum connections from this node to one target.
     pub max_connections: u32,
+    /// Whether cold targets of the service tolerate only a limited rate of requests.
+    pub has_cold_start: bool,
 }
 
 /// Returns the target with the lowest cost among those with capacity, or `None`. `random` returns
 /// numbers from 0 to 1.
 ///
-/// Ejected targets are used only if all are ejected and the request is idempotent.
+/// Ejected targets are used only if all are ejected and the request is idempotent. A request that was sent
+/// before goes to a cold target only if no other has capacity.
 pub fn choose(
     targets: &[Rc<Target>],
     context: &PickContext<'_>,
@@ -74,6 +77,12 @@
     let usable = candidates.into_iter().filter(|target| {
         !target.is_ejected(context.now) || all_ejected && context.kind.is_idempotent()
     });
+    let usable: Vec<_> = usable.collect();
+    let any_warm = usable.iter().any(|target| !is_cold(target, context));
+    let prefers_warm = any_warm && !context.tried.is_empty();
+    let usable = usable
+        .into_iter()
+        .filter(|target| !prefers_warm || !is_cold(target, context));
     let costed = usable.map(|target| (cost(target, context, mean) + JITTER * random(), target));
     let best = costed.min_by(|a, b| a.0.total_cmp(&b.0));
     best.map(|(_, target)| target.clone())
@@ -84,7 +93,7 @@
     targets.iter().any(|target| !target.leaving.get())
 }
 
-/// Returns true if all targets that are not leaving have used up their limits or asked for a pause.
+/// Returns true if all targets that are not leaving have used up their limits, are cold or asked for a pause.
 pub fn all_withheld(targets: &[Rc<Target>], now: Instant) -> bool {
     let mut staying = targets.iter().filter(|target| !target.leaving.get());
     staying.all(|target| target.is_withheld(now))
@@ -120,6 +129,11 @@
         && has_capacity(target, context.objective, 1)
 }
 
+/// Returns true if the target gets requests only at a limited rate, because it is cold.
+fn is_cold(target: &Target, context: &PickContext<'_>) -> bool {
+    context.has_cold_start && target.is_warming_up(context.now)
+}
+
 fn cost(target: &Target, context: &PickContext<'_>, mean: f64) -> f64 {
     let slots = f64::from(target.entry.slots.max(1));
     let load = f64::from(target.load());
@@ -140,6 +154,7 @@
     };
     let limited = match target.limit.rate() {
         Some(_) => LIMIT_COST,
+        None if is_cold(target, context) => LIMIT_COST,
         None => 0.0,
     };
     relative_latency * (1.0 + BUSY_COST * utilisation * utilisation + QUEUE_COST * queued)
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -76,8 +76,8 @@
     CallerLeft,
     /// The target announced that it is shutting down while a connection to it was opened.
     Withheld,
-    /// The target has named a limit, and no permit to send the request was available, or it asked for a
-    /// pause while a connection to it was opened.
+    /// The target has named a limit or is cold, and no permit to send the request was available, or it
+    /// asked for a pause while a connection to it was opened.
     RateLimited,
     /// The request was sent, but no valid response was received; it may have run. Contains the
     /// reason for the log.
@@ -148,9 +148,9 @@
     request: &Request,
     target: &Rc<Target>,
 ) -> AttemptOutcome {
-    if !obtain_permit(context.state, target).await {
+    let Some(permit) = obtain_permit(context.state, target).await else {
         return AttemptOutcome::RateLimited;
-    }
+    };
     if context.caller.has_left() {
         return AttemptOutcome::CallerLeft;
     }
@@ -161,7 +161,8 @@
     if target.leaving.get() {
         return AttemptOutcome::Withheld;
     }
-    if target.pause.until(Instant::now()).is_some() {
+    let now = Instant::now();
+    if target.pause.until(now).is_some() || !permit.is_valid(context.state, target, now) {
         context.pool.put(connection, None, Instant::now());
         return AttemptOutcome::RateLimited;
     }
--- a/src/node/proxy/dispatch/mod.rs
+++ b/src/node/proxy/dispatch/mod.rs
@@ -16,6 +16,7 @@
 use crate::events::Event;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::node::cold;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
 use crate::node::limit::ProcessTag;
@@ -328,6 +329,7 @@
             objective: self.routed.objective,
             tried: &self.tried,
             max_connections: self.state.max_connections(&self.routed.service),
+            has_cold_start: cold::has_cold_start(self.state, &self.routed.service),
         };
         let chosen = pick::choose(targets, &context, rand::random);
         chosen.ok_or_else(|| match pick::all_withheld(targets, now) {
@@ -473,14 +475,30 @@
     fn max_wait(&self, reason: Refusal) -> Duration {
         match reason {
             Refusal::NoOwner => self.routed.objective.mul_f64(MOVE_WAIT_FRACTION),
+            Refusal::RateLimited => self.max_permit_wait(),
             // More requests are made than the targets accept, so others take the next permits.
-            Refusal::RateLimited | Refusal::Unheld => Duration::ZERO,
+            Refusal::Unheld => Duration::ZERO,
             // Another node may reach the target, or none does.
             Refusal::Stranded | Refusal::Unreached => Duration::ZERO,
             _ => self.routed.objective.mul_f64(QUEUE_WAIT_FRACTION),
         }
     }
 
+    /// Returns how long a request waits for a permit: as for a slot if the owner of its key is cold and
+    /// the next permit is expected in that time, and not at all otherwise, since more requests are made
+    /// than the targets accept.
+    fn max_permit_wait(&self) -> Duration {
+        let now = Instant::now();
+        let owner = self.routed.key.and_then(|key| self.owner(key).ok());
+        let owner = owner.filter(|owner| cold::limit(self.state, owner, now).is_some());
+        let wait = self.routed.objective.mul_f64(QUEUE_WAIT_FRACTION);
+        let next = owner.map(|owner| owner.withheld_until(now).unwrap_or(now));
+        match next.is_some_and(|next| next < self.waiting_since + wait) {
+            true => wait,
+            false => Duration::ZERO,
+        }
+    }
+
     async fn wait(&self, until: Instant) {
         let next_poll = Instant::now() + POLL_INTERVAL;
         let until = until.min(next_poll).min(self.routed.deadline);
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -297,6 +297,7 @@
         capacity: 4.0,
         leaving: false,
         on_probation: false,
+        cold: false,
     }
 }
 
--- a/tests/node_pick.rs
+++ b/tests/node_pick.rs
@@ -46,6 +46,7 @@
         kind,
         objective: MS(600),
         tried,
+        has_cold_start: false,
         max_connections: 10,
     };
     let chosen = choose(targets(fleet), &context, || 0.0)?;
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -419,6 +419,7 @@
                 capacity: 4.0,
                 leaving: target.leaving,
                 on_probation: false,
+                cold: false,
             })
             .collect()
     }
