--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -261,3 +261,22 @@
     expect_that!(new.leaving.get(), eq(false));
     expect_that!(new.announced_leaving.get(), eq(false));
 }
+
+// Guards against a process that becomes cold again, and whose entry is ignored because it is listed already.
+#[googletest::test]
+fn a_listed_process_that_becomes_cold_again_is_cold() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let cold = |left| TargetEntry {
+        warm_up: left,
+        ..entry("a", 1)
+    };
+    let mut update = |left, at| fleet.update(vec![TargetUpdate::Present(cold(left))], now + at);
+    let change = (TargetId::from("a"), FleetChange::Cold);
+    expect_that!(update(MS(3_000), MS(0)), elements_are![eq(&change)]);
+    expect_that!(update(MS(2_100), MS(870)), is_empty());
+    expect_that!(update(MS(3_000), MS(6_000)), elements_are![eq(&change)]);
+    let target = fleet.get(&TargetId::from("a")).expect("it is listed");
+    expect_that!(target.is_warming_up(now + MS(8_999)), eq(true));
+    expect_that!(target.is_warming_up(now + MS(9_000)), eq(false));
+}
--- a/tests/node_pick.rs
+++ b/tests/node_pick.rs
@@ -39,6 +39,15 @@
 }
 
 fn pick(fleet: &Fleet, kind: RequestKind, tried: &[TargetId]) -> Option<String> {
+    pick_with(fleet, kind, tried, false)
+}
+
+fn pick_with(
+    fleet: &Fleet,
+    kind: RequestKind,
+    tried: &[TargetId],
+    has_cold_start: bool,
+) -> Option<String> {
     let home = DataCentre::from("a");
     let context = PickContext {
         now: Instant::now(),
@@ -46,7 +55,7 @@
         kind,
         objective: MS(600),
         tried,
-        has_cold_start: false,
+        has_cold_start,
         max_connections: 10,
     };
     let chosen = choose(targets(fleet), &context, || 0.0)?;
@@ -93,3 +102,18 @@
     targets(&fleet)[0].peer_in_flight.set(3);
     expect_that!(pick(&fleet, RequestKind::Safe, &[]), none());
 }
+
+// Guards against a retry or a hedged request that goes to a target which tolerates few, because it costs less.
+#[googletest::test]
+fn a_repeat_goes_to_a_cold_target_only_if_no_warm_one_has_capacity() {
+    let fleet = fleet(&[("warm", "b"), ("cold", "a"), ("tried", "a")]);
+    targets(&fleet)[0].record_response(MS(900), false);
+    targets(&fleet)[1].record_response(MS(100), false);
+    targets(&fleet)[1].record_cold(Instant::now() + MS(60_000));
+    let tried = [TargetId::from("tried")];
+    let repeat = |has_cold_start| pick_with(&fleet, RequestKind::Safe, &tried, has_cold_start);
+    expect_that!(repeat(false), some(eq("cold")));
+    expect_that!(repeat(true), some(eq("warm")));
+    targets(&fleet)[0].peer_in_flight.set(9);
+    expect_that!(repeat(true), some(eq("cold")));
+}
