--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -108,6 +108,8 @@
     TargetPaused = 516,
     /// An evacuation of a data centre began or ended, or its keyed requests did.
     EvacuationChanged = 517,
+    /// A target is cold, or for longer than was known, and gets only a limited rate of requests.
+    TargetCold = 518,
     /// The table service does not respond.
     TableDown = 600,
     /// The table service responds again.
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use strum::Display;
+use strum::EnumCount;
 use strum::EnumIter;
 use strum::IntoEnumIterator;
 
@@ -16,7 +17,7 @@
 const LATENCY_BOUNDS_MS: [u64; 10] = [5, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
 
 /// Counters without labels. The metric name is the variant name in snake case plus `_total`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumCount, EnumIter)]
 #[strum(serialize_all = "snake_case")]
 pub enum Counter {
     /// Retries sent.
@@ -43,6 +44,10 @@
     PermitsDenied,
     /// Requests for a permit that were not answered in time.
     PermitTimeouts,
+    /// Reports that a target is cold, or for longer than was known, as this node learned it.
+    TargetsCold,
+    /// Requests that were not sent to a target because it is cold.
+    ColdDenied,
     /// How often targets began to ask for a pause.
     Pauses,
     /// How often this node found that it reaches no target.
@@ -73,7 +78,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 20],
+    unlabelled: [Cell<u64>; Counter::COUNT],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -299,6 +299,7 @@
         leaving: false,
         grants: GrantScope::All,
         on_probation: false,
+        cold: false,
     }
 }
 
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -421,6 +421,7 @@
                 leaving: target.leaving,
                 grants: GrantScope::All,
                 on_probation: false,
+                cold: false,
             })
             .collect()
     }
