Queue requests at the node by priority, and size targets' load after refusals

Cause: a request without a free slot waited for 0.2 of its objective, all waiting ones tried again on each free slot, and the priority of a route decided nothing.

Change: src/overload decides without I/O which requests wait, start or are refused; src/node/queues.rs holds the queues and wakes only the next request. A window for each target (additive increase, multiplicative decrease) replaces the ejection of 60 ms after a refusal.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operator;
+pub mod overload;
 pub mod owner;
 pub mod platform;
 pub mod report;
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -24,6 +24,7 @@
 use crate::node::limit::TargetLimit;
 use crate::node::pause::PauseState;
 use crate::node::reach::Link;
+use crate::overload::window::SendWindow;
 
 /// How long after the last failed read of the list a target that disappeared from it stays in use.
 /// Live targets are listed again within about two seconds, and 3 s after an outage targets that are
@@ -46,9 +47,6 @@
 const MAX_EJECTION_DOUBLINGS: u32 = 3;
 /// Weight of a refusal in the failure rate: it costs a retry, but the target ran nothing.
 const REFUSAL_FAILURE: f64 = 0.5;
-/// Ejection of a target that refused a request because all its slots were busy.
-const REFUSAL_EJECTION: Duration = Duration::from_millis(60);
-
 /// Longest warm-up that counts. An entry may state one that the clock cannot represent.
 const MAX_WARM_UP: Duration = Duration::from_secs(3_600);
 
@@ -115,6 +113,8 @@
     /// Moving average of the fraction of requests that failed, 0 to 1.
     failure_rate: Cell<f64>,
     ejected_until: Cell<Option<Instant>>,
+    /// How many requests it gets after it has refused some.
+    window: Cell<SendWindow>,
     /// Until when no permit for the target is expected.
     withheld_until: Cell<Option<Instant>>,
     /// The pause that the target asked for.
@@ -140,6 +140,7 @@
             consecutive_failures: Cell::new(0),
             failure_rate: Cell::new(0.0),
             ejected_until: Cell::new(None),
+            window: Cell::default(),
             withheld_until: Cell::new(None),
             pause: PauseState::default(),
             warm_at: Cell::new(
@@ -196,7 +197,7 @@
         self.failure_rate.get()
     }
 
-    /// Returns true while the target gets no requests because of recent failures or refusals.
+    /// Returns true while the target gets no requests because of recent failures.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.get().is_some_and(|until| now < until)
     }
@@ -273,12 +274,23 @@
         self.consecutive_failures.set(0);
         self.add_failure_sample(0.0);
         self.ejected_until.set(None);
+        let mut window = self.window.get();
+        window.record_response(self.entry.slots);
+        self.window.set(window);
     }
 
-    /// Records that the target refused a request because all its slots were busy.
-    pub fn record_refusal(&self, now: Instant) {
+    /// Records that the target refused a request, sent at `sent_at`, because all its slots were busy.
+    pub fn record_refusal(&self, sent_at: Instant, now: Instant) {
         self.add_failure_sample(REFUSAL_FAILURE);
-        self.eject_until(now + REFUSAL_EJECTION);
+        let mut window = self.window.get();
+        window.record_refusal(self.load(), sent_at, now);
+        self.window.set(window);
+    }
+
+    /// Returns true if the target takes one more request, as far as its refusals show.
+    pub fn takes_more(&self, now: Instant) -> bool {
+        let window = self.window.get();
+        window.allows(self.in_flight.get(), self.load(), now)
     }
 
     /// Records a failed request; returns true if it ejects the target.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,6 +22,7 @@
 pub mod platform;
 pub mod probe;
 pub mod proxy;
+pub mod queues;
 pub mod reach;
 pub mod reader;
 pub mod relays;
--- a/src/node/pick.rs
+++ b/src/node/pick.rs
@@ -118,6 +118,7 @@
         && !target.is_withheld(context.now)
         && target.in_flight.get() < context.max_connections
         && has_capacity(target, context.objective, 1)
+        && target.takes_more(context.now)
 }
 
 fn cost(target: &Target, context: &PickContext<'_>, mean: f64) -> f64 {
--- a/src/node/proxy/conn.rs
+++ b/src/node/proxy/conn.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -118,6 +119,11 @@
         Self::new(socket.connect(address).await?)
     }
 
+    /// Returns the address of the other side.
+    pub fn peer_ip(&self) -> Option<IpAddr> {
+        self.stream.peer_addr().ok().map(|address| address.ip())
+    }
+
     /// Marks that a request is about to be sent; until [`Conn::end_exchange`], dropping the
     /// connection resets it.
     pub fn begin_exchange(&mut self) {
--- a/src/node/proxy/dispatch/mod.rs
+++ b/src/node/proxy/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Selects targets for a request: the first one, and further ones for retries and hedged requests.
 
+mod queued;
 mod relay;
 
 use std::io::ErrorKind;
@@ -31,13 +32,15 @@
 use crate::node::proxy::attempt::attempt;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::serve::Origin;
+use crate::node::queues::QueuePlace;
+use crate::node::queues::Resource;
 use crate::node::rules::RequestKind;
 use crate::node::state::State;
 use crate::route::Verdict;
 
-/// Fraction of the latency objective for which a request waits for a free slot. A refusal this
-/// early costs the caller nothing.
-const QUEUE_WAIT_FRACTION: f64 = 0.2;
+/// Fraction of the latency objective for which a request waits for a target that it was not sent to
+/// yet. A refusal this early costs the caller nothing.
+const TARGET_WAIT_FRACTION: f64 = 0.2;
 /// Fraction of the latency objective for which a request waits for a key that is being moved. A
 /// move takes as long as the requests that are still running.
 const MOVE_WAIT_FRACTION: f64 = 0.5;
@@ -64,6 +67,8 @@
     pub key: Option<u16>,
     /// The latency objective of the route.
     pub objective: Duration,
+    /// Priority of the route under overload; 0 is the most urgent.
+    pub priority: u8,
     /// Maximum number of targets that may run the request.
     pub max_attempts: u32,
     /// The version of the rules that the route is from.
@@ -74,6 +79,8 @@
     pub deadline: Instant,
     /// Hash of the method, path and body, by which requests that crash targets are recognised.
     pub fingerprint: u64,
+    /// Hash of the caller's address and the request, by which requests that come again are recognised.
+    pub source: u64,
     /// Who sent the request to this node.
     pub origin: Origin,
 }
@@ -149,6 +156,8 @@
     /// When the request began to wait for a target; restarts after each failed attempt.
     waiting_since: Instant,
     wait_reason: Option<Refusal>,
+    /// The place in the queue in which the request waits for a slot.
+    place: Option<QueuePlace<'a>>,
     paused_until: Option<Instant>,
     last_response: Option<Response>,
     failure: Option<&'static str>,
@@ -177,7 +186,10 @@
     fn drop(&mut self) {
         let count = &self.target.in_flight;
         count.set(count.get().saturating_sub(1));
-        self.state.routing_changed.notify_waiters();
+        let (now, entry) = (Instant::now(), &self.target.entry);
+        let queues = &self.state.queues;
+        queues.wake_next(&Resource::Owner(entry.id.clone()), now);
+        queues.wake_next(&Resource::Service(entry.service.clone()), now);
     }
 }
 
@@ -209,6 +221,7 @@
         sends: 0,
         possible_runs: 0,
         wait_reason: None,
+        place: None,
         paused_until: None,
         last_response: None,
         failure: None,
@@ -242,18 +255,15 @@
                             }
                             self.possible_runs = self.routed.max_attempts;
                         } else {
+                            self.leave_queue(&target, now);
                             self.launch(&mut running, target, now);
                         }
                         continue;
                     }
-                    Err(reason) if running.is_empty() => {
-                        let until = self.waiting_since + self.max_wait(reason);
-                        if now >= until {
-                            return self.give_up(reason);
-                        }
-                        self.wait(until).await;
-                        continue;
-                    }
+                    Err(reason) if running.is_empty() => match self.wait(reason, now).await {
+                        true => continue,
+                        false => return self.give_up(reason),
+                    },
                     Err(_) => {}
                 }
             }
@@ -297,7 +307,7 @@
             return Err(Refusal::NoTarget);
         }
         if !self.state.reach.any_unreachable() {
-            return self.pick(targets, now);
+            return self.after_others(self.pick(targets, now), now);
         }
         let (reached, unreached): (Vec<_>, Vec<_>) = targets
             .iter()
@@ -309,13 +319,13 @@
         }
         let chosen = self.pick(&reached, now);
         if chosen.is_ok() {
-            return chosen;
+            return self.after_others(chosen, now);
         }
         if let Some(relay) = self.choose_relay_to_any(&unreached, now) {
             return Ok(relay);
         }
         match none_reached {
-            true => self.pick(targets, now),
+            true => self.after_others(self.pick(targets, now), now),
             false => chosen,
         }
     }
@@ -372,7 +382,9 @@
         let max_connections = self.state.max_connections(&self.routed.service);
         let data_centres = self.state.data_centres.get();
         if !pick::has_capacity(&owner, self.routed.objective, data_centres)
+            || !owner.takes_more(now)
             || owner.in_flight.get() >= max_connections
+            || !self.is_next(&Resource::Owner(owner.entry.id.clone()), now)
         {
             return Err(Refusal::Busy);
         }
@@ -477,11 +489,27 @@
             Refusal::RateLimited | Refusal::Unheld => Duration::ZERO,
             // Another node may reach the target, or none does.
             Refusal::Stranded | Refusal::Unreached => Duration::ZERO,
-            _ => self.routed.objective.mul_f64(QUEUE_WAIT_FRACTION),
+            _ => self.routed.objective.mul_f64(TARGET_WAIT_FRACTION),
         }
     }
 
-    async fn wait(&self, until: Instant) {
+    /// Waits until a target may be available; returns false if the request is to be refused instead.
+    async fn wait(&mut self, reason: Refusal, now: Instant) -> bool {
+        if reason == Refusal::Busy
+            && let Some(resource) = self.resource()
+        {
+            return self.wait_in_queue(resource, now).await;
+        }
+        self.place = None;
+        let until = self.waiting_since + self.max_wait(reason);
+        if now >= until {
+            return false;
+        }
+        self.wait_for_change(until).await;
+        true
+    }
+
+    async fn wait_for_change(&self, until: Instant) {
         let next_poll = Instant::now() + POLL_INTERVAL;
         let until = until.min(next_poll).min(self.routed.deadline);
         let changed = self.state.routing_changed.notified();
@@ -513,7 +541,7 @@
         match outcome {
             AttemptOutcome::Complete(response) if response.head.status < MIN_SERVER_ERROR => {
                 target.record_response(latency, was_saturated);
-                self.record_served(now);
+                self.record_served(target, latency, now);
                 Some(Outcome::Response(response))
             }
             AttemptOutcome::Complete(response) => {
@@ -527,7 +555,7 @@
             }
             AttemptOutcome::Streaming(response, stream) => {
                 target.record_response(latency, was_saturated);
-                self.record_served(now);
+                self.record_served(target, latency, now);
                 Some(Outcome::Stream(response, stream))
             }
             AttemptOutcome::NotRun { status } => {
@@ -563,7 +591,9 @@
     }
 
     /// Records that a target served the request.
-    fn record_served(&self, now: Instant) {
+    fn record_served(&self, target: &Target, latency: Duration, now: Instant) {
+        let queues = &self.state.queues;
+        queues.record_response(&self.resource_of(target), latency, now);
         let crashes = &self.state.crashes;
         crashes.record_response(self.routed.fingerprint, now);
         let mut views = self.state.views.borrow_mut();
@@ -593,13 +623,12 @@
         self.refused_by.push(target.entry.id.clone());
         self.log_failure(target, "not-run", status);
         if status != 421 {
-            target.record_refusal(now);
+            target.record_refusal(sent_at, now);
             if target.pause.until(now).is_some() {
                 self.wait_reason = Some(Refusal::RateLimited);
                 return;
             }
             self.wait_reason = Some(Refusal::Busy);
-            self.paused_until = self.routed.key.map(|_| now + OWNER_RETRY_DELAY);
             return;
         }
         match self.routed.key {
--- a/src/node/proxy/dispatch/relay.rs
+++ b/src/node/proxy/dispatch/relay.rs
@@ -67,6 +67,7 @@
             !target.leaving.get()
                 && !target.is_withheld(now)
                 && pick::has_capacity(target, self.routed.objective, 1)
+                && target.takes_more(now)
         });
         let able: Vec<_> = able.map(|target| target.process_tag()).collect();
         able.into_iter().find_map(|process| {
--- a/src/node/proxy/request.rs
+++ b/src/node/proxy/request.rs
@@ -1,5 +1,6 @@
 //! Reads a caller's request and determines the service and the limits that apply to it.
 
+use std::net::IpAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -69,7 +70,7 @@
     }
 }
 
-/// Matches a request to a route; the fingerprint is set later, when the body has been read.
+/// Matches a request to a route; the fingerprint and the source are set later, when the body has been read.
 pub(super) fn route(
     state: &State,
     router: &Router,
@@ -102,6 +103,7 @@
         service,
         kind: route.kind,
         objective: route.objective,
+        priority: route.priority,
         max_attempts: match origin {
             Origin::Caller => route.max_attempts,
             Origin::Node => passed_attempts(head, route.max_attempts),
@@ -110,6 +112,7 @@
         started,
         deadline: started + timeout.min(route.timeout),
         fingerprint: 0,
+        source: 0,
         origin,
     })
 }
@@ -197,6 +200,21 @@
     }
 }
 
+/// Returns the hash of a request and the address that it came from, with the key that it names.
+pub(super) fn source(fingerprint: u64, key: Option<u16>, caller: Option<IpAddr>) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(&fingerprint.to_le_bytes());
+    if let Some(key) = key {
+        hasher.update(&key.to_le_bytes());
+    }
+    match caller {
+        Some(IpAddr::V4(address)) => hasher.update(&address.octets()),
+        Some(IpAddr::V6(address)) => hasher.update(&address.octets()),
+        None => {}
+    }
+    hasher.digest()
+}
+
 pub(super) fn fingerprint(head: &RequestHead, body: &[u8]) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(head.method.as_bytes());
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -30,12 +30,14 @@
 use crate::node::proxy::request::read_body;
 use crate::node::proxy::request::read_head;
 use crate::node::proxy::request::route;
+use crate::node::proxy::request::source;
 use crate::node::proxy::respond;
 use crate::node::proxy::respond::Echo;
 use crate::node::proxy::respond::LAST_CHUNK;
 use crate::node::proxy::respond::LocalResponse;
 use crate::node::proxy::respond::MAX_RETRY_AFTER;
 use crate::node::proxy::respond::retry_after;
+use crate::node::queues::Resource;
 use crate::node::rules::Limits;
 use crate::node::state::ShutdownStage;
 use crate::node::state::State;
@@ -226,8 +228,10 @@
         let response = LocalResponse::error(400, "a request needs one id; send one");
         return send_error(state, conn, origin, response, Some(&head), close).await;
     };
+    let fingerprint = fingerprint(&head, &body);
     let routed = RoutedRequest {
-        fingerprint: fingerprint(&head, &body),
+        fingerprint,
+        source: source(fingerprint, routed.key, conn.peer_ip()),
         ..routed
     };
     let request = Request { head, body, id };
@@ -304,6 +308,7 @@
     let time_left = routed.deadline.saturating_duration_since(Instant::now());
     let mut pause = retry_after(time_left, routed.objective);
     match refusal {
+        Refusal::Busy => pause = after_queue(state, routed, time_left).unwrap_or(pause),
         Refusal::RateLimited => pause = pause.max(next_opening(state, routed)),
         Refusal::Unheld => pause = pause.max(next_send(state, routed)),
         _ => {}
@@ -314,6 +319,23 @@
     send(conn, &out, close).await
 }
 
+/// Returns when a caller that found no free slot should come back; `None` if it did not ask for one.
+fn after_queue(state: &State, routed: &RoutedRequest, time_left: Duration) -> Option<Duration> {
+    let now = Instant::now();
+    let resource = match routed.key {
+        None => Resource::Service(routed.service.clone()),
+        Some(key) => {
+            let views = state.views.borrow();
+            let owner = views.get(&routed.service)?.find(key)?.owner.clone();
+            Resource::Owner(owner?)
+        }
+    };
+    let queues = &state.queues;
+    let pause = queues.retry_after(&resource, time_left, routed.objective, now)?;
+    queues.record_refusal(routed.source, now + pause);
+    Some(pause)
+}
+
 /// Returns when a target of the request is expected to take requests again, spread over as much time
 /// again, since others who were refused return as well.
 fn next_opening(state: &State, routed: &RoutedRequest) -> Duration {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -26,6 +26,7 @@
 use crate::node::log::Log;
 use crate::node::proxy::headers::HeaderNames;
 use crate::node::proxy::pool::Pool;
+use crate::node::queues::Queues;
 use crate::node::reach::Reach;
 use crate::node::relays::Relays;
 use crate::node::retry_budget::RetryBudget;
@@ -134,7 +135,9 @@
     pub(crate) crashes: CrashTracker,
     /// The bytes of buffered responses.
     pub buffered: ByteAccount,
-    /// Notified when a waiting request may be routable: a slot is free, or keys have an owner.
+    /// Requests that wait for slots.
+    pub queues: Queues,
+    /// Notified when a waiting request may be routable: keys have an owner, or targets have changed.
     pub routing_changed: Notify,
     /// Current stage of the graceful shutdown.
     stage: Cell<ShutdownStage>,
@@ -184,6 +187,7 @@
             crashes: CrashTracker::default(),
             buffered: ByteAccount::new(conf.memory_bytes),
             conf,
+            queues: Queues::default(),
             routing_changed: Notify::new(),
             stage: Cell::new(ShutdownStage::Serving),
             abort_at: Cell::new(None),
