Exchange the loads that targets state

Cause: targets of some services state their load in every response, and nodes ignored it. Nothing uses them yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod settings;
 pub mod standin;
 pub mod state_sync;
+pub mod target_load;
 pub mod ticket;
 pub mod traffic;
 pub mod view;
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The other nodes: tracks which are alive, and dispatches the datagrams that they send.
 
 mod limits;
+mod loads;
 mod reach;
 mod send;
 
@@ -255,6 +256,7 @@
             Message::Limits(reports) => self.handle_limits(&reports, now),
             Message::PermitRequest(request) => self.handle_permit_request(request, from, now),
             Message::Permit(number, wait_ms) => self.handle_permit(number, wait_ms),
+            Message::StatedLoads(reports) => self.handle_stated_loads(&reports, now),
             Message::Reach(report) => self.handle_reach(&node, boot, &report, now),
         }
     }
--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -50,6 +50,7 @@
             self.remove_unresponsive(now);
             self.choose_reader(now);
             self.send_heartbeats(period, now);
+            self.send_stated_loads(now);
             self.send_leaving();
             if period.is_multiple_of(KEY_LOAD_PERIODS) {
                 self.send_key_loads();
--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -24,6 +24,7 @@
 use crate::node::limit::RequestRate;
 use crate::node::platform::Cursor;
 use crate::route::CrashReport;
+use crate::target_load::StatedLoad;
 
 /// Maximum size of a sent datagram, in bytes; below the usual packet size of networks.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -92,6 +93,9 @@
     /// Targets that the sender does not reach, or reaches again.
     #[serde(rename = "u")]
     Reach(ReachReport),
+    /// Loads that targets stated in responses; sent only within a data centre.
+    #[serde(rename = "s")]
+    StatedLoads(Vec<LoadReport>),
 }
 
 /// What a node believes of its links to targets.
@@ -108,6 +112,20 @@
     pub reached: Vec<ProcessTag>,
 }
 
+/// The load that a target stated in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Tag of the target's id.
+    #[serde(rename = "t")]
+    pub target: Tag,
+    /// What the target stated.
+    #[serde(rename = "l")]
+    pub load: StatedLoad,
+    /// Time since the response was read, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u16,
+}
+
 /// What a node knows of a target's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -24,6 +24,7 @@
 use crate::node::limit::TargetLimit;
 use crate::node::pause::PauseState;
 use crate::node::reach::Link;
+use crate::target_load::ObservedLoad;
 
 /// How long after the last failed read of the list a target that disappeared from it stays in use.
 /// Live targets are listed again within about two seconds, and 3 s after an outage targets that are
@@ -117,6 +118,8 @@
     ejected_until: Cell<Option<Instant>>,
     /// Until when no permit for the target is expected.
     withheld_until: Cell<Option<Instant>>,
+    /// The load that the target states in its responses.
+    pub stated: ObservedLoad,
     /// The pause that the target asked for.
     pub pause: PauseState,
     warm_at: Cell<Option<Instant>>,
@@ -141,6 +144,7 @@
             failure_rate: Cell::new(0.0),
             ejected_until: Cell::new(None),
             withheld_until: Cell::new(None),
+            stated: ObservedLoad::default(),
             pause: PauseState::default(),
             warm_at: Cell::new(
                 (!entry.warm_up.is_zero()).then(|| now + entry.warm_up.min(MAX_WARM_UP)),
@@ -172,6 +176,12 @@
         self.in_flight.get() + self.peer_in_flight.get()
     }
 
+    /// Returns the number of requests at the target, by its own recent statement; `None` if it made none.
+    pub fn stated_load(&self, now: Instant) -> Option<u32> {
+        let stated = self.stated.requests(now)?;
+        Some(stated.max(self.in_flight.get()))
+    }
+
     /// Returns the moving average of the response time in seconds, or `None` without a sample.
     pub fn latency(&self) -> Option<f64> {
         let latency = self.latency.get();
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -15,6 +15,8 @@
 use crate::node::limit::RequestRate;
 use crate::node::pause::InvalidPause;
 use crate::node::state::State;
+use crate::target_load::InvalidLoad;
+use crate::target_load::StatedLoad;
 
 /// Where a node learned what a target announced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
@@ -70,6 +72,24 @@
     }
 }
 
+/// Records the load that a target stated in a response just now, or logs that its value is invalid.
+pub fn record_load(
+    state: &State,
+    target: &Target,
+    load: Result<StatedLoad, InvalidLoad>,
+    now: Instant,
+) {
+    match load {
+        Ok(load) => target.stated.record(load, now),
+        Err(error) => state.log.record(Event::FieldInvalid, |line| {
+            line.text("target", target.entry.id.as_str());
+            line.text("field", state.conf.headers.load);
+            line.text("source", NoticeSource::Response.into());
+            line.show("error", error);
+        }),
+    }
+}
+
 /// Records the pause that a target asked for in a response just now, or logs that its value is invalid.
 pub fn record_pause(state: &State, target: &Target, pause: Result<Duration, InvalidPause>) {
     let pause = match pause {
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -18,6 +18,7 @@
 use crate::node::notices::NoticeSource;
 use crate::node::notices::record_leaving;
 use crate::node::notices::record_limit;
+use crate::node::notices::record_load;
 use crate::node::notices::record_named_limit;
 use crate::node::notices::record_pause;
 use crate::node::pause::pause_from_field;
@@ -30,6 +31,7 @@
 use crate::node::proxy::pool::Pool;
 use crate::node::proxy::pool::TargetConn;
 use crate::node::state::State;
+use crate::target_load::StatedLoad;
 use crate::traffic::body::BodyDecoder;
 use crate::traffic::body::Framing;
 use crate::traffic::forward;
@@ -169,6 +171,7 @@
     let (sent_at, boot_sent_at) = (Instant::now(), context.state.boot_clock.now());
     if !target.is_relay {
         links::record_sent(context.state, target, sent_at);
+        target.stated.record_sent(sent_at);
     }
     connection.conn.begin_exchange();
     let (read, request_sent) = exchange(context, &mut connection, &out, request, target).await;
@@ -407,6 +410,9 @@
     {
         record_pause(state, target, pause);
     }
+    if let Some(load) = StatedLoad::from_field(head.fields.all(names.load)) {
+        record_load(state, target, load, Instant::now());
+    }
     let source = NoticeSource::Response;
     match RequestRate::from_field(head.fields.all(names.limit)) {
         Some(rate) => record_named_limit(state, target, rate, source),
