--- a/src/node/datagram.rs
+++ b/src/node/datagram.rs
@@ -25,6 +25,7 @@
 use crate::node::limit::RequestRate;
 use crate::node::platform::Cursor;
 use crate::route::CrashReport;
+use crate::target_load::StatedLoad;
 
 /// Maximum size of a sent datagram, in bytes; below the usual packet size of networks.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -99,6 +100,9 @@
     /// Targets that are cold.
     #[serde(rename = "w")]
     Cold(Vec<ColdReport>),
+    /// Loads that targets stated in responses; sent only within a data centre.
+    #[serde(rename = "s")]
+    StatedLoads(Vec<LoadReport>),
 }
 
 /// How much longer a target is cold.
@@ -137,6 +141,20 @@
     pub reached: Vec<ProcessTag>,
 }
 
+/// The load that a target stated in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Tag of the target's id.
+    #[serde(rename = "t")]
+    pub target: Tag,
+    /// What the target stated.
+    #[serde(rename = "l")]
+    pub load: StatedLoad,
+    /// Time since the response was read, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u16,
+}
+
 /// What a node knows of a target's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
--- a/src/node/pick.rs
+++ b/src/node/pick.rs
@@ -103,14 +103,7 @@
 /// centres that send requests to it. They do not know each other's load, so each uses an equal share
 /// and, since their peaks seldom coincide, the standard deviation of a load of that size.
 pub fn has_capacity(target: &Target, objective: Duration, sharers: usize) -> bool {
-    let load = match target.service_time() {
-        Some(service_time) => {
-            let load = OBJECTIVE_FRACTION * objective.as_secs_f64() / service_time;
-            load.clamp(MIN_LOAD, MAX_LOAD)
-        }
-        None => DEFAULT_LOAD,
-    };
-    let capacity = f64::from(target.entry.slots.max(1)) * load;
+    let capacity = capacity(target, objective);
     let limit = match sharers {
         0 | 1 => capacity,
         _ => {
@@ -121,13 +114,34 @@
     target.load() < limit.ceil() as u32
 }
 
+/// Returns true if a target has room for one more request: by the load that it stated recently, which
+/// includes the requests of all nodes, or else by what this node knows of the load and by refusals. Only
+/// one of the two decides, so that they do not correct the same error in turn.
+pub fn has_room(target: &Target, objective: Duration, sharers: usize, now: Instant) -> bool {
+    match target.stated_load(now) {
+        Some(load) => load < capacity(target, objective).ceil() as u32,
+        None => has_capacity(target, objective, sharers) && target.takes_more(now),
+    }
+}
+
+/// Returns the number of requests that a target answers in time if they arrive together.
+fn capacity(target: &Target, objective: Duration) -> f64 {
+    let load = match target.service_time() {
+        Some(service_time) => {
+            let load = OBJECTIVE_FRACTION * objective.as_secs_f64() / service_time;
+            load.clamp(MIN_LOAD, MAX_LOAD)
+        }
+        None => DEFAULT_LOAD,
+    };
+    f64::from(target.entry.slots.max(1)) * load
+}
+
 fn is_eligible(target: &Target, context: &PickContext<'_>) -> bool {
     !target.leaving.get()
         && !context.tried.contains(&target.entry.id)
         && !target.is_withheld(context.now)
         && target.in_flight.get() < context.max_connections
-        && has_capacity(target, context.objective, 1)
-        && target.takes_more(context.now)
+        && has_room(target, context.objective, 1, context.now)
 }
 
 /// Returns true if the target gets requests only at a limited rate, because it is cold.
@@ -137,7 +151,8 @@
 
 fn cost(target: &Target, context: &PickContext<'_>, mean: f64) -> f64 {
     let slots = f64::from(target.entry.slots.max(1));
-    let load = f64::from(target.load());
+    let load = target.stated_load(context.now);
+    let load = f64::from(load.unwrap_or_else(|| target.load()));
     let queued = (load + 1.0 - slots).max(0.0) / slots;
     let utilisation = (load / slots).min(1.0);
     let mut relative_latency = match target.latency() {
@@ -148,6 +163,9 @@
     if target.is_warming_up(context.now) {
         relative_latency *= WARM_UP_FACTOR;
     }
+    if let Some(pace) = target.stated.pace(context.now) {
+        relative_latency *= pace;
+    }
     let remote = match context.kind {
         _ if target.entry.data_centre == *context.data_centre => 0.0,
         RequestKind::Download => REMOTE_DOWNLOAD_COST,
--- a/src/node/proxy/dispatch/mod.rs
+++ b/src/node/proxy/dispatch/mod.rs
@@ -416,8 +416,7 @@
         }
         let max_connections = self.state.max_connections(&self.routed.service);
         let data_centres = self.state.data_centres.get();
-        if !pick::has_capacity(&owner, self.routed.objective, data_centres)
-            || !owner.takes_more(now)
+        if !pick::has_room(&owner, self.routed.objective, data_centres, now)
             || owner.in_flight.get() >= max_connections
             || !self.is_next(&Resource::Owner(owner.entry.id.clone()), now)
         {
--- a/src/node/proxy/dispatch/relay.rs
+++ b/src/node/proxy/dispatch/relay.rs
@@ -66,8 +66,7 @@
         let able = targets.iter().filter(|target| {
             !target.leaving.get()
                 && !target.is_withheld(now)
-                && pick::has_capacity(target, self.routed.objective, 1)
-                && target.takes_more(now)
+                && pick::has_room(target, self.routed.objective, 1, now)
         });
         let able: Vec<_> = able.map(|target| target.process_tag()).collect();
         able.into_iter().find_map(|process| {
