--- a/src/evacuation/mod.rs
+++ b/src/evacuation/mod.rs
@@ -31,7 +31,7 @@
 /// How long a change is also reported to other data centres, which usually have read it themselves.
 const REPORTED_TIME: Duration = Duration::from_secs(30);
 /// Maximum size of the names in a report, in bytes, so that heartbeats stay within a datagram.
-const MAX_REPORTED_BYTES: usize = 400;
+const MAX_REPORTED_BYTES: usize = 256;
 /// Size of a name in a report in addition to its text, in bytes.
 const NAME_OVERHEAD: usize = 2;
 
