Count only current answers as proof of a state's age

Cause: an answer that a call got late shows an older position than the one known from heartbeats, but made this node's state count as current.

Change: the state is confirmed only by a read at its own position. Another test shows that the next leader finishes a move out of an evacuated data centre.

--- a/src/evacuation/mod.rs
+++ b/src/evacuation/mod.rs
@@ -191,10 +191,8 @@
             }
             changes.extend(self.replace(position, listed, bound, now));
         }
-        if self
-            .position
-            .is_some_and(|known| known.generation == position.generation)
-        {
+        // The answer to a delayed call shows an older position.
+        if self.position == Some(position) {
             self.confirmed = Some(now);
         }
         self.record_changes(&changes, now);
--- a/tests/evacuation_keys.rs
+++ b/tests/evacuation_keys.rs
@@ -158,3 +158,24 @@
         expect_that!(accept(&mut leader, &ended, now + MS(ms)), is_empty());
     }
 }
+
+// The leader dies after it stored the map; keyed requests to the data centre have ended meanwhile.
+#[googletest::test]
+fn the_next_leader_finishes_moves_out_of_the_data_centre() {
+    let now = Instant::now() + MS(1_000_000);
+    let ranges = vec![Ownership {
+        range: KeyRange::ALL,
+        owner: Some(process("t1")),
+        prior: Some(process("t0")),
+    }];
+    let map = KeyMap {
+        version: MapVersion { term: 1, number: 1 },
+        max_grant_ms: Some(2_500),
+        ranges,
+    };
+    let mut leader = Leader::new(2, Inherited::Map(&map), MS(10_000), now);
+    let candidates = candidates(GrantScope::None);
+    expect_that!(accept(&mut leader, &candidates, now), eq(&[false]));
+    expect_that!(accept(&mut leader, &candidates, now), eq(&[true]));
+    expect_that!(leader.map().ranges[0].owner, some(eq(&process("t1"))));
+}
