Keep the check of who issues permits for a cold target for 0.1 s

All nodes may ask the issuer of a cold target, several times a second each, and each check takes a hash of the name of each node. An issuer also applies a limit that the target named and that the asking node does not know.

--- a/src/node/control/peers/limits.rs
+++ b/src/node/control/peers/limits.rs
@@ -24,6 +24,7 @@
 use crate::node::limit::PERMIT_TIMEOUT;
 use crate::node::limit::ProcessTag;
 use crate::node::limit::QueuedRequest;
+use crate::node::limit::RequestRate;
 use crate::node::limit::Verdict;
 use crate::node::limit::issue_rate;
 use crate::node::limit::issuer;
@@ -39,6 +40,9 @@
 const NO_ISSUER_WAIT: Duration = Duration::from_millis(200);
 /// Maximum number of cold targets in one datagram.
 const COLD_PER_DATAGRAM: usize = 40;
+/// How long the answer to whether this node issues the permits for a cold target is kept. All nodes may ask
+/// it for the same target, and the answer takes a hash of each node's name.
+const ISSUER_CHECK_TIME: Duration = Duration::from_millis(100);
 
 impl Peers {
     /// Passes requests for permits on to the nodes that issue them, until the process ends.
@@ -126,9 +130,7 @@
         let Some(cold) = cold else {
             return self.state.limits.issue(process, rate, now);
         };
-        let rank = |node: &VmId| issuer_rank(process.target, node);
-        let members = self.members.borrow();
-        if !members.may_issue(&self.state.conf.name, rank, now) {
+        if !self.may_issue_cold(process.target, now) {
             return Verdict::Denied(NO_ISSUER_WAIT);
         }
         let cold_rate = cold.rate.per_second();
@@ -136,6 +138,21 @@
         self.state.limits.issue(process, Some(rate), now)
     }
 
+    /// Returns true if this node issues the permits for a cold target.
+    fn may_issue_cold(&self, target: Tag, now: Instant) -> bool {
+        let mut checks = self.issuer_checks.borrow_mut();
+        if let Some((at, may_issue)) = checks.get(&target)
+            && now.saturating_duration_since(*at) < ISSUER_CHECK_TIME
+        {
+            return *may_issue;
+        }
+        let rank = |node: &VmId| issuer_rank(target, node);
+        let members = self.members.borrow();
+        let may_issue = members.may_issue(&self.state.conf.name, rank, now);
+        checks.insert(target, (now, may_issue));
+        may_issue
+    }
+
     /// Issues a permit for another node, or passes the request on to the node that issues them.
     pub(super) fn handle_permit_request(
         &self,
@@ -151,10 +168,11 @@
         } = request;
         let rate = match limit.rate {
             Some(_) => self.merge_limit(limit, now).rate,
-            None => None,
+            None => self.named_rate(limit.process),
         };
         let cold = self.merge_cold(limit.process, cold, now);
-        if let (None, Some(name)) = (origin, self.issuer(limit.process.target, now)) {
+        let is_issuer = cold.is_some() && self.may_issue_cold(limit.process.target, now);
+        if !is_issuer && let (None, Some(name)) = (origin, self.issuer(limit.process.target, now)) {
             let peers = self.peers.borrow();
             let peer = peers.get(&name).expect("the issuer is a known node");
             let passed_on = PermitRequest {
@@ -235,6 +253,11 @@
         }
     }
 
+    fn named_rate(&self, process: ProcessTag) -> Option<RequestRate> {
+        let target = self.find_process(process)?;
+        target.limit.rate()
+    }
+
     fn find_process(&self, process: ProcessTag) -> Option<Rc<Target>> {
         let target = self.state.fleet.borrow().by_tag(process.target).cloned();
         target.filter(|target| target.entry.incarnation == process.incarnation)
@@ -242,6 +265,7 @@
 
     /// Sends the cold targets that are due to the nodes that do not learn of them otherwise.
     pub(super) fn send_cold_reports(&self, now: Instant) {
+        self.issuer_checks.borrow_mut().clear();
         let due = self.state.limits.take_cold_reports(now);
         let own = &self.state.conf.data_centre;
         for audience in [Audience::DataCentre, Audience::All] {
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -84,6 +84,8 @@
     peers: RefCell<BTreeMap<VmId, Peer>>,
     /// The other nodes, also after they were removed from `peers`.
     members: RefCell<Members>,
+    /// Whether this node issues the permits for cold targets, and when that was determined.
+    issuer_checks: RefCell<BTreeMap<Tag, (Instant, bool)>>,
     groups: RefCell<BTreeMap<ServiceId, GroupHandle>>,
     /// Notified when another node has had newer rules than this one for some time.
     pub rules_hint: Rc<Notify>,
@@ -107,6 +109,7 @@
             socket,
             peers: RefCell::default(),
             members: RefCell::default(),
+            issuer_checks: RefCell::default(),
             groups: RefCell::default(),
             rules_hint: Rc::default(),
             rules_lag: RefCell::default(),
