Test two sides with a majority each beside cold targets

Two data centres that do not hear each other, while a third one hears both, are the case in which two nodes issue permits at once; the simulation had only sides that are disjoint.

--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -106,7 +106,7 @@
     names: Vec<VmId>,
     members: Vec<Members>,
     permits: Vec<Permits>,
-    /// Groups that hear only each other.
+    /// Groups that hear only each other, and [`COMMON`], which hears all and which all hear.
     side: Vec<usize>,
     /// The share of datagrams that are lost.
     loss: f64,
@@ -118,6 +118,8 @@
     heard: Vec<BTreeMap<usize, Instant>>,
 }
 
+const COMMON: usize = usize::MAX;
+
 const STEP: Duration = Duration::from_millis(50);
 /// Time between heartbeats to other data centres, the longest one.
 const HEARTBEAT_STEPS: u64 = 36;
@@ -151,7 +153,7 @@
                 .filter(|from| (*from as u64 + step).is_multiple_of(HEARTBEAT_STEPS));
             for from in due.filter(|from| *from != to) {
                 let is_lost = self.random.random_bool(self.loss);
-                if self.side[from] == self.side[to] && !is_lost {
+                if self.hears(to, from) && !is_lost {
                     self.members[to].record_heard(&self.names[from], self.now);
                     self.heard[to].insert(from, self.now);
                 }
@@ -184,7 +186,7 @@
         };
         let issuer = (0..self.members.len()).find(is_alive).unwrap_or(asker);
         let is_lost = issuer != asker && self.random.random_bool(self.loss);
-        if is_lost || self.side[issuer] != self.side[asker] {
+        if is_lost || !self.hears(issuer, asker) {
             return;
         }
         let rank = |name: &VmId| issuer_rank(TARGET.target, name);
@@ -198,6 +200,11 @@
         }
     }
 
+    fn hears(&self, a: usize, b: usize) -> bool {
+        let (a, b) = (self.side[a], self.side[b]);
+        a == b || a == COMMON || b == COMMON
+    }
+
     /// Forgets what a node knew, as when its process restarts; it has read the rows of the nodes.
     fn restart(&mut self, node: usize) {
         self.permits[node] = Permits::default();
@@ -249,6 +256,20 @@
     }
 }
 
+// Guards against data centres that do not hear each other while a third one hears both, so that each of the
+// two has a majority.
+#[googletest::test]
+fn two_sides_with_a_majority_each_stay_below_the_bound() {
+    let mut nodes = Nodes::new(87, 87, 5);
+    nodes.loss = 0.1;
+    nodes.side = (0..87).map(|node| [0, 1, COMMON][node % 3]).collect();
+    nodes.run(MS(15_000), 30);
+    nodes.side = vec![0; 87];
+    nodes.run(MS(9_000), 30);
+    expect_that!(nodes.busiest_second() as f64, le(BOUND));
+    expect_that!(nodes.arrivals.len(), ge(100));
+}
+
 // Guards against the same at the target size, where views are seldom equal.
 #[googletest::test]
 fn the_sum_of_4000_nodes_stays_below_the_bound() {
