--- a/src/overload/queue.rs
+++ b/src/overload/queue.rs
@@ -16,6 +16,10 @@
 const RESPONSE_MARGIN: f64 = 1.5;
 /// Response time, as a fraction of the objective, that is assumed without a sample.
 const DEFAULT_RESPONSE: f64 = 0.25;
+/// Part of the time in which a request can still meet its objective that it is expected to wait, at
+/// most, when others fill the queue. The rest is for a second try: refused callers come back within a
+/// third of their objective, and a longer queue makes those late that it serves.
+const ADMIT_FRACTION: f64 = 0.25;
 /// Multiple of the expected wait after which a request that can no longer meet its objective is
 /// refused: the expectation was wrong, and the caller still has time for another try.
 const MAX_WAIT_FACTOR: f64 = 3.0;
@@ -117,8 +121,12 @@
             passed_until: None,
         };
         let rank = self.rank(&entry, now);
-        let is_ahead = |other: &&Entry| self.rank(other, now) < rank;
-        let ahead = self.entries.iter().filter(is_ahead).count();
+        let (mut ahead, mut in_time) = (0, 0);
+        for other in &self.entries {
+            let other = self.rank(other, now);
+            ahead += usize::from(other < rank);
+            in_time += usize::from(!other.is_late);
+        }
         if has_room && ahead == 0 {
             self.count_start(request.priority, now);
             return Decision::Start;
@@ -128,8 +136,10 @@
         if now + wait > until {
             return Decision::Refuse;
         }
-        let is_full = self.len() >= MAX_WAITING
-            || self.len() >= self.in_time_capacity(&request, now) && now + wait > in_time_until;
+        let slack = in_time_until.saturating_duration_since(now);
+        let slack = slack.mul_f64(ADMIT_FRACTION);
+        let is_full =
+            self.len() >= MAX_WAITING || wait > slack && in_time >= self.starts_within(slack);
         let displaced = match self.worst(now) {
             Some(worst) if is_full => match self.rank(&worst, now).yields_to(&rank) {
                 true => Some(worst.ticket),
@@ -256,9 +266,8 @@
         )
     }
 
-    /// Returns how many requests are expected to start while one like this can meet its objective.
-    fn in_time_capacity(&self, request: &Request, now: Instant) -> usize {
-        let time = self.last_starts(request).0.saturating_duration_since(now);
+    /// Returns how many waiting requests are expected to start within a time.
+    fn starts_within(&self, time: Duration) -> usize {
         match self.interval {
             Some(interval) if interval > 0.0 => (time.as_secs_f64() / interval) as usize,
             _ => MAX_WAITING,
