--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -454,7 +454,8 @@
                 state
                     .counters
                     .set(Counter::LogLinesDropped, state.log.dropped());
-                ("200 OK", state.counters.render())
+                let text = state.counters.render() + &state.queues.render();
+                ("200 OK", text)
             }
             _ => ("404 Not Found", "ask for /ready or /metrics\n".to_owned()),
         };
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -51,6 +51,8 @@
     ReachLost,
     /// Targets that this node ceased to believe to be unreachable from it.
     ReachRegained,
+    /// Requests that a target did not run because it had no room.
+    TargetRefusals,
     /// Requests passed on to another node, which reaches targets that this one does not.
     RequestsRelayed,
     /// Log lines dropped because of the rate or buffer limit.
@@ -69,7 +71,7 @@
 /// All metrics of a node.
 #[derive(Debug, Default)]
 pub struct Counters {
-    unlabelled: [Cell<u64>; 18],
+    unlabelled: [Cell<u64>; 19],
     services: RefCell<BTreeMap<ServiceId, ServiceCounts>>,
 }
 
@@ -152,6 +154,6 @@
     );
 }
 
-fn line(text: &mut String, sample: std::fmt::Arguments<'_>) {
+pub(super) fn line(text: &mut String, sample: std::fmt::Arguments<'_>) {
     writeln!(text, "gooseberryloft_{sample}").expect("writing to memory cannot fail");
 }
--- a/src/node/proxy/dispatch/mod.rs
+++ b/src/node/proxy/dispatch/mod.rs
@@ -624,6 +624,7 @@
         self.log_failure(target, "not-run", status);
         if status != 421 {
             target.record_refusal(sent_at, now);
+            self.state.counters.add(Counter::TargetRefusals);
             if target.pause.until(now).is_some() {
                 self.wait_reason = Some(Refusal::RateLimited);
                 return;
--- a/src/node/proxy/dispatch/queued.rs
+++ b/src/node/proxy/dispatch/queued.rs
@@ -81,7 +81,7 @@
                 let Some(place) = self.state.queues.join(resource, request, now) else {
                     return false;
                 };
-                if self.state.queues.has_several(place.resource()) && place.is_next(now) {
+                if self.state.queues.waiting(place.resource()) > 1 && place.is_next(now) {
                     // A slot may be free that it was not to take before the others.
                     self.place = Some(place);
                     return true;
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -319,23 +319,26 @@
     send(conn, &out, close).await
 }
 
-/// Returns when a caller that found no free slot should come back; `None` if it did not ask for one.
+/// Returns when a caller that found no free slot should come back; `None` if no other request waits.
 fn after_queue(state: &State, routed: &RoutedRequest, time_left: Duration) -> Option<Duration> {
     let now = Instant::now();
-    let resource = match routed.key {
-        None => Resource::Service(routed.service.clone()),
-        Some(key) => {
-            let views = state.views.borrow();
-            let owner = views.get(&routed.service)?.find(key)?.owner.clone();
-            Resource::Owner(owner?)
-        }
-    };
+    let resource = resource(state, routed)?;
     let queues = &state.queues;
     let pause = queues.retry_after(&resource, time_left, routed.objective, now)?;
     queues.record_refusal(routed.source, now + pause);
     Some(pause)
 }
 
+/// Returns what the request waits for; `None` if its key has no owner.
+fn resource(state: &State, routed: &RoutedRequest) -> Option<Resource> {
+    let Some(key) = routed.key else {
+        return Some(Resource::Service(routed.service.clone()));
+    };
+    let views = state.views.borrow();
+    let owner = views.get(&routed.service)?.find(key)?.owner.clone();
+    owner.map(Resource::Owner)
+}
+
 /// Returns when a target of the request is expected to take requests again, spread over as much time
 /// again, since others who were refused return as well.
 fn next_opening(state: &State, routed: &RoutedRequest) -> Duration {
@@ -377,6 +380,10 @@
     line.number("list", list.cursor.version);
     line.number("generation", list.cursor.generation.0);
     line.number("list_age_ms", list.age_ms.into());
+    line.number("priority", routed.priority.into());
+    if let Some(resource) = resource(state, routed) {
+        line.number("waiting", state.queues.waiting(&resource) as u64);
+    }
     let fleet = state.fleet.borrow();
     let Some(key) = routed.key else {
         let open = fleet
--- a/src/node/queues.rs
+++ b/src/node/queues.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::node::counters::line;
 use crate::overload::queue::Decision;
 use crate::overload::queue::Request;
 use crate::overload::queue::Ticket;
@@ -51,15 +52,18 @@
     used_at: Instant,
 }
 
-/// Counts of the queues, for metrics.
+/// Counts of one priority over all queues, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QueueCounts {
-    /// Requests of the class that waited.
+    /// Requests that waited.
     pub waits: u64,
-    /// Requests that were refused in favour of another one while they waited.
+    /// Requests that were refused while they waited, in favour of another one or because they could no
+    /// longer be answered in time.
     pub displaced: u64,
     /// Requests that were refused without a wait.
     pub refused: u64,
+    /// Time that requests waited, in all.
+    pub wait_time: Duration,
 }
 
 /// All queues of a node.
@@ -79,6 +83,7 @@
     resource: Resource,
     priority: u8,
     ticket: Ticket,
+    joined: Instant,
     until: Instant,
     waiter: Rc<Waiter>,
 }
@@ -118,6 +123,7 @@
             resource,
             priority: request.priority,
             ticket,
+            joined: now,
             until,
             waiter,
         })
@@ -145,13 +151,6 @@
         }
     }
 
-    /// Returns true if more than one request waits for the resource.
-    pub fn has_several(&self, resource: &Resource) -> bool {
-        let resources = self.resources.borrow();
-        let entry = resources.get(resource);
-        entry.is_some_and(|entry| entry.queue.len() > 1)
-    }
-
     /// Records that a request starts without having waited.
     pub fn record_start(&self, resource: &Resource, priority: u8, now: Instant) {
         self.with(resource, now, |entry| {
@@ -207,15 +206,34 @@
         self.repeats.borrow().is_early(source, now)
     }
 
-    /// Returns the number of waiting requests.
-    pub fn waiting(&self) -> usize {
+    /// Returns the number of requests that wait for a resource.
+    pub fn waiting(&self, resource: &Resource) -> usize {
         let resources = self.resources.borrow();
-        resources.values().map(|entry| entry.queue.len()).sum()
+        resources.get(resource).map_or(0, |entry| entry.queue.len())
     }
 
-    /// Returns the counts by priority.
-    pub fn counts(&self) -> BTreeMap<u8, QueueCounts> {
-        self.counts.borrow().clone()
+    /// Renders the metrics of the queues in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let resources = self.resources.borrow();
+        let waiting: usize = resources.values().map(|entry| entry.queue.len()).sum();
+        line(&mut text, format_args!("queue_length {waiting}"));
+        for (priority, counts) in &*self.counts.borrow() {
+            let values = [
+                ("waits", counts.waits),
+                ("displaced", counts.displaced),
+                ("refused", counts.refused),
+                ("wait_ms", counts.wait_time.as_millis() as u64),
+            ];
+            for (name, value) in values {
+                let labels = format!("priority=\"{priority}\"");
+                line(
+                    &mut text,
+                    format_args!("queue_{name}_total{{{labels}}} {value}"),
+                );
+            }
+        }
+        text
     }
 
     fn with<T>(
@@ -312,10 +330,10 @@
             entry.waiters.remove(&self.ticket);
             entry.queue.leave(self.ticket);
         });
-        if self.waiter.is_refused.get() {
-            let mut counts = self.queues.counts.borrow_mut();
-            counts.entry(self.priority).or_default().displaced += 1;
-        }
+        let mut counts = self.queues.counts.borrow_mut();
+        let counts = counts.entry(self.priority).or_default();
+        counts.displaced += u64::from(self.waiter.is_refused.get());
+        counts.wait_time += now.saturating_duration_since(self.joined);
         self.queues.wake_next(&self.resource, now);
     }
 }
