Determine the classes below their share once for each decision, and bound queues at 128

Cause: the order of 256 waiting requests computed the shares and the response time for each of them.

Change: both are computed once for a decision. 128 waiting requests for each queue; the queue is shorter than that wherever slots become free, as its length is bounded by what starts in time.

--- a/src/overload/queue.rs
+++ b/src/overload/queue.rs
@@ -6,9 +6,10 @@
 
 use crate::overload::retry_after;
 use crate::overload::shares::Shares;
+use crate::overload::shares::StarvedClasses;
 
 /// Maximum number of requests that wait. Bounds the memory and the cost of a decision.
-pub const MAX_WAITING: usize = 256;
+pub const MAX_WAITING: usize = 128;
 /// Weight of the newest sample in moving averages.
 const EWMA_WEIGHT: f64 = 0.15;
 /// Factor on the mean response time in judging whether a request can still be answered in time:
@@ -86,6 +87,52 @@
     ticket: Ticket,
 }
 
+/// What the order of requests depends on besides themselves, determined once for each decision.
+#[derive(Clone, Copy, Debug)]
+struct Judge {
+    now: Instant,
+    /// Assumed response time; `None` without a sample.
+    response_time: Option<Duration>,
+    starved: StarvedClasses,
+}
+
+impl Judge {
+    /// Returns the last times at which a request can be started to meet its objective, and to be
+    /// answered before its deadline.
+    fn last_starts(&self, request: &Request) -> (Instant, Instant) {
+        let response_time = self.response_time(request);
+        let before = |end: Instant| end.checked_sub(response_time).unwrap_or(request.arrived);
+        let deadline = before(request.deadline);
+        (
+            before(request.arrived + request.objective).min(deadline),
+            deadline,
+        )
+    }
+
+    /// Returns true if a request that is started now is likely to miss its objective.
+    fn is_late(&self, request: &Request) -> bool {
+        let end = self.now + self.response_time(request);
+        end > request.arrived + request.objective || end > request.deadline
+    }
+
+    fn rank(&self, entry: &Entry) -> Rank {
+        let request = &entry.request;
+        Rank {
+            is_served: !self.starved.contains(request.priority),
+            priority: request.priority,
+            is_repeat: request.is_repeat,
+            is_late: self.is_late(request),
+            arrived: request.arrived,
+            ticket: entry.ticket,
+        }
+    }
+
+    fn response_time(&self, request: &Request) -> Duration {
+        let default = || request.objective.mul_f64(DEFAULT_RESPONSE);
+        self.response_time.unwrap_or_else(default)
+    }
+}
+
 /// The requests that wait for one resource, and what is known of how fast it takes them.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
@@ -120,10 +167,11 @@
             request,
             passed_until: None,
         };
-        let rank = self.rank(&entry, now);
+        let judge = self.judge(now);
+        let rank = judge.rank(&entry);
         let (mut ahead, mut in_time) = (0, 0);
         for other in &self.entries {
-            let other = self.rank(other, now);
+            let other = judge.rank(other);
             ahead += usize::from(other < rank);
             in_time += usize::from(!other.is_late);
         }
@@ -132,7 +180,7 @@
             return Decision::Start;
         }
         let wait = self.expected_wait(ahead, now);
-        let (in_time_until, until) = self.last_starts(&request);
+        let (in_time_until, until) = judge.last_starts(&request);
         if now + wait > until {
             return Decision::Refuse;
         }
@@ -140,12 +188,13 @@
         let slack = slack.mul_f64(ADMIT_FRACTION);
         let is_full =
             self.len() >= MAX_WAITING || wait > slack && in_time >= self.starts_within(slack);
-        let displaced = match self.worst(now) {
-            Some(worst) if is_full => match self.rank(&worst, now).yields_to(&rank) {
+        let worst = is_full.then(|| self.worst(&judge)).flatten();
+        let displaced = match worst {
+            Some(worst) => match worst.yields_to(&rank) {
                 true => Some(worst.ticket),
                 false => return Decision::Refuse,
             },
-            _ => None,
+            None => None,
         };
         if let Some(displaced) = displaced {
             self.remove(displaced);
@@ -175,8 +224,9 @@
             .entries
             .iter()
             .filter(|entry| entry.passed_until.is_none_or(|until| until <= now));
+        let judge = self.judge(now);
         let ranked = able.map(|entry| {
-            let rank = self.rank(entry, now);
+            let rank = judge.rank(entry);
             Rank {
                 is_repeat: rank.is_repeat && !ignores_repeats,
                 ..rank
@@ -187,7 +237,11 @@
 
     /// Removes and returns the requests that can no longer be answered before their deadline.
     pub fn remove_hopeless(&mut self, now: Instant) -> Vec<Ticket> {
-        let hopeless = |entry: &&Entry| now > self.last_starts(&entry.request).1;
+        if self.is_empty() {
+            return Vec::new();
+        }
+        let judge = self.judge(now);
+        let hopeless = |entry: &&Entry| now > judge.last_starts(&entry.request).1;
         let hopeless: Vec<_> = self.entries.iter().filter(hopeless).collect();
         let hopeless: Vec<_> = hopeless.into_iter().map(|entry| entry.ticket).collect();
         for ticket in &hopeless {
@@ -251,21 +305,6 @@
         Duration::from_secs_f64(interval * (ahead + 1) as f64)
     }
 
-    /// Returns the last times at which a request can be started to meet its objective, and to be
-    /// answered before its deadline.
-    fn last_starts(&self, request: &Request) -> (Instant, Instant) {
-        let response_time = match self.response_time {
-            Some(mean) => Duration::from_secs_f64(mean * RESPONSE_MARGIN),
-            None => request.objective.mul_f64(DEFAULT_RESPONSE),
-        };
-        let before = |end: Instant| end.checked_sub(response_time).unwrap_or(request.arrived);
-        let deadline = before(request.deadline);
-        (
-            before(request.arrived + request.objective).min(deadline),
-            deadline,
-        )
-    }
-
     /// Returns how many waiting requests are expected to start within a time.
     fn starts_within(&self, time: Duration) -> usize {
         match self.interval {
@@ -274,21 +313,17 @@
         }
     }
 
-    fn rank(&self, entry: &Entry, now: Instant) -> Rank {
-        let request = &entry.request;
-        Rank {
-            is_served: !self.shares.is_starved(request.priority),
-            priority: request.priority,
-            is_repeat: request.is_repeat,
-            is_late: now > self.last_starts(request).0,
-            arrived: request.arrived,
-            ticket: entry.ticket,
+    fn judge(&self, now: Instant) -> Judge {
+        let seconds = self.response_time.map(|mean| mean * RESPONSE_MARGIN);
+        Judge {
+            now,
+            response_time: seconds.map(Duration::from_secs_f64),
+            starved: self.shares.starved(),
         }
     }
 
-    fn worst(&self, now: Instant) -> Option<Entry> {
-        let entries = self.entries.iter().copied();
-        entries.max_by_key(|entry| self.rank(entry, now))
+    fn worst(&self, judge: &Judge) -> Option<Rank> {
+        self.entries.iter().map(|entry| judge.rank(entry)).max()
     }
 
     fn remove(&mut self, ticket: Ticket) -> Option<Entry> {
--- a/src/overload/shares.rs
+++ b/src/overload/shares.rs
@@ -21,6 +21,21 @@
     starts: f64,
 }
 
+/// A set of priorities.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StarvedClasses([u64; 4]);
+
+impl StarvedClasses {
+    /// Returns true if a priority is in the set.
+    pub fn contains(&self, priority: u8) -> bool {
+        self.0[usize::from(priority / 64)] >> (priority % 64) & 1 == 1
+    }
+
+    fn insert(&mut self, priority: u8) {
+        self.0[usize::from(priority / 64)] |= 1 << (priority % 64);
+    }
+}
+
 /// Recent arrivals and starts by priority.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
@@ -41,17 +56,20 @@
         self.class(priority).starts += 1.0;
     }
 
-    /// Returns true if the requests of a priority are started far less often than others.
-    pub fn is_starved(&self, priority: u8) -> bool {
-        let find = |counts: &&ClassCounts| counts.priority == priority;
-        let Some(own) = self.classes.iter().find(find) else {
-            return false;
-        };
+    /// Returns the classes whose requests are started far less often than others.
+    pub fn starved(&self) -> StarvedClasses {
         let (arrivals, starts) = self.classes.iter().fold((0.0, 0.0), |(a, s), counts| {
             (a + counts.arrivals, s + counts.starts)
         });
-        // Compares own.starts / own.arrivals with starts / arrivals.
-        own.arrivals >= MIN_ARRIVALS && own.starts * arrivals < MIN_SHARE * starts * own.arrivals
+        let mut starved = StarvedClasses::default();
+        for counts in &self.classes {
+            // Compares counts.starts / counts.arrivals with starts / arrivals.
+            let is_low = counts.starts * arrivals < MIN_SHARE * starts * counts.arrivals;
+            if is_low && counts.arrivals >= MIN_ARRIVALS {
+                starved.insert(counts.priority);
+            }
+        }
+        starved
     }
 
     fn class(&mut self, priority: u8) -> &mut ClassCounts {
