--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -56,6 +56,8 @@
     ReachLost,
     /// Targets that this node ceased to believe to be unreachable from it.
     ReachRegained,
+    /// Requests that a target did not run because it had no room.
+    TargetRefusals,
     /// Requests passed on to another node, which reaches targets that this one does not.
     RequestsRelayed,
     /// Evacuations of data centres that this node learned of.
@@ -161,6 +163,6 @@
     );
 }
 
-fn line(text: &mut String, sample: std::fmt::Arguments<'_>) {
+pub(super) fn line(text: &mut String, sample: std::fmt::Arguments<'_>) {
     writeln!(text, "gooseberryloft_{sample}").expect("writing to memory cannot fail");
 }
