Reject responses with a status that HTTP does not have

Cause: parse_response took any three digits for a status, since httparse checks only that they are digits. 101 was skipped or passed on depending on the path, and the client for the store and for orders took an interim response for the final one.

Change: the parser rejects what is not 100 to 599, and 101, which no request of ours asks for. Each path then treats the head as malformed: the request may have run, nothing is promised, the connection is closed. HttpClient skips interim responses.

--- a/src/node/http.rs
+++ b/src/node/http.rs
@@ -30,6 +30,8 @@
 const IDENTIFICATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Default limit on a response body, above the largest response of the platform.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum number of interim responses before the final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// A complete response.
 #[derive(Debug)]
@@ -316,15 +318,7 @@
             .write_all(&request)
             .await
             .map_err(|_| "connection reset")?;
-        let length = loop {
-            match head_length(conn.data()).map_err(|_| "not an HTTP response")? {
-                Some(length) => break length,
-                None => fill(conn).await?,
-            }
-        };
-        let head =
-            parse_response(&conn.data()[..length], method).map_err(|_| "malformed response")?;
-        conn.consume(length);
+        let head = read_final_head(conn, method).await?;
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
         loop {
@@ -355,6 +349,25 @@
     }
 }
 
+/// Reads the head of the final response, and skips interim ones.
+async fn read_final_head(conn: &mut Conn, method: &str) -> Result<ResponseHead, &'static str> {
+    for _ in 0..=MAX_INTERIM_RESPONSES {
+        let length = loop {
+            match head_length(conn.data()).map_err(|_| "not an HTTP response")? {
+                Some(length) => break length,
+                None => fill(conn).await?,
+            }
+        };
+        let head =
+            parse_response(&conn.data()[..length], method).map_err(|_| "malformed response")?;
+        conn.consume(length);
+        if !head.is_interim() {
+            return Ok(head);
+        }
+    }
+    Err("only interim responses")
+}
+
 async fn fill(conn: &mut Conn) -> Result<(), &'static str> {
     match conn.fill().await {
         Ok(0) => Err("connection closed"),
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -353,8 +353,7 @@
             links::record_response(context.state, target, Instant::now());
             record_notices(context, target, &head);
         }
-        let interim = (100..200).contains(&head.status);
-        if interim && head.status != 101 {
+        if head.is_interim() {
             continue;
         }
         let matches_request = head.fields.only(names.request_id) == Some(&request.id[..]);
--- a/src/traffic/head.rs
+++ b/src/traffic/head.rs
@@ -24,7 +24,7 @@
     /// A line ends with LF instead of CR LF.
     #[error("a line of the head does not end with CR LF; send heads as RFC 9112 has them")]
     LineEnding,
-    /// The head violates the HTTP syntax.
+    /// The head violates the HTTP syntax, or the status of a response is not one that it may have.
     #[error("the head is malformed; send heads as RFC 9112 has them")]
     Syntax,
     /// The HTTP version is not supported.
@@ -74,7 +74,7 @@
 /// The head of a response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
-    /// The status code, 100 to 999.
+    /// The status code, 100 to 599 except 101; below 200, the response is an interim one.
     pub status: u16,
     /// The reason phrase, which may be empty.
     pub reason: String,
@@ -86,6 +86,13 @@
     pub keep_alive: bool,
 }
 
+impl ResponseHead {
+    /// Returns true for an interim response, which another one follows.
+    pub fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+}
+
 impl Fields {
     /// Iterates over all fields in the order received.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
@@ -213,7 +220,9 @@
     })
 }
 
-/// Parses the complete head of the response to a request with this method.
+/// Parses the complete head of the response to a request with this method. Callers skip interim
+/// responses, which the final one follows. 101 is rejected: it is final, and no request of ours asks for
+/// an upgrade.
 pub fn parse_response(text: &[u8], method: &str) -> Result<ResponseHead, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Response::new(&mut headers);
@@ -222,6 +231,9 @@
         return Err(HeadError::Syntax);
     }
     let status = parsed.code.ok_or(HeadError::Syntax)?;
+    if !matches!(status, 100 | 102..=599) {
+        return Err(HeadError::Syntax);
+    }
     let minor = parsed.version.ok_or(HeadError::Version)?;
     let fields = Fields::new(text, parsed.headers);
     let declared = fields.framing()?;
--- a/src/traffic/response.rs
+++ b/src/traffic/response.rs
@@ -25,12 +25,12 @@
         };
         let head = parse_response(&reader.data()[..length], method).ok()?;
         reader.consume(length);
-        match head.status {
-            101 => return None,
-            // The end of such a body cannot be distinguished from a connection closed by a crash.
-            _ if head.framing == Framing::UntilClose => return None,
-            100..=199 => {}
-            _ => return Some(head),
+        // The end of such a body cannot be distinguished from a connection closed by a crash.
+        if head.framing == Framing::UntilClose {
+            return None;
+        }
+        if !head.is_interim() {
+            return Some(head);
         }
     }
     None
