Free the keys of replaced owners by a release, and plan lost ranges together

Cause: after a change of leader, owners that the new leader did not reach were taken to hold their keys for 20 s plus a grant, although other processes had their addresses; releases ended as OtherTarget and were repeated. Each lost range was planned with the loads of all ranges added up again.

Change: if the owner has responded at its address and another process of the service is listed there, that process is sent the release, under a fence above all grants; once executed, the move is complete. Without that evidence the grant expires as before. Ranges that need another owner are planned together, the busiest first, and split where no target has room.

In the simulation, half of the owners under new ids while a former leader may be active have their keys again within 3 s.

--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -501,5 +501,6 @@
         capacity,
         leaving: target.leaving.get(),
         on_probation: false,
+        proven: target.proven_at().is_some(),
     }
 }
--- a/src/node/keys/leader/balance.rs
+++ b/src/node/keys/leader/balance.rs
@@ -30,7 +30,6 @@
 /// A target that repeatedly failed to answer orders.
 #[derive(Debug)]
 pub(super) struct LostTarget {
-    pub(super) holder: Holder,
     pub(super) doublings: u32,
     pub(super) excluded_until: Instant,
 }
@@ -39,7 +38,7 @@
     /// Returns the candidates without recently lost targets; targets whose exclusion has ended are
     /// on probation.
     pub(super) fn eligible(&self, candidates: &[Candidate], now: Instant) -> Vec<Candidate> {
-        let loss = |holder: &Holder| self.lost_targets.iter().find(|lost| lost.holder == *holder);
+        let loss = |holder: &Holder| self.lost_targets.get(holder);
         let is_excluded =
             |c: &&Candidate| loss(&c.holder).is_some_and(|lost| now < lost.excluded_until);
         let eligible = candidates.iter().filter(|c| !is_excluded(c));
@@ -53,22 +52,20 @@
 
     /// Excludes a lost target from new keys, twice as long with each further loss.
     pub(super) fn record_loss(&mut self, holder: Holder, now: Instant) {
-        let known = self
-            .lost_targets
-            .iter_mut()
-            .find(|lost| lost.holder == holder);
-        match known {
+        match self.lost_targets.get_mut(&holder) {
             // Each of the target's ranges reports the same loss.
             Some(lost) if now < lost.excluded_until => {}
             Some(lost) => {
                 lost.doublings = (lost.doublings + 1).min(MAX_DOUBLINGS);
                 lost.excluded_until = now + EXCLUSION_TIME * 2u32.pow(lost.doublings);
             }
-            None => self.lost_targets.push(LostTarget {
-                holder,
-                doublings: 0,
-                excluded_until: now + EXCLUSION_TIME,
-            }),
+            None => {
+                let loss = LostTarget {
+                    doublings: 0,
+                    excluded_until: now + EXCLUSION_TIME,
+                };
+                self.lost_targets.insert(holder, loss);
+            }
         }
     }
 
--- a/src/node/keys/leader/mod.rs
+++ b/src/node/keys/leader/mod.rs
@@ -13,6 +13,7 @@
 mod range_state;
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -27,6 +28,7 @@
 use crate::node::keys::leader::range_state::Stage;
 use crate::node::keys::leader::range_state::location;
 use crate::node::keys::map::FenceAllocator;
+use crate::node::keys::map::Holder;
 use crate::node::keys::map::KeyMap;
 use crate::node::keys::map::MapVersion;
 use crate::node::keys::map::Ownership;
@@ -97,7 +99,7 @@
     /// Until when grants of previous leaders may last; `None` once these are known to have ended.
     previous_grants_until: Option<Instant>,
     balanced_at: Instant,
-    lost_targets: Vec<LostTarget>,
+    lost_targets: HashMap<Holder, LostTarget>,
     /// The number of targets at the last tick.
     targets: usize,
     /// A stored map that is used once the keys in it can be held by no target.
@@ -166,7 +168,7 @@
             started_at: now,
             previous_grants_until: None,
             balanced_at: now,
-            lost_targets: Vec::new(),
+            lost_targets: HashMap::new(),
             targets: 0,
             outdated: None,
             suspended: false,
@@ -398,7 +400,7 @@
             return actions;
         }
         self.lost_targets
-            .retain(|lost| now < lost.excluded_until + EXCLUSION_TIME * 2u32.pow(MAX_DOUBLINGS));
+            .retain(|_, lost| now < lost.excluded_until + EXCLUSION_TIME * 2u32.pow(MAX_DOUBLINGS));
         self.targets = candidates.len();
         if self.ranges.is_empty() && !self.assign(candidates, now) {
             return actions;
@@ -409,8 +411,14 @@
             locations.extend(self.ranges.iter().filter_map(location));
         }
         let index = CandidateIndex::new(candidates);
+        let mut lost = Vec::new();
+        for at in 0..self.ranges.len() {
+            if self.advance(at, &index, now, &mut locations) {
+                lost.push(at);
+            }
+        }
+        self.move_lost(&lost, candidates, key_load, now);
         for at in 0..self.ranges.len() {
-            self.advance(at, &index, key_load, now, &mut locations);
             if let Some(order) = self.next_order(at, &index, now) {
                 actions.push(Action::Send(order));
             }
--- a/src/node/keys/leader/moves.rs
+++ b/src/node/keys/leader/moves.rs
@@ -20,10 +20,14 @@
 use crate::node::keys::map::Ownership;
 use crate::node::keys::plan;
 use crate::node::keys::plan::Candidate;
+use crate::node::keys::plan::LostRange;
 use crate::node::keys::view::RangeLocation;
 
 /// Delay before a failed order is sent again.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of doublings of [`ORDER_RETRY_DELAY`] for releases. Lost owners are asked until their
+/// grants have expired, and with thousands of them each order costs.
+const MAX_RELEASE_DOUBLINGS: u32 = 3;
 /// Number of consecutive unanswered orders after which a target counts as lost.
 const LOST_AFTER_UNANSWERED: u32 = 3;
 /// Number of consecutive orders without a connection after which a target counts as lost.
@@ -67,6 +71,8 @@
             next_order_at: now,
             unanswered: 0,
             not_sent: 0,
+            proven_address: None,
+            replaced: false,
             confirmed: false,
         }
     }
@@ -109,6 +115,8 @@
                 next_order_at: now,
                 unanswered: 0,
                 not_sent: 0,
+                proven_address: None,
+                replaced: false,
                 confirmed: false,
             });
         }
@@ -118,15 +126,15 @@
         true
     }
 
-    /// Advances a range to its next stage if possible, and adds new locations to `locations`.
+    /// Advances a range to its next stage if possible, and adds new locations to `locations`. Returns
+    /// true if the range has to get another owner.
     pub(super) fn advance(
         &mut self,
         at: usize,
         candidates: &CandidateIndex<'_>,
-        key_load: &KeyLoad,
         now: Instant,
         locations: &mut Vec<RangeLocation>,
-    ) {
+    ) -> bool {
         if let Stage::StoringMap(number) = self.ranges[at].stage
             && self.stored_map >= number
         {
@@ -141,17 +149,18 @@
             state.not_sent = 0;
             locations.extend(location(state));
         }
-        let state = &self.ranges[at];
+        let state = &mut self.ranges[at];
+        let listed = state.owner.as_ref().and_then(|o| candidates.get(o));
+        if let Some(proven) = listed.filter(|candidate| candidate.proven) {
+            state.proven_address = Some(proven.address);
+        }
         if state.stage == Stage::Releasing && (state.owner.is_none() || now >= state.held_until) {
             self.complete_move(at, now);
         }
-        let state = &self.ranges[at];
-        match state.stage {
-            Stage::Vacant => self.move_to_least_loaded(at, candidates, key_load, now),
-            Stage::Granting | Stage::Held if self.must_move(at, candidates, now) => {
-                self.move_to_least_loaded(at, candidates, key_load, now);
-            }
-            _ => {}
+        match self.ranges[at].stage {
+            Stage::Vacant => true,
+            Stage::Granting | Stage::Held => self.must_move(at, candidates, now),
+            Stage::StoringMap(_) | Stage::Releasing => false,
         }
     }
 
@@ -169,6 +178,8 @@
         state.set_fence(fence);
         state.pending_order = None;
         state.held_until = state.next_held_until.take().unwrap_or(now).max(now);
+        state.proven_address = None;
+        state.replaced = false;
         state.next_order_at = now;
         state.unanswered = 0;
         state.not_sent = 0;
@@ -194,30 +205,37 @@
         is_leaving || is_lost(state)
     }
 
-    /// Starts to move a range to the least loaded other target, if there is one.
-    pub(super) fn move_to_least_loaded(
+    /// Starts to move ranges whose owners cannot keep them. They are planned together, so that each
+    /// counts the load of those before it and the loads of all ranges are added up once.
+    pub(super) fn move_lost(
         &mut self,
-        at: usize,
-        candidates: &CandidateIndex<'_>,
+        lost: &[usize],
+        candidates: &[Candidate],
         key_load: &KeyLoad,
         now: Instant,
     ) {
-        let owner = self.ranges[at].owner.clone();
-        let eligible = self.eligible(candidates.all(), now);
-        let others = eligible
-            .into_iter()
-            .filter(|c| Some(&c.holder) != owner.as_ref());
-        let others: Vec<_> = others.collect();
-        let next =
-            plan::least_loaded(&others, &self.owned_ranges(), key_load).map(|c| c.holder.clone());
-        let Some(next) = next else {
+        if lost.is_empty() {
             return;
+        }
+        let eligible = self.eligible(candidates, now);
+        let lost_range = |at: &usize| {
+            let state = &self.ranges[*at];
+            LostRange {
+                range: state.range,
+                owner: state.owner.as_ref(),
+                splittable: state.handover.is_none(),
+            }
         };
-        let is_lost = is_lost(&self.ranges[at]);
-        if let Some(owner) = owner.filter(|_| is_lost) {
-            self.record_loss(owner, now);
+        let ranges = lost.iter().map(lost_range).collect();
+        let moves = plan::place(&eligible, &self.owned_ranges(), ranges, key_load);
+        for planned in moves {
+            let at = self.split_out(planned.range);
+            let state = &self.ranges[at];
+            if let Some(owner) = state.owner.clone().filter(|_| is_lost(state)) {
+                self.record_loss(owner, now);
+            }
+            self.begin_move(at, planned.to);
         }
-        self.begin_move(at, next);
     }
 
     /// Starts to move a range by entering its next owner into the map.
@@ -247,8 +265,7 @@
         }
         let owner = state.owner.clone()?;
         let candidate = match state.stage {
-            // A later process at the same address may have been granted the keys before it was listed.
-            Stage::Releasing => candidates.get_latest(&owner)?,
+            Stage::Releasing => releasing_process(state, &owner, candidates)?,
             _ => candidates.get(&owner)?,
         };
         let is_lost = is_lost(state);
@@ -304,8 +321,10 @@
         match outcome {
             OrderOutcome::Done(reply) => {
                 state.opened = Some(reply.opened);
-                self.lost_targets
-                    .retain(|lost| state.owner.as_ref() != Some(&lost.holder));
+                state.replaced = false;
+                if let Some(owner) = &state.owner {
+                    self.lost_targets.remove(owner);
+                }
                 if state.stage == Stage::Granting {
                     state.stage = Stage::Held;
                     state.handover = None;
@@ -333,6 +352,7 @@
             OrderOutcome::OtherTarget => {
                 state.held_until = state.held_until_before_order;
                 state.not_sent = LOST_AFTER_NOT_SENT;
+                state.replaced = true;
             }
             OrderOutcome::Unidentified => {
                 state.held_until = state.held_until_before_order;
@@ -349,28 +369,59 @@
         }
     }
 
-    /// Handles the outcome of a release.
+    /// Handles the outcome of a release, by the owner or by the process that has replaced it.
     pub(super) fn release_ended(&mut self, at: usize, outcome: OrderOutcome, now: Instant) {
+        let state = &mut self.ranges[at];
         match outcome {
             OrderOutcome::Done(reply) => {
-                self.ranges[at].handover = reply.handover;
-                self.complete_move(at, now);
+                state.handover = reply.handover;
+                return self.complete_move(at, now);
             }
-            // The owner has ended, so that there is no work to wait for; the grant still has to expire.
             OrderOutcome::OtherTarget => {
-                self.ranges[at].next_order_at = self.ranges[at].held_until;
+                state.replaced = !state.replaced;
+                if state.proven_address.is_none() {
+                    state.next_order_at = state.held_until;
+                    return;
+                }
             }
             OrderOutcome::StaleFence
             | OrderOutcome::NotSent
             | OrderOutcome::Reconnected
             | OrderOutcome::Unidentified
-            | OrderOutcome::Unknown => {
-                self.ranges[at].next_order_at = now + ORDER_RETRY_DELAY;
-            }
+            | OrderOutcome::Unknown => {}
         }
+        state.next_order_at = now + ORDER_RETRY_DELAY * 2u32.pow(state.unanswered);
+        state.unanswered = (state.unanswered + 1).min(MAX_RELEASE_DOUBLINGS);
     }
 }
 
+/// Returns the process that is to release the keys of `owner`.
+///
+/// This is the owner's process or a later one of the same target, which may have been granted the keys at
+/// the same address before it was listed. If the owner is not listed any more, or another process named
+/// itself at its address, it is the process that is now listed at this address. The keys are free once
+/// that one has released them:
+///
+/// - The owner responded under its id at this address, so it had the address. An address has one process at
+///   a time and is given to another one only after the former has ended. So whichever process executes the
+///   release, it is the owner itself, or the owner has ended and holds nothing. A frozen process keeps its
+///   address and executes nothing.
+/// - Orders for the owner that another process at its address has executed, or will execute, have lower
+///   fences than the release.
+///
+/// Without a response of the owner at the address, its list entry may be wrong or restored, or the process
+/// may have been listed at another address when it was granted the keys. Nothing is concluded then, and the
+/// grant has to expire. The same holds if no other process of the service is listed at the address: an order
+/// must not be sent to a process of another service.
+fn releasing_process<'a>(
+    state: &RangeState,
+    owner: &Holder,
+    candidates: &CandidateIndex<'a>,
+) -> Option<&'a Candidate> {
+    let own = candidates.get_latest(owner).filter(|_| !state.replaced);
+    own.or_else(|| candidates.other_at(state.proven_address?, &owner.id))
+}
+
 /// Returns true if the owner has not answered several orders in a row.
 fn is_lost(state: &RangeState) -> bool {
     state.unanswered >= LOST_AFTER_UNANSWERED || state.not_sent >= LOST_AFTER_NOT_SENT
--- a/src/node/keys/leader/range_state.rs
+++ b/src/node/keys/leader/range_state.rs
@@ -1,5 +1,6 @@
 //! The state of one range of keys: its owner, its grant and the step of its current move.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -39,6 +40,10 @@
     pub(super) unanswered: u32,
     /// Consecutive orders that could not be sent.
     pub(super) not_sent: u32,
+    /// The last address at which the owner is known to have responded under its id.
+    pub(super) proven_address: Option<SocketAddr>,
+    /// Whether a process at the owner's address named itself as that of another target.
+    pub(super) replaced: bool,
     /// Whether the owner has accepted a grant since confirmations were last required.
     pub(super) confirmed: bool,
 }
@@ -84,6 +89,8 @@
             next_order_at: self.next_order_at,
             unanswered: self.unanswered,
             not_sent: self.not_sent,
+            proven_address: self.proven_address,
+            replaced: self.replaced,
             confirmed: self.confirmed,
         }
     }
--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -24,6 +24,9 @@
 /// A whole range is moved only if its load is at most this multiple of the desired load.
 const MAX_LOAD_RATIO: f64 = 1.4;
 
+/// Ranges of lost owners are split where they would raise the utilisation of their new owner above this.
+const MAX_PLACED: f64 = 0.9;
+
 /// A target that may own keys.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -37,6 +40,8 @@
     pub leaving: bool,
     /// True if it was lost recently, so that it is given one key first.
     pub on_probation: bool,
+    /// True if the process has responded under its id at this address.
+    pub proven: bool,
 }
 
 /// A planned move of keys to a new owner.
@@ -59,19 +64,95 @@
     pub movable: bool,
 }
 
-/// Returns the candidate with the lowest utilisation; of equal ones, the one with the fewest keys.
-pub fn least_loaded<'a>(
-    candidates: &'a [Candidate],
+/// Plans new owners of ranges whose owners cannot keep them, the busiest range first. Each range goes to
+/// the candidate with the lowest utilisation after the move; of equal ones, to the one with the fewest
+/// keys. A range that no candidate has room for is split, so that the busiest ranges do not overload the
+/// first candidates that get them.
+///
+/// `ranges` contains all ranges with owners. In `lost`, each range has the owner that it leaves, if any;
+/// the last field states whether it may be split. The load of these owners counts no longer.
+pub fn place(
+    candidates: &[Candidate],
     ranges: &[OwnedRange<'_>],
+    lost: Vec<LostRange<'_>>,
     key_load: &KeyLoad,
-) -> Option<&'a Candidate> {
-    let loads = Loads::new(candidates, ranges, key_load);
+) -> Vec<Move> {
+    let mut loads = Loads::new(candidates, ranges, key_load);
+    for range in &lost {
+        loads.remove(range.owner, range.range, key_load.rate(range.range));
+    }
     let open = candidates.iter().filter(|candidate| candidate.is_open());
-    open.min_by(|a, b| {
-        let by_load = loads.utilisation(a).total_cmp(&loads.utilisation(b));
-        let keys = |candidate: &Candidate| loads.keys.get(&candidate.holder).copied();
-        by_load.then_with(|| keys(a).cmp(&keys(b)))
-    })
+    let mut places: Vec<Place<'_>> = open.map(|candidate| loads.place(candidate)).collect();
+    let with_rate = lost
+        .into_iter()
+        .map(|range| (key_load.rate(range.range), range));
+    let mut waiting: Vec<_> = with_rate.collect();
+    waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut moves = Vec::with_capacity(waiting.len());
+    while let Some((rate, lost)) = waiting.pop() {
+        let others = places
+            .iter_mut()
+            .filter(|place| Some(&place.candidate.holder) != lost.owner);
+        let best = others.min_by(|a, b| {
+            let by_load = a.utilisation(rate).total_cmp(&b.utilisation(rate));
+            by_load.then_with(|| a.keys.cmp(&b.keys))
+        });
+        let Some(best) = best else {
+            continue;
+        };
+        let split = (lost.splittable && best.utilisation(rate) > MAX_PLACED)
+            .then(|| key_load.split_point(lost.range, best.room()))
+            .flatten();
+        let range = match split {
+            Some(last) => {
+                let first = last + 1;
+                let range = KeyRange {
+                    first,
+                    ..lost.range
+                };
+                let rest = (key_load.rate(range), LostRange { range, ..lost });
+                let at = waiting.partition_point(|(rate, _)| *rate < rest.0);
+                waiting.insert(at, rest);
+                KeyRange { last, ..lost.range }
+            }
+            None => lost.range,
+        };
+        best.load += key_load.rate(range);
+        best.keys += range.len();
+        let to = best.candidate.holder.clone();
+        moves.push(Move { range, to });
+    }
+    moves
+}
+
+/// A range whose owner cannot keep it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LostRange<'a> {
+    /// The keys.
+    pub range: KeyRange,
+    /// The owner that they leave, if any.
+    pub owner: Option<&'a Holder>,
+    /// True if parts of the range may move to different owners.
+    pub splittable: bool,
+}
+
+/// A candidate, with the load that it has and that it has been given.
+struct Place<'a> {
+    candidate: &'a Candidate,
+    load: f64,
+    keys: u32,
+}
+
+impl Place<'_> {
+    /// Returns the utilisation with an additional load.
+    fn utilisation(&self, rate: f64) -> f64 {
+        (self.load + rate) / self.candidate.capacity
+    }
+
+    /// Returns the load that it can take.
+    fn room(&self) -> f64 {
+        (MAX_PLACED * self.candidate.capacity - self.load).max(0.0)
+    }
 }
 
 /// Divides all keys into equal ranges, one per candidate.
@@ -257,6 +338,29 @@
         Self { load, keys }
     }
 
+    /// Removes the load of a range from its owner.
+    fn remove(&mut self, owner: Option<&Holder>, range: KeyRange, rate: f64) {
+        let Some(owner) = owner else {
+            return;
+        };
+        if let Some(load) = self.load.get_mut(owner) {
+            *load = (*load - rate).max(0.0);
+        }
+        if let Some(keys) = self.keys.get_mut(owner) {
+            *keys = keys.saturating_sub(range.len());
+        }
+    }
+
+    fn place<'b>(&self, candidate: &'b Candidate) -> Place<'b> {
+        let load = self.load.get(&candidate.holder).copied();
+        let keys = self.keys.get(&candidate.holder).copied();
+        Place {
+            candidate,
+            load: load.unwrap_or_default(),
+            keys: keys.unwrap_or_default(),
+        }
+    }
+
     /// Returns the utilisation of a target: its load divided by its capacity.
     fn utilisation(&self, candidate: &Candidate) -> f64 {
         let load = self.load.get(&candidate.holder).copied();
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -297,6 +297,7 @@
         capacity: 4.0,
         leaving: false,
         on_probation: false,
+        proven: true,
     }
 }
 
@@ -509,6 +510,101 @@
     expect_that!(simulation.violations, is_empty());
 }
 
+fn candidate_at(target: &str, port: u16) -> Candidate {
+    Candidate {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        ..listed(target)
+    }
+}
+
+/// Returns a process of another target that started later at an address.
+fn later_at(target: &str, port: u16) -> Candidate {
+    let mut candidate = candidate_at(target, port);
+    candidate.holder.incarnation = 2;
+    candidate
+}
+
+/// Returns the orders of a leader whose owner t0 is replaced at its address by `next`, after its loss was
+/// stored, until 800 ms later.
+fn orders_after_replacement(owner: Candidate, next: Candidate) -> Vec<Order> {
+    let mut now = Instant::now() + MS(1_000_000);
+    let load = KeyLoad::new(now);
+    let mut leader = leader_of(2, "t0", None, now);
+    let candidates = [owner, next, candidate_at("t2", 2)];
+    let mut sent = Vec::new();
+    for _ in 0..16 {
+        for action in leader.tick(now, &candidates, &load) {
+            match action {
+                Action::Write(map) => leader.map_write_ended(map.version, true),
+                Action::Send(order) => {
+                    let outcome = match order.to.id.as_str() {
+                        "t0" => OrderOutcome::OtherTarget,
+                        _ => OrderOutcome::Done(OrderReply {
+                            handover: None,
+                            opened: now,
+                        }),
+                    };
+                    leader.order_ended(order.id, outcome, now);
+                    sent.push(order);
+                }
+                Action::Announce(..) | Action::CheckLease => {}
+            }
+        }
+        now += MS(50);
+    }
+    sent
+}
+
+#[googletest::test]
+fn keys_of_a_replaced_owner_are_granted_once_the_process_at_its_address_has_released_them() {
+    let sent = orders_after_replacement(candidate_at("t0", 1), later_at("t1", 1));
+    let release = sent.iter().find(|order| order.command == Command::Release);
+    let release = release.expect("a release");
+    expect_that!(release.to, eq(&later_at("t1", 1).holder));
+    expect_that!(release.fence, gt(sent[0].fence));
+    let grants = sent
+        .iter()
+        .skip_while(|order| order.command != Command::Release);
+    let granted = grants.filter(|order| order.command != Command::Release);
+    let granted: Vec<_> = granted.collect();
+    expect_that!(granted, not(is_empty()));
+    expect_true!(granted.iter().all(|order| order.fence > release.fence));
+}
+
+#[googletest::test]
+fn keys_of_a_replaced_owner_stay_until_the_grant_expires_without_proof_of_its_address() {
+    let unproven = Candidate {
+        proven: false,
+        ..candidate_at("t0", 1)
+    };
+    // The list entry of the owner may be wrong, so that it may hold the keys at another address.
+    let sent = orders_after_replacement(unproven, later_at("t1", 1));
+    expect_true!(sent.iter().all(|order| order.to == process("t0")));
+    // No process of the service is listed at the address.
+    let sent = orders_after_replacement(candidate_at("t0", 1), later_at("t1", 3));
+    expect_true!(sent.iter().all(|order| order.to == process("t0")));
+}
+
+#[googletest::test]
+fn targets_that_restart_under_new_ids_have_their_keys_soon_after_a_change_of_leader() {
+    let mut simulation = simulation_with_held_keys(8, 3);
+    // The former leader may be active, and the next one does not reach half of the owners.
+    let former = simulation.leader().expect("a node leads");
+    simulation.nodes[former].cut_off = true;
+    simulation.nodes[former].reaches_table = false;
+    for target in 0..4 {
+        simulation.crash(target);
+    }
+    simulation.run(MS(3_000));
+    for target in 0..4 {
+        simulation.restart_renamed(target);
+        simulation.list_process(target);
+    }
+    let took = run_until_held(&mut simulation, MS(30_000));
+    expect_that!(took, lt(MS(3_000)));
+    expect_that!(simulation.violations, is_empty());
+}
+
 /// Applies one random fault or repair to a random target or node, or adds load.
 fn inject_fault(simulation: &mut Simulation, rng: &mut TestRng) {
     let target = rng.below(simulation.targets.len() as u64) as usize;
@@ -563,4 +659,27 @@
             prop_assert!(simulation.violations.is_empty(), "{:?}", simulation.violations.first());
         }
     }
+
+    #[test]
+    fn no_key_is_held_twice_if_targets_restart_under_new_ids(seed in any::<u64>(), lost in 0u64..20, late in 0u64..30, writes in 0u64..30) {
+        let (mut simulation, mut rng) = start_with_faults(seed, lost, late, writes);
+        for _ in 0..60 {
+            let target = rng.below(4) as usize;
+            match rng.below(8) {
+                0 => {
+                    // Within 2 s, new connections are used for orders without asking for the id.
+                    simulation.crash(target);
+                    simulation.run(MS(rng.below(3_000)));
+                    simulation.restart_renamed(target);
+                }
+                1 | 2 => simulation.list_process(target),
+                3 => simulation.unlist_former(target),
+                4 => simulation.nodes[rng.below(3) as usize].cut_off = rng.percent(50),
+                _ => inject_fault(&mut simulation, &mut rng),
+            }
+            simulation.nodes.iter_mut().for_each(|node| node.running = true);
+            simulation.run(MS(50 + rng.below(1_200)));
+            prop_assert!(simulation.violations.is_empty(), "{:?}", simulation.violations.first());
+        }
+    }
 }
--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -40,6 +40,8 @@
 const CONFIRM_PERIOD: Duration = Duration::from_secs(3);
 /// The same while its calls fail.
 const RETRY_PERIOD: Duration = Duration::from_millis(300);
+/// How long after a proof of identity a new connection is used for orders without asking.
+const REUSE_AFTER: Duration = Duration::from_secs(2);
 /// How long a target's current work on keys delays its answer to a release.
 const RELEASE_WORK: Duration = Duration::from_millis(200);
 
@@ -87,6 +89,11 @@
     incarnation: u64,
     /// The process that the list names; an earlier one while the list is out of date.
     listed_incarnation: u64,
+    /// The id of its process and of the one that the list names.
+    id: TargetId,
+    listed_id: TargetId,
+    /// The list's entry of a process with another id that had the address before.
+    former: Option<Holder>,
     holds: Vec<HeldRange>,
     /// When its process started; all connections to it count as opened then.
     started_at: Instant,
@@ -116,6 +123,8 @@
     generation: Generation,
     /// The processes of other nodes from which this process has received heartbeats.
     peers: BTreeMap<usize, u64>,
+    /// When targets last responded under these ids, by address.
+    proofs: BTreeMap<(usize, TargetId), Instant>,
 }
 
 /// The state of a node while it leads.
@@ -200,13 +209,6 @@
     OrderReply { handover, opened }
 }
 
-fn holder(index: usize, incarnation: u64) -> Holder {
-    Holder {
-        id: TargetId::from(format!("t{index}")),
-        incarnation,
-    }
-}
-
 fn overlap(a: KeyRange, b: KeyRange) -> bool {
     a.first <= b.last && b.first <= a.last
 }
@@ -231,6 +233,9 @@
     pub fn new(targets: usize, nodes: usize, seed: u64) -> Self {
         let now = Instant::now() + Duration::from_secs(1_000);
         let target = |incarnation: usize| FakeTarget {
+            id: TargetId::from(format!("t{incarnation}")),
+            listed_id: TargetId::from(format!("t{incarnation}")),
+            former: None,
             up: true,
             listed: true,
             leaving: false,
@@ -253,6 +258,7 @@
             key_load: KeyLoad::new(now),
             generation: Generation::default(),
             peers: BTreeMap::new(),
+            proofs: BTreeMap::new(),
         };
         Self {
             now,
@@ -325,12 +331,30 @@
         self.list_process(index);
     }
 
-    /// Lists the process of a target that runs now.
+    /// Lists the process of a target that runs now. If its id is new, the former process stays listed.
     pub fn list_process(&mut self, index: usize) {
         let target = &mut self.targets[index];
+        if target.listed_id != target.id {
+            target.former = Some(Holder {
+                id: std::mem::replace(&mut target.listed_id, target.id.clone()),
+                incarnation: target.listed_incarnation,
+            });
+        }
         target.listed_incarnation = target.incarnation;
     }
 
+    /// Starts a new process under a new id at the address of a target, while the list names the former one.
+    pub fn restart_renamed(&mut self, index: usize) {
+        self.restart_unlisted(index);
+        let target = &mut self.targets[index];
+        target.id = TargetId::from(format!("t{index}-{}", target.incarnation));
+    }
+
+    /// Removes the former process with another id from the list.
+    pub fn unlist_former(&mut self, index: usize) {
+        self.targets[index].former = None;
+    }
+
     /// Starts a new process of a target at the same address, while the list names the former one.
     pub fn restart_unlisted(&mut self, index: usize) {
         self.last_incarnation += 1;
@@ -355,6 +379,7 @@
         node.running = true;
         node.generation = Generation::default();
         node.peers.clear();
+        node.proofs.clear();
     }
 
     /// Returns a copy of the table.
@@ -409,22 +434,47 @@
         self.table_up && self.nodes[node].reaches_table
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
-        let listed = self.targets.iter().enumerate();
-        let listed = listed.filter(|(_, target)| target.listed);
-        listed
-            .map(|(index, target)| Candidate {
-                holder: holder(index, target.listed_incarnation),
-                address: SocketAddr::from(([127, 0, 0, 1], index as u16 + 1)),
-                capacity: 4.0,
-                leaving: target.leaving,
-                on_probation: false,
-            })
-            .collect()
+    fn candidates(&self, node: usize) -> Vec<Candidate> {
+        let proofs = &self.nodes[node].proofs;
+        let candidate = |index: usize, holder: Holder, leaving: bool| Candidate {
+            proven: proofs.contains_key(&(index, holder.id.clone())),
+            holder,
+            address: SocketAddr::from(([127, 0, 0, 1], index as u16 + 1)),
+            capacity: 4.0,
+            leaving,
+            on_probation: false,
+        };
+        let mut candidates = Vec::new();
+        for (index, target) in self.targets.iter().enumerate() {
+            if target.listed {
+                let holder = Holder {
+                    id: target.listed_id.clone(),
+                    incarnation: target.listed_incarnation,
+                };
+                candidates.push(candidate(index, holder, target.leaving));
+            }
+            if let Some(former) = &target.former {
+                candidates.push(candidate(index, former.clone(), false));
+            }
+        }
+        candidates
+    }
+
+    /// Records the ids under which targets respond to a node's requests, which name the target that is
+    /// listed.
+    fn send_requests(&mut self, node: usize) {
+        let (now, fake) = (self.now, &mut self.nodes[node]);
+        for (index, target) in self.targets.iter().enumerate() {
+            let reached = target.up && target.listed && !fake.unreachable.contains(&index);
+            if reached && target.listed_id == target.id && self.rng.percent(10) {
+                fake.proofs.insert((index, target.id.clone()), now);
+            }
+        }
     }
 
     fn step_node(&mut self, node: usize) {
         let now = self.now;
+        self.send_requests(node);
         self.nodes[node].key_load.decay(now);
         if self.nodes[node].leading.is_some() {
             return self.lead(node);
@@ -490,7 +540,7 @@
 
     fn lead(&mut self, node: usize) {
         let now = self.now;
-        let candidates = self.candidates();
+        let candidates = self.candidates(node);
         // The node reads rules and targets too, and any answer shows the generation.
         if self.table_answers(node) && self.rng.percent(10) {
             self.nodes[node].generation = self.generation;
@@ -665,7 +715,21 @@
                 .push(answer(OrderOutcome::Reconnected, NETWORK_DELAY, self.now));
             return;
         }
+        let reuses = matches!(
+            order.command,
+            Command::Grant {
+                opened: Some(_),
+                ..
+            }
+        );
+        let proof = self.nodes[node].proofs.get(&(target, order.to.id.clone()));
+        let is_certain = proof.is_some_and(|at| self.now - *at < REUSE_AFTER);
         let is_unreachable = self.nodes[node].unreachable.contains(&target);
+        if !reuses && !is_certain && !is_unreachable && order.to.id != self.targets[target].id {
+            self.answers
+                .push(answer(OrderOutcome::OtherTarget, NETWORK_DELAY, self.now));
+            return;
+        }
         if is_unreachable || self.rng.percent(self.faults.lost) {
             self.answers
                 .push(answer(OrderOutcome::Unknown, timeout, self.now));
@@ -772,6 +836,11 @@
             let Some(leading) = &mut fake.leading else {
                 continue;
             };
+            if let OrderOutcome::Done(_) | OrderOutcome::StaleFence = answer.outcome {
+                let target = usize::from(answer.order.address.port()) - 1;
+                let proof = (target, answer.order.to.id.clone());
+                fake.proofs.insert(proof, now);
+            }
             let actions = leading
                 .tenure
                 .leader
