--- a/src/node/control/group/lead.rs
+++ b/src/node/control/group/lead.rs
@@ -517,5 +517,6 @@
         grants,
         on_probation: false,
         cold: cold.is_some(),
+        proven: target.proven_at().is_some(),
     }
 }
--- a/tests/evacuation_keys.rs
+++ b/tests/evacuation_keys.rs
@@ -40,6 +40,8 @@
         leaving: grants != GrantScope::All,
         grants,
         on_probation: false,
+        cold: false,
+        proven: true,
     }
 }
 
