Count the bytes that others make a process hold in one account

Cause: 30 bodies of 8 MB took a node of 120 MB to 254 to 271 MB, 8 chunked bodies over the limit to 134 MB, and 700 silent connections took all places of callers, or all descriptors at the ready address.

Change: src/memory replaces src/node/held_bytes.rs. One account counts request bodies, heads with their field tables, pipelined bytes and responses, and decides which body is refused when it is short (docs/design/memory.md). A body is held once, in segments that are never moved, and sent by vectored writes; the response is no longer copied behind its head. At the limit on connections, the one that has waited longest is closed in favour of a new one; the ready address has a limit. Gauges and event 507 show the account.

tests/node_held_bytes.rs becomes tests/memory.rs with its cases unchanged. The test descriptors counted answered connections; idle ones are now closed in favour of new ones, so it counts those that the node keeps open, with the same bound (30 were answered, at most 10 open).

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -92,6 +92,8 @@
     ResponseCut = 505,
     /// A request was not sent, or not sent again, because its caller had disconnected.
     SendSkipped = 506,
+    /// A request was refused because the account of held bytes is short.
+    MemoryShort = 507,
     /// Similar requests crashed several targets and are refused temporarily.
     RequestQuarantined = 510,
     /// A target failed repeatedly and gets no requests temporarily.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod inifile;
 pub mod link;
 pub mod member;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod operator;
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -18,6 +18,8 @@
 
 use crate::events::Event;
 use crate::ids::ServiceId;
+use crate::node::connections::Connections;
+use crate::node::connections::Waiting;
 use crate::node::control::group;
 use crate::node::control::group::GroupMessage;
 use crate::node::control::group::Groups;
@@ -27,6 +29,7 @@
 use crate::node::control::rows::NodeRow;
 use crate::node::control::watch;
 use crate::node::counters::Counter;
+use crate::node::counters::render_account;
 use crate::node::notices::end_pauses;
 use crate::node::platform::Platform;
 use crate::node::proxy::conn::Conn;
@@ -44,10 +47,8 @@
 
 /// Length of the accept queue of each listening socket.
 const LISTEN_BACKLOG: u32 = 1_024;
-/// Pause before the next accept when an accept failed or callers use all their descriptors.
+/// Pause before the next accept when an accept failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Share of the descriptors that callers and other nodes may use; the rest is for targets and the platform.
-const CALLER_SOCKET_SHARE: f64 = 0.5;
 /// How often the log is flushed, missing groups are started and expired targets are removed.
 const MAINTENANCE_PERIOD: Duration = Duration::from_millis(200);
 /// Maintenance periods between two sweeps of idle connections and reloads of the settings.
@@ -76,6 +77,14 @@
 const MIN_RESTORE_SPREAD: Duration = Duration::from_millis(500);
 /// How long a connection to the ready or the metrics address may last.
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of connections to the ready or the metrics address; the load balancer and the
+/// operators use a few.
+const MAX_READY_CONNECTIONS: usize = 64;
+/// They use at most the sockets of the process divided by this.
+const READY_SOCKET_DIVISOR: usize = 8;
+/// How long such a connection remains open at least when a new one arrives at the limit. A response
+/// takes a few milliseconds.
+const MIN_READY_WAIT: Duration = Duration::from_millis(50);
 
 /// The addresses on which a node listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -183,28 +192,17 @@
     callers: TcpListener,
     nodes: TcpListener,
 ) -> [JoinHandle<()>; 2] {
-    let open_connections = Rc::new(());
-    [(callers, Origin::Caller), (nodes, Origin::Node)].map(|(listener, origin)| {
-        let open_connections = open_connections.clone();
-        spawn(accept(state.clone(), listener, origin, open_connections))
-    })
+    [(callers, Origin::Caller), (nodes, Origin::Node)]
+        .map(|(listener, origin)| spawn(accept(state.clone(), listener, origin)))
 }
 
-/// Accepts connections; each one holds a reference to `open_connections`, which all listeners share.
-async fn accept(state: Rc<State>, listener: TcpListener, origin: Origin, open_connections: Rc<()>) {
-    let max_callers = (state.conf.max_sockets as f64 * CALLER_SOCKET_SHARE) as usize;
+/// Accepts connections; at the limit, one that waits for a request is closed in favour of a new one.
+async fn accept(state: Rc<State>, listener: TcpListener, origin: Origin) {
     loop {
-        if Rc::strong_count(&open_connections) > max_callers {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (state, open_connection) = (state.clone(), open_connections.clone());
-                spawn(async move {
-                    serve(state, stream, origin).await;
-                    drop(open_connection);
-                });
+                let connection = state.connections.admit().await;
+                spawn(serve(state.clone(), stream, origin, connection));
             }
             // No descriptor is left, or the caller disconnected before it was accepted.
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -418,14 +416,22 @@
 
 /// Serves `/ready` to the load balancer and `/metrics` to operators.
 async fn serve_ready(state: Rc<State>, listener: TcpListener) {
+    let max = (state.conf.max_sockets / READY_SOCKET_DIVISOR).min(MAX_READY_CONNECTIONS);
+    let connections = Rc::new(Connections::new(max, MIN_READY_WAIT));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let state = state.clone();
+                let connection = connections.admit().await;
+                connection.set_waiting(Some(Waiting::Request));
                 spawn(async move {
                     // The load balancer treats a missing response as a failed health check, so
                     // errors need no handling.
-                    let _ = timeout(READY_TIMEOUT, respond_ready(&state, stream)).await;
+                    let responding = timeout(READY_TIMEOUT, respond_ready(&state, stream));
+                    tokio::select! {
+                        _ = responding => {}
+                        () = connection.closing() => {}
+                    }
                 });
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -454,7 +460,8 @@
                 state
                     .counters
                     .set(Counter::LogLinesDropped, state.log.dropped());
-                ("200 OK", state.counters.render())
+                let account = render_account(&state.memory);
+                ("200 OK", state.counters.render() + &account)
             }
             _ => ("404 Not Found", "ask for /ready or /metrics\n".to_owned()),
         };
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -11,6 +11,8 @@
 use strum::IntoEnumIterator;
 
 use crate::ids::ServiceId;
+use crate::memory::Account;
+use crate::memory::Share;
 
 /// Upper bounds of the latency buckets, in milliseconds.
 const LATENCY_BOUNDS_MS: [u64; 10] = [5, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
@@ -127,6 +129,23 @@
     }
 }
 
+/// Renders the gauges of the account of held bytes.
+pub fn render_account(account: &Account) -> String {
+    let mut text = String::new();
+    for share in Share::iter() {
+        let (name, used) = (<&str>::from(share), account.used_by(share));
+        line(
+            &mut text,
+            format_args!("held_bytes{{share=\"{name}\"}} {used}"),
+        );
+    }
+    let limit = account.limit();
+    line(&mut text, format_args!("held_bytes_limit {limit}"));
+    let readings = account.readings();
+    line(&mut text, format_args!("bodies_being_read {readings}"));
+    text
+}
+
 fn render_latencies(text: &mut String, service: &ServiceId, counts: &ServiceCounts) {
     let mut cumulative = 0;
     for (index, count) in counts.latencies.iter().enumerate() {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,11 +4,11 @@
 //! [`rules`], [`fleet`], [`list_schedule`], [`pick`], [`retry_budget`], [`rules_lag`] and [`keys`]
 //! make decisions without I/O. [`proxy`] forwards requests; [`control`] does all other I/O.
 
+pub mod connections;
 pub mod control;
 pub mod counters;
 pub mod datagram;
 pub mod fleet;
-pub mod held_bytes;
 pub mod http;
 pub mod identity;
 pub mod keys;
--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -5,12 +5,13 @@
 use std::time::Instant;
 
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 
 use crate::clock::Clock;
 use crate::ids::ServiceId;
+use crate::memory::Body;
+use crate::memory::Held;
+use crate::memory::Share;
 use crate::node::fleet::Target;
-use crate::node::held_bytes::HeldBytes;
 use crate::node::limit::Evidence;
 use crate::node::limit::RequestRate;
 use crate::node::limit::obtain_permit;
@@ -23,6 +24,7 @@
 use crate::node::pause::pause_from_field;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::ReadBuffer;
+use crate::node::proxy::conn::write_parts;
 use crate::node::proxy::headers::HeaderNames;
 use crate::node::proxy::headers::MAX_ATTEMPTS;
 use crate::node::proxy::headers::RULES;
@@ -53,7 +55,7 @@
     /// The request line and header fields.
     pub head: RequestHead,
     /// The body without transfer encoding.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// The caller's request ID, which the target echoes.
     pub id: Vec<u8>,
 }
@@ -91,13 +93,13 @@
     pub head: ResponseHead,
     /// The part of the body received so far, without transfer encoding.
     pub body: Vec<u8>,
-    held: HeldBytes,
+    held: Held,
 }
 
 impl Response {
-    /// Drops the response, and returns the memory that it is counted with, which its encoded form needs
-    /// until it has been sent.
-    pub fn into_held(self) -> HeldBytes {
+    /// Drops the response, and returns the guard of its bytes, which its encoded form needs until it has
+    /// been sent.
+    pub fn into_held(self) -> Held {
         self.held
     }
 }
@@ -165,13 +167,13 @@
         context.pool.put(connection, None, Instant::now());
         return AttemptOutcome::RateLimited;
     }
-    let out = encode_request(context, request, target);
+    let head = encode_head(context, request, target);
     let (sent_at, boot_sent_at) = (Instant::now(), context.state.boot_clock.now());
     if !target.is_relay {
         links::record_sent(context.state, target, sent_at);
     }
     connection.conn.begin_exchange();
-    let (read, request_sent) = exchange(context, &mut connection, &out, request, target).await;
+    let (read, request_sent) = exchange(context, &mut connection, &head, request, target).await;
     match read {
         Ok((response, partial)) => {
             if !target.is_relay {
@@ -228,13 +230,14 @@
 async fn exchange(
     context: AttemptContext<'_>,
     connection: &mut TargetConn,
-    out: &[u8],
+    head: &[u8],
     request: &Request,
     target: &Target,
 ) -> (Result<ReadResponse, &'static str>, bool) {
     let (mut read, mut write, buffer) = connection.conn.split();
     let mut response = std::pin::pin!(read_response(context, &mut read, buffer, request, target));
-    let mut sending = std::pin::pin!(write.write_all(out));
+    let parts = std::iter::once(head).chain(request.body.segments());
+    let mut sending = std::pin::pin!(write_parts(&mut write, parts));
     tokio::select! {
         biased;
         sent = &mut sending => {
@@ -297,10 +300,11 @@
     AttemptOutcome::Complete(response)
 }
 
-fn encode_request(context: AttemptContext<'_>, request: &Request, target: &Target) -> Vec<u8> {
+/// Encodes the head; the body is sent as it is held, by all attempts.
+fn encode_head(context: AttemptContext<'_>, request: &Request, target: &Target) -> Vec<u8> {
     let time_left = context.deadline.saturating_duration_since(Instant::now());
     let names = context.names;
-    let mut out = Vec::with_capacity(512 + request.body.len());
+    let mut out = Vec::with_capacity(512);
     let skip = [
         names.deadline_ms,
         names.expected_target,
@@ -332,7 +336,6 @@
         put(&mut out, format_args!("content-length: {length}\r\n"));
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&request.body);
     out
 }
 
@@ -361,7 +364,7 @@
         if !matches_request && head.framing == Framing::UntilClose {
             return Err("response to another request");
         }
-        let mut held = context.state.buffered.hold();
+        let mut held = context.state.memory.hold(Share::Responses);
         let (body, partial) = read_body(reader, buffer, &head, &mut held).await?;
         if matches_request {
             return Ok((Response { head, body, held }, partial));
@@ -441,7 +444,7 @@
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut ReadBuffer,
     head: &ResponseHead,
-    held: &mut HeldBytes,
+    held: &mut Held,
 ) -> Result<(Vec<u8>, Option<PartialBody>), &'static str> {
     let until_close = head.framing == Framing::UntilClose;
     let mut decoder = BodyDecoder::new(head.framing);
--- a/src/node/proxy/conn.rs
+++ b/src/node/proxy/conn.rs
@@ -1,6 +1,7 @@
 //! A buffered TCP connection, used both towards callers and towards targets.
 
 use std::io;
+use std::io::IoSlice;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,13 +10,14 @@
 use rustix::event::PollFlags;
 use rustix::event::Timespec;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
 
 /// Buffer space reserved for each read, in bytes.
-const READ_BYTES: usize = 8 << 10;
+pub const READ_BYTES: usize = 8 << 10;
 /// Time after which the kernel drops a connection whose sent bytes are not acknowledged. A lost
 /// packet delays the acknowledgement by a few hundred milliseconds only.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -99,6 +101,25 @@
     }
 }
 
+/// Writes parts one after the other without copying them together.
+pub async fn write_parts<'a>(
+    write: &mut (impl AsyncWriteExt + Unpin),
+    parts: impl Iterator<Item = &'a [u8]>,
+) -> io::Result<()> {
+    let mut slices: Vec<IoSlice<'_>> = parts
+        .filter(|part| !part.is_empty())
+        .map(IoSlice::new)
+        .collect();
+    let mut left = &mut slices[..];
+    while !left.is_empty() {
+        match write.write_vectored(left).await? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            count => IoSlice::advance_slices(&mut left, count),
+        }
+    }
+    Ok(())
+}
+
 impl Conn {
     /// Wraps a connected stream and sets its socket options.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
@@ -134,6 +155,11 @@
         self.buffer.data()
     }
 
+    /// Returns the memory that the read buffer takes, in bytes.
+    pub fn buffer_memory(&self) -> usize {
+        self.buffer.bytes.capacity()
+    }
+
     /// Removes `count` bytes from the front of the buffer.
     pub fn consume(&mut self, count: usize) {
         self.buffer.consume(count);
--- a/src/node/proxy/mod.rs
+++ b/src/node/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod headers;
 pub mod pool;
+mod read;
 mod request;
 pub mod respond;
 pub mod serve;
--- a/src/node/proxy/request.rs
+++ b/src/node/proxy/request.rs
@@ -1,55 +1,25 @@
-//! Reads a caller's request and determines the service and the limits that apply to it.
+//! Determines the service of a caller's request and the limits that apply to it.
 
 use std::time::Duration;
 use std::time::Instant;
 
-use tokio::io::AsyncWriteExt;
-use tokio::time::timeout_at;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::ids::ServiceId;
-use crate::node::proxy::conn::Conn;
+use crate::memory::Body;
 use crate::node::proxy::dispatch::RoutedRequest;
 use crate::node::proxy::headers::MAX_ATTEMPTS;
 use crate::node::proxy::headers::RULES;
 use crate::node::proxy::headers::SERVICE;
 use crate::node::proxy::respond::LocalResponse;
 use crate::node::proxy::serve::Origin;
-use crate::node::rules::Limits;
 use crate::node::rules::Router;
 use crate::node::state::State;
-use crate::traffic::body::BodyDecoder;
-use crate::traffic::body::Framing;
 use crate::traffic::head::HeadError;
 use crate::traffic::head::RequestHead;
-use crate::traffic::head::head_length;
-use crate::traffic::head::parse_request;
 
 /// Subtracted from the caller's timeout: the network delay of the request and the response.
 const NETWORK_DELAY: Duration = Duration::from_millis(15);
-/// A request body may take at most the process's memory limit divided by this.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
-pub(super) async fn read_head(
-    conn: &mut Conn,
-    limits: &Limits,
-) -> Result<Option<RequestHead>, HeadError> {
-    let length = loop {
-        match head_length(conn.data())? {
-            Some(length) if length > limits.head_bytes => return Err(HeadError::TooLong),
-            Some(length) => break length,
-            None if conn.data().len() > limits.head_bytes => return Err(HeadError::TooLong),
-            None => {}
-        }
-        if !matches!(conn.fill().await, Ok(1..)) {
-            return Ok(None);
-        }
-    };
-    let head = parse_request(&conn.data()[..length]);
-    conn.consume(length);
-    head.map(Some)
-}
 
 pub(super) fn head_error(error: HeadError) -> LocalResponse {
     match error {
@@ -149,60 +119,12 @@
     text.trim().parse().ok()
 }
 
-/// Reads the whole body. `Err(None)` means that the caller has disconnected.
-pub(super) async fn read_body(
-    state: &State,
-    conn: &mut Conn,
-    head: &RequestHead,
-    limits: &Limits,
-    deadline: Instant,
-) -> Result<Vec<u8>, Option<LocalResponse>> {
-    const TOO_LONG: LocalResponse = LocalResponse {
-        status: 413,
-        text: "the body is too long; send a shorter one",
-        retry_after: None,
-    };
-    let max_body_bytes = limits
-        .body_bytes
-        .min(state.conf.memory_bytes / BODY_MEMORY_DIVISOR);
-    if matches!(head.framing, Framing::Length(length) if length > max_body_bytes) {
-        return Err(Some(TOO_LONG));
-    }
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::new();
-    if head.expects_continue && !decoder.is_done() {
-        let (_, mut write, _) = conn.split();
-        write.write_all(CONTINUE_RESPONSE).await.map_err(|_| None)?;
-    }
-    loop {
-        while !decoder.is_done() && !conn.data().is_empty() {
-            let piece = decoder.decode(conn.data());
-            let malformed =
-                LocalResponse::error(400, "the body is malformed; send it as RFC 9112 has it");
-            let piece = piece.map_err(|_| Some(malformed))?;
-            body.extend_from_slice(&conn.data()[piece.skip..piece.used()]);
-            conn.consume(piece.used());
-        }
-        if decoder.is_done() {
-            return Ok(body);
-        }
-        if body.len() as u64 > max_body_bytes {
-            return Err(Some(TOO_LONG));
-        }
-        let filled = timeout_at(deadline.into(), conn.fill()).await;
-        let timed_out = LocalResponse::error(408, "the body did not come in time; send it again");
-        if !matches!(filled.map_err(|_| Some(timed_out))?, Ok(1..)) {
-            return Err(None);
-        }
-    }
-}
-
-pub(super) fn fingerprint(head: &RequestHead, body: &[u8]) -> u64 {
+pub(super) fn fingerprint(head: &RequestHead, body: &Body) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(head.method.as_bytes());
     hasher.update(b" ");
     hasher.update(head.path.as_bytes());
     hasher.update(b"\n");
-    hasher.update(body);
+    body.segments().for_each(|segment| hasher.update(segment));
     hasher.digest()
 }
--- a/src/node/proxy/respond.rs
+++ b/src/node/proxy/respond.rs
@@ -17,13 +17,12 @@
 /// Longest `Retry-After` sent to callers.
 pub const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
-/// Encodes a target's complete response.
-pub fn encode_response(response: &Response, close: bool) -> Vec<u8> {
-    let mut out = Vec::with_capacity(512 + response.body.len());
+/// Encodes the head of a target's complete response; the body follows as it is.
+pub fn encode_response_head(response: &Response, close: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512);
     forward::plain_response_head(&mut out, &response.head);
     forward::complete_body_framing(&mut out, &response.head, response.body.len());
     end_head(&mut out, close);
-    out.extend_from_slice(&response.body);
     out
 }
 
@@ -192,6 +191,7 @@
     match status {
         400 => "Bad Request",
         404 => "Not Found",
+        408 => "Request Timeout",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
--- a/src/node/proxy/serve.rs
+++ b/src/node/proxy/serve.rs
@@ -12,23 +12,30 @@
 
 use crate::events::Event;
 use crate::ids::VmId;
+use crate::memory::Held;
+use crate::memory::Share;
+use crate::node::connections::OpenConnection;
+use crate::node::connections::Waiting;
 use crate::node::counters::Counter;
 use crate::node::fleet::Target;
-use crate::node::held_bytes::HeldBytes;
 use crate::node::log::Line;
 use crate::node::proxy::attempt::Request;
 use crate::node::proxy::attempt::ResponseStream;
 use crate::node::proxy::conn::CallerStatus;
 use crate::node::proxy::conn::Conn;
+use crate::node::proxy::conn::READ_BYTES;
 use crate::node::proxy::conn::ReadBuffer;
+use crate::node::proxy::conn::write_parts;
 use crate::node::proxy::dispatch::Outcome;
 use crate::node::proxy::dispatch::Refusal;
 use crate::node::proxy::dispatch::RoutedRequest;
 use crate::node::proxy::dispatch::dispatch;
+use crate::node::proxy::read::BodyReader;
+use crate::node::proxy::read::HeadFailure;
+use crate::node::proxy::read::head_refused;
+use crate::node::proxy::read::read_head;
 use crate::node::proxy::request::fingerprint;
 use crate::node::proxy::request::head_error;
-use crate::node::proxy::request::read_body;
-use crate::node::proxy::request::read_head;
 use crate::node::proxy::request::route;
 use crate::node::proxy::respond;
 use crate::node::proxy::respond::Echo;
@@ -80,6 +87,27 @@
     Node,
 }
 
+/// A connection of a caller or another node.
+struct Caller {
+    conn: Conn,
+    origin: Origin,
+    connection: OpenConnection,
+    /// Counts the read buffer and the head of the request that is served.
+    held: Held,
+}
+
+impl Caller {
+    /// Records that the connection waits for a request. Connections of other nodes are not closed in
+    /// favour of new ones.
+    fn set_idle(&self) {
+        let waiting = match self.origin {
+            Origin::Caller => Some(Waiting::Request),
+            Origin::Node => None,
+        };
+        self.connection.set_waiting(waiting);
+    }
+}
+
 /// Counts a request as being served until dropped.
 struct RequestGuard<'a>(&'a State);
 
@@ -116,22 +144,35 @@
 }
 
 /// Serves a caller's connection until it is closed.
-pub async fn serve(state: Rc<State>, stream: TcpStream, origin: Origin) {
-    let Ok(mut conn) = Conn::new(stream) else {
+pub async fn serve(
+    state: Rc<State>,
+    stream: TcpStream,
+    origin: Origin,
+    connection: OpenConnection,
+) {
+    let Ok(conn) = Conn::new(stream) else {
         return;
     };
+    let held = state.memory.hold(Share::Small);
+    let mut caller = Caller {
+        conn,
+        origin,
+        connection,
+        held,
+    };
     let _connection_guard = ConnectionGuard::new(&state);
     let mut grace = FIRST_REQUEST_GRACE;
     // An idle connection is closed without reading on: a request that arrives from now on stays
     // unread, so the kernel resets the connection and the caller may send it again elsewhere.
-    while wait_for_request(&state, &mut conn, grace).await {
+    while wait_for_request(&state, &mut caller, grace).await {
         grace = Duration::ZERO;
         let request_guard = RequestGuard::new(&state);
-        let next_step = serve_request(&state, &mut conn, origin).await;
+        let next_step = serve_request(&state, &mut caller).await;
         drop(request_guard);
+        caller.held.shrink(caller.conn.buffer_memory());
         match next_step {
             NextStep::KeepOpen => {}
-            NextStep::Close => return close_gracefully(conn).await,
+            NextStep::Close => return close_gracefully(caller.conn).await,
             NextStep::Abort => return,
         }
     }
@@ -140,7 +181,11 @@
 /// Waits for a request; returns false if the connection should be closed.
 ///
 /// `grace` is how long to wait once the node closes its connections in a shutdown.
-async fn wait_for_request(state: &State, conn: &mut Conn, grace: Duration) -> bool {
+async fn wait_for_request(state: &State, caller: &mut Caller, grace: Duration) -> bool {
+    caller.set_idle();
+    let Caller {
+        conn, connection, ..
+    } = caller;
     if !conn.data().is_empty() {
         return true;
     }
@@ -158,6 +203,7 @@
         tokio::select! {
             biased;
             read = conn.fill() => return matches!(read, Ok(1..)),
+            () = connection.closing() => return false,
             () = stage_changed => {}
             () = tokio::time::sleep_until(deadline.into()) => {}
         }
@@ -185,17 +231,26 @@
     router.map_or(DEFAULT_LIMITS, |router| router.rules().limits.clone())
 }
 
-async fn serve_request(state: &Rc<State>, conn: &mut Conn, origin: Origin) -> NextStep {
+async fn serve_request(state: &Rc<State>, caller: &mut Caller) -> NextStep {
     let started = Instant::now();
     let limits = limits(state);
-    let reading = read_head(conn, &limits);
+    let Caller {
+        conn,
+        origin,
+        connection,
+        held,
+    } = caller;
+    let origin = *origin;
+    let reading = read_head(conn, connection, &limits, held);
     let head = match timeout(limits.head_time, reading).await {
-        Ok(Ok(Some(head))) => head,
-        Ok(Ok(None)) => return NextStep::Abort,
-        Ok(Err(error)) => {
+        Ok(Ok(head)) => head,
+        Ok(Err(HeadFailure::Invalid(error))) => {
             return send_error(state, conn, origin, head_error(error), None, true).await;
         }
-        Err(_) => return NextStep::Abort,
+        Ok(Err(HeadFailure::MemoryShort)) => {
+            return send_error(state, conn, origin, head_refused(state), None, true).await;
+        }
+        Ok(Err(HeadFailure::Closed)) | Err(_) => return NextStep::Abort,
     };
     let close = !head.keep_alive || state.stage() > ShutdownStage::Serving;
     let Some(router) = state.router().filter(|_| state.fleet.borrow().is_loaded()) else {
@@ -214,7 +269,46 @@
             return send_error(state, conn, origin, response, Some(&head), close).await;
         }
     };
-    let body = match read_body(state, conn, &head, &limits, routed.deadline).await {
+    let arrival = Arrival {
+        head,
+        limits,
+        routed,
+        close,
+    };
+    serve_routed(state, caller, arrival).await
+}
+
+/// A request with its route, whose body has not been read.
+struct Arrival {
+    head: RequestHead,
+    limits: Limits,
+    routed: RoutedRequest,
+    close: bool,
+}
+
+/// Reads the body of a request, and sends it to a target.
+async fn serve_routed(state: &Rc<State>, caller: &mut Caller, arrival: Arrival) -> NextStep {
+    let Caller {
+        conn,
+        origin,
+        connection,
+        held,
+    } = caller;
+    let Arrival {
+        head,
+        limits,
+        routed,
+        close,
+    } = arrival;
+    let origin = *origin;
+    let body_reader = BodyReader {
+        state,
+        connection,
+        head: &head,
+        limits: &limits,
+        routed: &routed,
+    };
+    let body = match body_reader.read(conn).await {
         Ok(body) => body,
         Err(Some(response)) => {
             return send_error(state, conn, origin, response, Some(&head), true).await;
@@ -231,14 +325,15 @@
         ..routed
     };
     let request = Request { head, body, id };
-    dispatch_request(state, conn, &routed, &request, close).await
+    dispatch_request(state, conn, held, &routed, request, close).await
 }
 
 async fn dispatch_request(
     state: &Rc<State>,
     conn: &mut Conn,
+    held: &mut Held,
     routed: &RoutedRequest,
-    request: &Request,
+    request: Request,
     close: bool,
 ) -> NextStep {
     let (mut read, write, buffer) = conn.split();
@@ -246,27 +341,39 @@
     let outcome = tokio::select! {
         biased;
         // Polled first, since the caller may have disconnected before its request was read.
-        () = caller_disconnected(&mut read, buffer, caller) => Outcome::CallerLeft,
-        outcome = dispatch(state, routed, request, caller) => outcome,
+        () = caller_disconnected(&mut read, buffer, held, caller) => Outcome::CallerLeft,
+        outcome = dispatch(state, routed, &request, caller) => outcome,
     };
+    // Gives the bytes of the body back before a response is sent to a caller that may read slowly.
+    let Request { head, body, id } = request;
+    drop(body);
     let close = close || state.stage() > ShutdownStage::Serving;
     match outcome {
         Outcome::Response(response) => {
             count_request(state, routed, "answered");
-            let out = respond::encode_response(&response, close);
-            let _held = response.into_held();
-            send(conn, &out, close).await
+            let head = respond::encode_response_head(&response, close);
+            send(conn, &[&head, &response.body], close).await
         }
         Outcome::Stream(response, body_stream) => {
             count_request(state, routed, "streamed");
             let (out, chunked) = respond::encode_response_start(&response, close);
             let start = (out, response.into_held());
-            match stream_response(state, conn, start, body_stream, chunked, routed.deadline).await {
+            match stream_response(
+                state,
+                conn,
+                held,
+                start,
+                body_stream,
+                chunked,
+                routed.deadline,
+            )
+            .await
+            {
                 Ok(()) if close => NextStep::Close,
                 Ok(()) => NextStep::KeepOpen,
                 Err(reason) => {
                     state.log.record(Event::ResponseCut, |line| {
-                        line.text("id", &String::from_utf8_lossy(&request.id));
+                        line.text("id", &String::from_utf8_lossy(&id));
                         line.text("service", routed.service.as_str());
                         line.text("why", reason);
                         line.number("age_ms", routed.started.elapsed().as_millis() as u64);
@@ -280,7 +387,9 @@
             state.counters.add(Counter::CallersGone);
             NextStep::Abort
         }
-        Outcome::Refused(refusal) => refuse(state, conn, routed, request, refusal, close).await,
+        Outcome::Refused(refusal) => {
+            refuse(state, conn, routed, (&head, &id), refusal, close).await
+        }
     }
 }
 
@@ -289,14 +398,14 @@
     state: &State,
     conn: &mut Conn,
     routed: &RoutedRequest,
-    request: &Request,
+    (head, id): (&RequestHead, &[u8]),
     refusal: Refusal,
     close: bool,
 ) -> NextStep {
     let reason: &'static str = refusal.into();
     count_request(state, routed, reason);
     state.log.record(Event::RequestRefused, |line| {
-        line.text("id", &String::from_utf8_lossy(&request.id));
+        line.text("id", &String::from_utf8_lossy(id));
         line.text("service", routed.service.as_str());
         line.text("why", reason);
         log_refusal_state(state, routed, line);
@@ -309,9 +418,9 @@
         _ => {}
     }
     let out = LocalResponse::refusal(refusal, pause);
-    let echo = echo(state, routed.origin, Some(&request.id));
-    let out = out.encode(&request.head.method, close, echo);
-    send(conn, &out, close).await
+    let echo = echo(state, routed.origin, Some(id));
+    let out = out.encode(&head.method, close, echo);
+    send(conn, &[&out], close).await
 }
 
 /// Returns when a target of the request is expected to take requests again, spread over as much time
@@ -404,9 +513,13 @@
 async fn caller_disconnected(
     read: &mut ReadHalf<'_>,
     buffer: &mut ReadBuffer,
+    held: &mut Held,
     caller: CallerStatus<'_>,
 ) {
-    while buffer.data().len() < MAX_PIPELINED_BYTES {
+    let others = held.count();
+    while buffer.data().len() < MAX_PIPELINED_BYTES
+        && held.grow(others + buffer.data().len() + READ_BYTES)
+    {
         if !matches!(buffer.fill(read).await, Ok(1..)) {
             return;
         }
@@ -435,7 +548,7 @@
     // Without a head, the connection is closed after the response.
     let method = head.map_or("", |head| &head.method);
     let out = response.encode(method, close, echo(state, origin, id));
-    send(conn, &out, close).await
+    send(conn, &[&out], close).await
 }
 
 fn echo<'a>(state: &'a State, origin: Origin, id: Option<&'a [u8]>) -> Option<Echo<'a>> {
@@ -446,9 +559,10 @@
     }
 }
 
-async fn send(conn: &mut Conn, out: &[u8], close: bool) -> NextStep {
+async fn send(conn: &mut Conn, parts: &[&[u8]], close: bool) -> NextStep {
     let (_, mut write, _) = conn.split();
-    match timeout(WRITE_TIMEOUT, write.write_all(out)).await {
+    let writing = write_parts(&mut write, parts.iter().copied());
+    match timeout(WRITE_TIMEOUT, writing).await {
         Ok(Ok(())) if close => NextStep::Close,
         Ok(Ok(())) => NextStep::KeepOpen,
         _ => NextStep::Abort,
@@ -460,12 +574,13 @@
 async fn stream_response(
     state: &State,
     conn: &mut Conn,
-    (start, held): (Vec<u8>, HeldBytes),
+    pipelined: &mut Held,
+    (start, held): (Vec<u8>, Held),
     mut body_stream: Box<ResponseStream>,
     chunked: bool,
     deadline: Instant,
 ) -> Result<(), &'static str> {
-    if send(conn, &start, false).await == NextStep::Abort {
+    if send(conn, &[&start], false).await == NextStep::Abort {
         return Err("the caller does not read");
     }
     drop((start, held));
@@ -479,13 +594,13 @@
                 return Err("the body did not end in time");
             }
             next = body_stream.next() => next,
-            () = caller_disconnected(&mut read, buffer, caller) => return Err("the caller has disconnected"),
+            () = caller_disconnected(&mut read, buffer, pipelined, caller) => return Err("the caller has disconnected"),
         };
         match next {
             Ok(Some(body)) => {
                 let mut out = Vec::with_capacity(body.len() + 32);
                 respond::append_body(&mut out, &body, chunked);
-                if send(conn, &out, false).await == NextStep::Abort {
+                if send(conn, &[&out], false).await == NextStep::Abort {
                     return Err("the caller does not read");
                 }
             }
@@ -494,7 +609,7 @@
         }
     }
     body_stream.recycle(&state.pool);
-    if chunked && send(conn, LAST_CHUNK, false).await == NextStep::Abort {
+    if chunked && send(conn, &[LAST_CHUNK], false).await == NextStep::Abort {
         return Err("the caller does not read");
     }
     Ok(())
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -15,9 +15,10 @@
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
 use crate::ids::VmId;
+use crate::memory::Account;
+use crate::node::connections::Connections;
 use crate::node::counters::Counters;
 use crate::node::fleet::Fleet;
-use crate::node::held_bytes::ByteAccount;
 use crate::node::keys::election::CpuCapacity;
 use crate::node::keys::table_health::TableHealth;
 use crate::node::keys::view::KeyView;
@@ -39,6 +40,21 @@
 /// checks and for nodes that have joined but are not counted yet.
 const CONNECTION_FRACTION: f64 = 0.8;
 
+/// Share of the descriptors that callers and other nodes may use; the rest is for targets and the platform.
+const CALLER_SOCKET_SHARE: f64 = 0.5;
+/// Memory for each connection of a caller or another node, in bytes: its task, its read buffer and the
+/// head of its request.
+const CALLER_MEMORY_BYTES: u64 = 64 << 10;
+/// How long a caller's connection has waited at least before it is closed in favour of a new one. The
+/// rest of a head arrives within milliseconds, or a few hundred if a packet is lost.
+const MIN_CALLER_WAIT: Duration = Duration::from_millis(500);
+
+/// Returns the maximum number of connections of callers and of other nodes.
+fn max_callers(conf: &NodeConf) -> usize {
+    let by_sockets = (conf.max_sockets as f64 * CALLER_SOCKET_SHARE) as usize;
+    by_sockets.min((conf.memory_bytes / CALLER_MEMORY_BYTES) as usize)
+}
+
 /// The part of the configuration that can be reloaded while the node runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReloadableConf {
@@ -132,8 +148,14 @@
     pub key_requests: RefCell<BTreeMap<ServiceId, BTreeMap<u16, u16>>>,
     /// Fingerprints of requests that crashed targets.
     pub(crate) crashes: CrashTracker,
-    /// The bytes of buffered responses.
-    pub buffered: ByteAccount,
+    /// The bytes that callers, targets and other nodes make the process hold.
+    pub memory: Account,
+    /// Notified when bodies that are being read may have been refused in favour of others.
+    pub memory_short: Notify,
+    /// Notified when a body that was refused has given its bytes back.
+    pub memory_freed: Notify,
+    /// Open connections of callers and of other nodes.
+    pub connections: Rc<Connections>,
     /// Notified when a waiting request may be routable: a slot is free, or keys have an owner.
     pub routing_changed: Notify,
     /// Current stage of the graceful shutdown.
@@ -182,7 +204,10 @@
             views: RefCell::default(),
             key_requests: RefCell::default(),
             crashes: CrashTracker::default(),
-            buffered: ByteAccount::new(conf.memory_bytes),
+            memory: Account::new(conf.memory_bytes),
+            memory_short: Notify::new(),
+            memory_freed: Notify::new(),
+            connections: Rc::new(Connections::new(max_callers(&conf), MIN_CALLER_WAIT)),
             conf,
             routing_changed: Notify::new(),
             stage: Cell::new(ShutdownStage::Serving),
--- a/src/traffic/head.rs
+++ b/src/traffic/head.rs
@@ -109,6 +109,11 @@
         values.next().is_none().then_some(first)
     }
 
+    /// Returns the memory that the fields take, in bytes.
+    pub fn memory(&self) -> usize {
+        self.text.capacity() + self.list.capacity() * size_of::<Field>()
+    }
+
     /// Returns true if a comma-separated field contains a token, compared case-insensitively.
     pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.tokens(name)
