--- a/src/memory/body.rs
+++ b/src/memory/body.rs
@@ -57,7 +57,7 @@
     pub(super) fn size_with(&self, more: usize) -> usize {
         let length = self.length + more;
         if let Some(declared) = self.declared {
-            return length.max(declared);
+            return declared;
         }
         match length.saturating_sub(self.capacity) {
             0 => self.capacity,
--- a/src/node/proxy/read.rs
+++ b/src/node/proxy/read.rs
@@ -31,6 +31,9 @@
 /// A request body may take at most the process's memory limit divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Number of reads after which other tasks run: a caller that sends small chunks quickly would otherwise
+/// occupy the thread until the runtime interrupts it.
+const FILLS_PER_TURN: usize = 4;
 /// How long a request waits for the bytes of a body that was refused in its favour.
 const ROOM_WAIT: Duration = Duration::from_millis(200);
 /// `Retry-After` of a request that is refused before its route is known, on average.
@@ -166,24 +169,40 @@
             let parts = std::iter::once(CONTINUE_RESPONSE);
             write_parts(&mut write, parts).await.map_err(|_| None)?;
         }
-        loop {
-            while !decoder.is_done() && !conn.data().is_empty() {
-                let piece = decoder.decode(conn.data());
-                let malformed =
-                    LocalResponse::error(400, "the body is malformed; send it as RFC 9112 has it");
-                let piece = piece.map_err(|_| Some(malformed))?;
-                if (reading.len() + piece.data) as u64 > self.max_bytes() {
-                    return Err(Some(TOO_LONG));
-                }
-                self.make_room(reading, piece.data).await?;
-                reading.push(&conn.data()[piece.skip..piece.used()], Instant::now());
-                conn.consume(piece.used());
-            }
+        for fills in 1usize.. {
+            // Room is made once for all pieces, since a body may consist of very many short chunks.
+            self.make_room(reading, conn.data().len()).await?;
+            self.decode(reading, &mut decoder, conn)?;
             if decoder.is_done() {
                 return Ok(());
             }
+            if fills.is_multiple_of(FILLS_PER_TURN) {
+                tokio::task::yield_now().await;
+            }
             self.fill(reading, conn).await?;
         }
+        Err(None)
+    }
+
+    /// Appends the received part of the body.
+    fn decode(
+        &self,
+        reading: &mut Reading,
+        decoder: &mut BodyDecoder,
+        conn: &mut Conn,
+    ) -> Result<(), LocalResponse> {
+        let now = Instant::now();
+        while !decoder.is_done() && !conn.data().is_empty() {
+            let malformed =
+                LocalResponse::error(400, "the body is malformed; send it as RFC 9112 has it");
+            let piece = decoder.decode(conn.data()).map_err(|_| malformed)?;
+            if (reading.len() + piece.data) as u64 > self.max_bytes() {
+                return Err(TOO_LONG);
+            }
+            reading.push(&conn.data()[piece.skip..piece.used()], now);
+            conn.consume(piece.used());
+        }
+        Ok(())
     }
 
     /// Reads more of the body, unless it is refused in favour of others.
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -11,6 +11,7 @@
 use gooseberryloft::memory::Room;
 use gooseberryloft::memory::SMALL_BYTES;
 use gooseberryloft::memory::Share;
+use gooseberryloft::node::counters::render_account;
 
 const KB: usize = 1 << 10;
 const MB: usize = 1 << 20;
@@ -189,6 +190,25 @@
     expect_that!(first.is_refused(), eq(false));
 }
 
+/// Operators could not see how much of the account is in use.
+#[googletest::test]
+fn the_gauges_show_what_is_held() {
+    let (account, now) = (small_account(), Instant::now());
+    let mut body = begin(&account, 8 * MB, now);
+    expect_that!(body.reserve(0, now), eq(Room::Held));
+    let text = render_account(&account);
+    for sample in [
+        "held_bytes{share=\"small\"} 0",
+        "held_bytes{share=\"bodies\"} 8388608",
+        "held_bytes{share=\"responses\"} 0",
+        "held_bytes_limit 11534336",
+        "bodies_being_read 1",
+    ] {
+        let line = format!("gooseberryloft_{sample}\n");
+        expect_that!(text, contains_substring(line));
+    }
+}
+
 /// The fingerprint and the target depend on all bytes in their order.
 #[googletest::test]
 fn a_body_consists_of_the_bytes_that_were_read() {
