--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,12 +5,12 @@
 //! make decisions without I/O. [`proxy`] forwards requests; [`control`] does all other I/O.
 
 pub mod cold;
+pub mod connections;
 pub mod control;
 pub mod counters;
 pub mod datagram;
 pub mod evacuations;
 pub mod fleet;
-pub mod held_bytes;
 pub mod http;
 pub mod identity;
 pub mod keys;
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -27,6 +27,9 @@
 use gooseberryloft::node::keys::map::KeyRange;
 use gooseberryloft::node::keys::plan;
 use gooseberryloft::node::keys::plan::Candidate;
+use gooseberryloft::node::keys::plan::GrantScope;
+use gooseberryloft::node::keys::plan::LostRange;
+use gooseberryloft::node::keys::plan::Move;
 use gooseberryloft::node::keys::plan::OwnedRange;
 use gooseberryloft::node::limit::Permits;
 use gooseberryloft::node::limit::ProcessTag;
@@ -337,8 +340,10 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         capacity: if cold { RATE } else { 27.0 },
         leaving: false,
+        grants: GrantScope::All,
         on_probation: false,
         cold,
+        proven: true,
     }
 }
 
@@ -441,12 +446,17 @@
     let warm = holder("warm");
     let owned = ranges(&[(0, 30_000, &warm), (30_001, u16::MAX, &gone)]);
     let load = even_load(40.0);
-    let next = plan::least_loaded(&candidates, &owned, &load).map(|c| c.holder.clone());
-    expect_that!(next, some(eq(&holder("warm"))));
+    let lost = LostRange {
+        range: KeyRange {
+            first: 30_001,
+            last: u16::MAX,
+        },
+        owner: Some(&gone),
+        splittable: false,
+    };
+    let moves = plan::place(&candidates, &owned, vec![lost], &load);
+    expect_that!(moves, elements_are![field!(Move.to, eq(&holder("warm")))]);
     candidates[0].cold = true;
-    let owned = ranges(&[(0, u16::MAX, &gone)]);
-    expect_that!(
-        plan::least_loaded(&candidates, &owned, &load),
-        some(anything())
-    );
+    let moves = plan::place(&candidates, &owned, vec![lost], &load);
+    expect_that!(moves, len(eq(1)));
 }
