--- a/tests/support/keys_simulation.rs
+++ b/tests/support/keys_simulation.rs
@@ -692,6 +692,22 @@
             .map_write_ended(version, !lost && !is_outdated);
     }
 
+    /// Returns true if an order is sent to the process that runs at its address: on a connection to it, or
+    /// on a new one if the target was proven recently or names itself.
+    fn passes_identification(&self, node: usize, order: &Order) -> bool {
+        let target = usize::from(order.address.port()) - 1;
+        let reuses = matches!(
+            order.command,
+            Command::Grant {
+                opened: Some(_),
+                ..
+            }
+        );
+        let proof = self.nodes[node].proofs.get(&(target, order.to.id.clone()));
+        let is_certain = proof.is_some_and(|at| self.now - *at < REUSE_AFTER);
+        reuses || is_certain || order.to.id == self.targets[target].id
+    }
+
     fn send(&mut self, node: usize, order: Order) {
         let target = usize::from(order.address.port()) - 1;
         let boot = self.nodes[node].boot;
@@ -715,17 +731,8 @@
                 .push(answer(OrderOutcome::Reconnected, NETWORK_DELAY, self.now));
             return;
         }
-        let reuses = matches!(
-            order.command,
-            Command::Grant {
-                opened: Some(_),
-                ..
-            }
-        );
-        let proof = self.nodes[node].proofs.get(&(target, order.to.id.clone()));
-        let is_certain = proof.is_some_and(|at| self.now - *at < REUSE_AFTER);
         let is_unreachable = self.nodes[node].unreachable.contains(&target);
-        if !reuses && !is_certain && !is_unreachable && order.to.id != self.targets[target].id {
+        if !is_unreachable && !self.passes_identification(node, &order) {
             self.answers
                 .push(answer(OrderOutcome::OtherTarget, NETWORK_DELAY, self.now));
             return;
