--- a/tests/node_lost_owners.rs
+++ b/tests/node_lost_owners.rs
@@ -22,6 +22,7 @@
 use gooseberryloft::node::keys::map::KeyMap;
 use gooseberryloft::node::keys::map::KeyRange;
 use gooseberryloft::node::keys::plan::Candidate;
+use gooseberryloft::node::keys::plan::GrantScope;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -88,7 +89,9 @@
         address: SocketAddr::from(([127, 0, 0, 1], number + 1)),
         capacity: CAPACITY,
         leaving: false,
+        grants: GrantScope::All,
         on_probation: false,
+        cold: false,
         proven: true,
     }
 }
