Check the owners of the busy keys, and bound orders by what suffices

Ranges of evacuated targets are planned with those of lost ones, which splits a range that no target has room for; the test of the busiest ranges counted whole ranges and now looks up the owner of each busy key.

--- a/tests/evacuation_keys.rs
+++ b/tests/evacuation_keys.rs
@@ -107,9 +107,12 @@
     let mut leader = leader_of(&[0, 10, 20], now);
     let actions = leader.tick(now, &candidates(GrantScope::Renewals), &load);
     let map = written(&actions).expect("a map");
-    let owners = map.ranges.iter().map(|range| range.owner.clone());
-    let owners: Vec<_> = owners.flatten().collect();
-    expect_that!(owners, eq(&["t2", "t2", "t1"].map(process)));
+    let owners = [5, 15, 25].map(|key| {
+        let mut ranges = map.ranges.iter();
+        let range = ranges.find(|entry| entry.range.first <= key && key <= entry.range.last);
+        range.and_then(|entry| entry.owner.clone())
+    });
+    expect_that!(owners, eq(&["t2", "t2", "t1"].map(|id| Some(process(id)))));
     expect_that!(orders(actions), is_empty());
 }
 
--- a/tests/node_lost_owners.rs
+++ b/tests/node_lost_owners.rs
@@ -31,6 +31,8 @@
 const LOST: u16 = 2_000;
 /// How long the entry of a process that has ended stays in the list.
 const LISTED_TIME: Duration = Duration::from_millis(2_600);
+/// Orders in a second that suffice: a renewal for each range, and a release and a grant for each lost one.
+const MAX_ORDERS: usize = TARGETS as usize + 2 * LOST as usize;
 const TICK: Duration = Duration::from_millis(50);
 /// Requests a second that a target can process.
 const CAPACITY: f64 = 20.0;
@@ -262,6 +264,6 @@
     let figures = cluster.lose(MS(20_000));
     figures.print("crash");
     expect_that!(figures.all_granted_after, lt(LONGEST_HOLD + MS(1_500)));
-    expect_that!(figures.max_orders_per_second, lt(11_000));
+    expect_that!(figures.max_orders_per_second, le(MAX_ORDERS));
     expect_that!(figures.max_utilisation, lt(1.5));
 }
