--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -137,7 +137,7 @@
             Self::TargetLost | Self::LossSpared => Level::Warn,
             Self::RowMalformed => Level::Error,
             Self::LinkLost => Level::Warn,
-            Self::WorkCut | Self::ViewStale => Level::Warn,
+            Self::WorkCut | Self::ViewStale | Self::MemoryShort => Level::Warn,
             Self::RequestFailed => Level::Error,
             Self::RequestQuarantined | Self::TargetEjected => Level::Warn,
             Self::RequestRefused | Self::SendSkipped => Level::Debug,
