--- a/src/node/control/peers/send.rs
+++ b/src/node/control/peers/send.rs
@@ -75,13 +75,7 @@
 
     /// Sends a heartbeat to every node at once, so that all learn what has changed on this node.
     pub fn send_heartbeat_to_all(&self) {
-        let report = self
-            .state
-            .evacuations
-            .borrow()
-            .remote_report(Instant::now());
-        let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new(), report));
-        let bytes = self.datagram(heartbeat);
+        let bytes = self.remote_heartbeat(Instant::now());
         for peer in self.peers.borrow().values() {
             self.send_to(peer.address, &bytes);
         }
@@ -89,13 +83,13 @@
 
     /// Sends a heartbeat to one node.
     pub(super) fn send_heartbeat_to(&self, to: SocketAddr) {
-        let report = self
-            .state
-            .evacuations
-            .borrow()
-            .remote_report(Instant::now());
-        let heartbeat = Message::Heartbeat(self.heartbeat(Vec::new(), report));
-        self.send_to(to, &self.datagram(heartbeat));
+        self.send_to(to, &self.remote_heartbeat(Instant::now()));
+    }
+
+    /// Returns a heartbeat for nodes of any data centre.
+    fn remote_heartbeat(&self, now: Instant) -> Vec<u8> {
+        let report = self.state.evacuations.borrow().remote_report(now);
+        self.datagram(Message::Heartbeat(self.heartbeat(Vec::new(), report)))
     }
 
     /// Sends target changes to the nodes of this data centre; they apply to a list of targets with
@@ -173,13 +167,11 @@
         } else {
             REMOTE_PERIODS
         };
-        let evacuations = self.state.evacuations.borrow();
-        let report = evacuations.report(now);
+        let report = self.state.evacuations.borrow().report(now);
         let local = self.datagram(Message::Heartbeat(self.heartbeat(self.loads(), report)));
-        let remote = period.is_multiple_of(remote_periods).then(|| {
-            let report = evacuations.remote_report(now);
-            self.datagram(Message::Heartbeat(self.heartbeat(Vec::new(), report)))
-        });
+        let remote = period
+            .is_multiple_of(remote_periods)
+            .then(|| self.remote_heartbeat(now));
         for peer in self.peers.borrow().values() {
             let is_local = peer.data_centre == self.state.conf.data_centre;
             match &remote {
