--- a/src/cold_start/cold_time.rs
+++ b/src/cold_start/cold_time.rs
@@ -33,7 +33,7 @@
 }
 
 impl ColdTime {
-    /// Records that the target is cold until `until`; returns true if others should be told.
+    /// Records that the target is cold until `until`; returns true if it is to be reported to other nodes.
     ///
     /// The latest end counts. Evidence that says less may be older: an entry is written only about
     /// once a second.
--- a/src/cold_start/mod.rs
+++ b/src/cold_start/mod.rs
@@ -1,6 +1,6 @@
 //! Decisions about cold targets, which have just started and tolerate only a limited rate of requests:
 //! until when a target is cold, at which rate permits for it are issued, which node may issue them,
-//! and how long other nodes are told.
+//! and how long they are reported to other nodes.
 
 mod cold_time;
 mod members;
--- a/src/cold_start/reports.rs
+++ b/src/cold_start/reports.rs
@@ -10,7 +10,7 @@
 /// Rounds between two later reports, until the target is warm.
 const LATER_ROUNDS: u32 = 4;
 
-/// The nodes that are told.
+/// The nodes that get a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Audience {
     /// The nodes of this data centre, since other data centres read the list themselves.
@@ -19,7 +19,7 @@
     All,
 }
 
-/// A cold target that others are told of.
+/// A cold target that is reported to other nodes.
 #[derive(Clone, Copy, Debug)]
 struct Report {
     until: Instant,
@@ -27,7 +27,7 @@
     rounds: u32,
 }
 
-/// The targets that others are told of.
+/// The targets that are reported to other nodes.
 #[derive(Debug)]
 pub struct ColdReports<K>(BTreeMap<K, Report>);
 
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -159,7 +159,7 @@
         self
     }
 
-    /// Records how much longer the target is cold by its entry; returns true if others should be told.
+    /// Records how much longer the target is cold by its entry; returns true if it is to be reported to other nodes.
     fn record_entry(&self, entry: &TargetEntry, now: Instant) -> bool {
         let left = entry.warm_up.min(MAX_COLD_TIME);
         !left.is_zero() && self.record_cold(now + left)
@@ -265,7 +265,7 @@
     }
 
     /// Records that the target is slower until `until`, unless it is known to be for longer; returns
-    /// true if others should be told.
+    /// true if it is to be reported to other nodes.
     pub fn record_cold(&self, until: Instant) -> bool {
         self.cold.record(until)
     }
--- a/src/node/limit/state.rs
+++ b/src/node/limit/state.rs
@@ -103,7 +103,7 @@
     /// Permits that this node issues to itself while it does not reach the node that issues them.
     own_share: RefCell<Permits>,
     changes: RefCell<BTreeMap<ProcessTag, Change>>,
-    /// Cold targets that the other nodes are told of.
+    /// Cold targets that are to be reported to the other nodes.
     cold_reports: RefCell<ColdReports<ProcessTag>>,
 }
 
@@ -237,12 +237,12 @@
         }
     }
 
-    /// Adds a cold target that the other nodes are told of.
+    /// Adds a cold target that is to be reported to the other nodes.
     pub fn report_cold(&self, process: ProcessTag, until: Instant, audience: Audience) {
         self.cold_reports.borrow_mut().add(process, until, audience);
     }
 
-    /// Returns the cold targets that the other nodes are told of now, with the time that they stay cold.
+    /// Returns the cold targets that are to be reported to the other nodes now, with the time that they stay cold.
     pub fn take_cold_reports(&self, now: Instant) -> Vec<(ProcessTag, Duration, Audience)> {
         self.cold_reports.borrow_mut().take_round(now)
     }
