Split ranges of lost owners only where a target has room for a part

Cause: when all targets are overloaded, none has room, and each range of a lost or evacuated owner was divided into one range a key.

Change: a part is split off only if it fills at least a quarter of its new owner.

Result: in the new test one range was divided into 1,001, now at most 3.

--- a/src/node/keys/plan.rs
+++ b/src/node/keys/plan.rs
@@ -41,6 +41,9 @@
 const MAX_COLD_UTILISATION: f64 = 0.7;
 /// Ranges of lost owners are split where they would raise the utilisation of their new owner above this.
 const MAX_PLACED: f64 = 0.9;
+/// Smallest part that is split off a range, as a utilisation of its new owner. Without it, an overload of
+/// all targets divided ranges into single keys, and the grants and announcements of these added to it.
+const MIN_PART: f64 = 0.25;
 
 /// A target that may own keys.
 #[derive(Clone, Debug, PartialEq)]
@@ -123,7 +126,8 @@
         let Some(best) = best else {
             continue;
         };
-        let split = (lost.splittable && best.utilisation(rate) > MAX_PLACED)
+        let overloads = best.utilisation(rate) > MAX_PLACED;
+        let split = (lost.splittable && overloads && best.has_room_for_part())
             .then(|| key_load.split_point(lost.range, best.room()))
             .flatten();
         let range = match split {
@@ -172,6 +176,11 @@
         (self.load + rate) / self.candidate.capacity
     }
 
+    /// Returns true if a part of a range is worth a range of its own.
+    fn has_room_for_part(&self) -> bool {
+        self.room() >= MIN_PART * self.candidate.capacity
+    }
+
     /// Returns the load that it can take.
     fn room(&self) -> f64 {
         (MAX_PLACED * self.candidate.capacity - self.load).max(0.0)
--- a/tests/node_keys.rs
+++ b/tests/node_keys.rs
@@ -31,8 +31,11 @@
 use gooseberryloft::node::keys::map::KeyRange;
 use gooseberryloft::node::keys::map::MapVersion;
 use gooseberryloft::node::keys::map::Ownership;
+use gooseberryloft::node::keys::plan;
 use gooseberryloft::node::keys::plan::Candidate;
 use gooseberryloft::node::keys::plan::GrantScope;
+use gooseberryloft::node::keys::plan::LostRange;
+use gooseberryloft::node::keys::plan::OwnedRange;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -686,3 +689,25 @@
         }
     }
 }
+
+// With all targets overloaded, each range of lost owners was divided into single keys.
+#[googletest::test]
+fn ranges_of_lost_owners_stay_whole_when_no_target_has_room() {
+    let now = Instant::now();
+    let mut load = KeyLoad::new(now);
+    (0..1_000).for_each(|key| load.add(key, 100));
+    let gone = process("gone");
+    let lost = LostRange {
+        range: KeyRange::ALL,
+        owner: Some(&gone),
+        splittable: true,
+    };
+    let candidates = [listed("a"), listed("b")];
+    let owned = [OwnedRange {
+        range: KeyRange::ALL,
+        owner: &gone,
+        movable: false,
+    }];
+    let moves = plan::place(&candidates, &owned, vec![lost], &load);
+    expect_that!(moves, len(le(3)));
+}
