Use the terms of the field for members, queues and the account

Names and comments of the new modules spoke of nodes that are heard, hopeless requests and books; they are alive, expired and state now.

--- a/src/cold_start/mod.rs
+++ b/src/cold_start/mod.rs
@@ -11,7 +11,7 @@
 pub use cold_time::MAX_COLD_TIME;
 pub use cold_time::Source;
 pub use cold_time::left_from_field;
-pub use members::HEARD_TIME;
+pub use members::ALIVE_TIME;
 pub use members::Members;
 pub use members::SETTLE_TIME;
 pub use rate::PERMIT_LIFETIME;
--- a/src/memory/account.rs
+++ b/src/memory/account.rs
@@ -41,10 +41,10 @@
 
 /// An account of held bytes. Clones share it.
 #[derive(Clone, Debug)]
-pub struct Account(pub(super) Rc<Books>);
+pub struct Account(pub(super) Rc<AccountState>);
 
 #[derive(Debug)]
-pub(super) struct Books {
+pub(super) struct AccountState {
     memory: u64,
     used: [Cell<usize>; Share::COUNT],
     /// The bodies that are being read, in the order in which they began.
@@ -55,7 +55,7 @@
 impl Account {
     /// Creates the account of a process with this memory, in bytes.
     pub fn new(memory: u64) -> Self {
-        Self(Rc::new(Books {
+        Self(Rc::new(AccountState {
             memory,
             used: Default::default(),
             readings: RefCell::default(),
--- a/src/node/control/peers/mod.rs
+++ b/src/node/control/peers/mod.rs
@@ -286,7 +286,7 @@
             data_centre: heartbeat.data_centre,
         };
         self.add_peer(node, &row, Some(boot), now);
-        self.members.borrow_mut().record_heard(node, now);
+        self.members.borrow_mut().record_heartbeat(node, now);
         self.update_loads(node, heartbeat.loads, now);
         if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
             peer.cpu_capacity = heartbeat.cpu_capacity;
--- a/src/node/evacuations.rs
+++ b/src/node/evacuations.rs
@@ -1,4 +1,4 @@
-//! Carries out what [`crate::evacuation`] decides: records what reads and other nodes show, and tells
+//! Carries out what [`crate::evacuation`] decides: records what reads and other nodes show, and states
 //! which targets may get requests.
 
 use std::time::Instant;
--- a/src/node/limit/mod.rs
+++ b/src/node/limit/mod.rs
@@ -6,8 +6,8 @@
 //! on it. While it does not answer, a node uses its share of the limit.
 //!
 //! Cold targets are limited in the same way, by a rate that the rules contain. The sum over all nodes
-//! must not exceed it in any one second, so that there are no shares of it, and only a node that hears
-//! a majority issues permits (`crate::cold_start`).
+//! must not exceed it in any one second, so that there are no shares of it, and only a node that
+//! receives heartbeats of a majority issues permits (`crate::cold_start`).
 
 mod evidence;
 mod permits;
--- a/src/node/queues.rs
+++ b/src/node/queues.rs
@@ -172,7 +172,7 @@
         let Some(entry) = resources.get_mut(resource) else {
             return;
         };
-        for ticket in entry.queue.remove_hopeless(now) {
+        for ticket in entry.queue.remove_expired(now) {
             if let Some(waiter) = entry.waiters.get(&ticket) {
                 waiter.refuse();
             }
--- a/src/overload/queue.rs
+++ b/src/overload/queue.rs
@@ -236,18 +236,18 @@
     }
 
     /// Removes and returns the requests that can no longer be answered before their deadline.
-    pub fn remove_hopeless(&mut self, now: Instant) -> Vec<Ticket> {
+    pub fn remove_expired(&mut self, now: Instant) -> Vec<Ticket> {
         if self.is_empty() {
             return Vec::new();
         }
         let judge = self.judge(now);
-        let hopeless = |entry: &&Entry| now > judge.last_starts(&entry.request).1;
-        let hopeless: Vec<_> = self.entries.iter().filter(hopeless).collect();
-        let hopeless: Vec<_> = hopeless.into_iter().map(|entry| entry.ticket).collect();
-        for ticket in &hopeless {
+        let expired = |entry: &&Entry| now > judge.last_starts(&entry.request).1;
+        let expired: Vec<_> = self.entries.iter().filter(expired).collect();
+        let expired: Vec<_> = expired.into_iter().map(|entry| entry.ticket).collect();
+        for ticket in &expired {
             self.remove(*ticket);
         }
-        hopeless
+        expired
     }
 
     /// Lets others go first until `until`, since the request found no target that it may be sent to.
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -10,10 +10,10 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use gooseberryloft::cold_start::ALIVE_TIME;
 use gooseberryloft::cold_start::Audience;
 use gooseberryloft::cold_start::ColdReports;
 use gooseberryloft::cold_start::ColdTime;
-use gooseberryloft::cold_start::HEARD_TIME;
 use gooseberryloft::cold_start::Members;
 use gooseberryloft::cold_start::PERMIT_LIFETIME;
 use gooseberryloft::cold_start::SETTLE_TIME;
@@ -157,7 +157,7 @@
             for from in due.filter(|from| *from != to) {
                 let is_lost = self.random.random_bool(self.loss);
                 if self.hears(to, from) && !is_lost {
-                    self.members[to].record_heard(&self.names[from], self.now);
+                    self.members[to].record_heartbeat(&self.names[from], self.now);
                     self.heard[to].insert(from, self.now);
                 }
             }
@@ -185,7 +185,7 @@
             *other == asker
                 || self.heard[asker]
                     .get(other)
-                    .is_some_and(|at| now - *at < HEARD_TIME)
+                    .is_some_and(|at| now - *at < ALIVE_TIME)
         };
         let issuer = (0..self.members.len()).find(is_alive).unwrap_or(asker);
         let is_lost = issuer != asker && self.random.random_bool(self.loss);
@@ -315,14 +315,14 @@
     let (own, other, lost) = (VmId::from("b"), VmId::from("a"), VmId::from("c"));
     let rank = |node: &VmId| u64::from(node.as_str().as_bytes()[0]);
     let mut members = Members::default();
-    members.record_heard(&lost, start);
-    members.record_heard(&other, start);
+    members.record_heartbeat(&lost, start);
+    members.record_heartbeat(&other, start);
     let may_issue = |members: &mut Members, at: Duration| {
-        members.record_heard(&other, start + at);
+        members.record_heartbeat(&other, start + at);
         members.may_issue(&own, rank, start + at)
     };
-    expect_that!(may_issue(&mut members, HEARD_TIME), eq(false));
-    expect_that!(may_issue(&mut members, HEARD_TIME + SETTLE_TIME), eq(true));
+    expect_that!(may_issue(&mut members, ALIVE_TIME), eq(false));
+    expect_that!(may_issue(&mut members, ALIVE_TIME + SETTLE_TIME), eq(true));
     let silent = start + MS(30_000);
     expect_that!(members.may_issue(&own, rank, silent), eq(false));
 }
--- a/tests/overload_queue.rs
+++ b/tests/overload_queue.rs
@@ -139,7 +139,7 @@
                 waiting.retain(|(ticket, _)| Some(*ticket) != displaced);
             }
         }
-        for ticket in queue.remove_hopeless(now) {
+        for ticket in queue.remove_expired(now) {
             waiting.retain(|(own, _)| *own != ticket);
         }
         if let Some(next) = queue.next(now) {
@@ -174,7 +174,7 @@
     // Nothing starts for a second, so that the queue counts as stuck.
     join(&mut queue, request(0, start), start);
     let now = start + MS(1_000);
-    expect_that!(queue.remove_hopeless(now), len(eq(1)));
+    expect_that!(queue.remove_expired(now), len(eq(1)));
     join(&mut queue, request(0, now), now);
     let until = match queue.arrive(request(0, now), false, now) {
         Decision::Wait { until, .. } => until,
