--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -12,8 +12,10 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
+import traceback
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
@@ -578,6 +580,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(case).resolve().parent / "record.txt")
     nodes, helpers = [], []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         if not NODE.exists():
             print("the node is not built")
@@ -591,9 +594,9 @@
                 for helper in helpers:
                     helper.kill()
                     helper.wait()
-    except AssertionError as error:
-        print(f"the case couldn't run: {error}")
-        record.write("could not run:", error)
+    except Exception as error:
+        traceback.print_exc()
+        record.write("the case couldn't run:", repr(error))
         return 2
     finally:
         record.close()
