Reject a response without a length whose connection is reset during the upload

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response, with a Content-Length of what had arrived, or with a last chunk.

Cause: a node writes the request and reads the response at the same time. Linux reports the failure of a connection to one call only. During an upload that is the write, which is polled first; the next read returns 0, as after an orderly end, and that ends a body without a length.

Ruled out: the parser, which frames such a body as it should; resets after the upload, which the read reports (cut_answers.rs); the client for the store, orders and probes, which ends a call whose write fails; src/traffic and src/platform/client.rs, which reject responses without a length.

Change: if the write failed, the end of the connection ends no body. A response that was held is rejected like any other that was reset; a streamed one is broken off. After a broken pipe the response still counts: the kernel reports it where the target had ended its side in order before the reset, as a server does that answers and does not read the rest.

Why this works: the kernel gives the failure to the write or to the read. The read reports it already; now the write's result decides as well. Once a node streams it writes no more, so its reads get it.

--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at a request: sends it to a single target and reads and validates the response.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -254,13 +255,39 @@
         biased;
         sent = &mut sending => {
             // A target may send its response and then stop reading the request.
-            let request_sent = sent.is_ok();
-            (response.await, request_sent)
+            let read = response.await;
+            match sent {
+                Ok(()) => (read, true),
+                Err(error) if target_ended(&error) => (read, false),
+                Err(_) => (read.and_then(without_end), false),
+            }
         }
         response = &mut response => (response, false),
     }
 }
 
+/// Returns true if a write failed because the target, which had ended its side in order before, does
+/// not read the rest of the request.
+///
+/// Linux reports the failure of a connection to one call only. If that was a write, reads find the end of
+/// the stream instead, as after an orderly end.
+fn target_ended(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::BrokenPipe
+}
+
+/// Rejects a response whose body ends with the connection, or ends it there if it is streamed, since the
+/// connection did not end in order.
+fn without_end((response, partial): ReadResponse) -> Result<ReadResponse, &'static str> {
+    if partial.is_none() && response.head.framing == Framing::UntilClose {
+        return Err("a reset connection");
+    }
+    let partial = partial.map(|partial| PartialBody {
+        until_close: false,
+        ..partial
+    });
+    Ok((response, partial))
+}
+
 /// Decoding state of a response body that has not been received completely.
 #[derive(Debug)]
 struct PartialBody {
--- a/tests/traffic_faults.rs
+++ b/tests/traffic_faults.rs
@@ -106,6 +106,32 @@
     );
 }
 
+#[googletest::test]
+fn a_response_without_an_end_that_is_reset_during_the_upload_is_not_delivered() {
+    // More than the kernel buffers for a connection that the other side does not read.
+    let length = 12 << 20;
+    let upload = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+    let upload = [upload.into_bytes(), vec![b'u'; length]].concat();
+    for (start, is_delivered) in [
+        ("HTTP/1.1 200 OK\r\n\r\npart", false),
+        ("HTTP/1.0 200 OK\r\n\r\npart", false),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart", false),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfull", true),
+    ] {
+        let address = target(move |mut conn, _| {
+            read_head(&mut conn);
+            thread::sleep(Duration::from_millis(50));
+            conn.get_mut().write_all(start.as_bytes()).unwrap();
+            let socket = socket2::SockRef::from(conn.get_ref());
+            socket.set_linger(Some(Duration::ZERO)).unwrap();
+        });
+        let entry = start_entry(view(&[address]));
+        let response = exchange(entry.address(), &upload);
+        let delivered = response.starts_with("HTTP/1.1 200 ");
+        expect_that!(delivered, eq(is_delivered), "{start}: {response}");
+    }
+}
+
 #[googletest::test]
 fn ambiguous_requests_are_refused_and_reach_no_target() {
     let received = Arc::new(AtomicUsize::new(0));
