Reject interim responses and 101 in the client of the platform's services

What callers saw: if a service sent an interim response or a 101 with a Content-Length, the call failed with its status, and its connection was used for the next call, which would read what followed as its own response. Found while checking where invalid statuses are read; no report of it.

Cause: the HTTP library passes on the first head that it reads, and the client checked only for a length.

Ruled out: 000, 099, 600 and 999, which the library rejects, and names of fields with a blank or a control byte, which its parser rejects; the tests for them pass before.

Change: a call whose response is informational has no complete response, and its connection is closed.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -121,6 +121,13 @@
         }
         let received = async_h1::connect(stream.clone(), request).await;
         let mut response = received.map_err(|e| e.to_string())?;
+        // Another response would follow on the connection, or bytes of another protocol.
+        if response.status().is_informational() {
+            return Err(format!(
+                "final response expected, not {}",
+                response.status()
+            ));
+        }
         // The HTTP library does not report a truncated body, so the length is checked below.
         let length = response.len().ok_or("response without a length")?;
         if length > MAX_BODY_BYTES {
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -192,6 +192,70 @@
     });
 }
 
+#[googletest::test]
+fn a_response_with_an_invalid_status_is_unknown_and_ends_its_connection() {
+    task::block_on(async {
+        for status in ["000", "099", "600", "999", "101", "103"] {
+            let response = format!("HTTP/1.1 {status} S\r\ncontent-length: 1\r\n\r\n\u{1}");
+            expect_unknown(response.leak().as_bytes()).await;
+        }
+    });
+}
+
+#[googletest::test]
+fn a_response_with_an_invalid_field_name_is_unknown_and_ends_its_connection() {
+    task::block_on(async {
+        for line in [
+            "x note: 1",
+            " x-note: 1",
+            "x-note : 1",
+            "x-note\t: 1",
+            "x\0note: 1",
+            "x-\u{7f}note: 1",
+            "content-length : 9",
+        ] {
+            let response =
+                format!("HTTP/1.1 200 S\r\nx-first: 1\r\n{line}\r\ncontent-length: 1\r\n\r\n\u{1}");
+            expect_unknown(response.leak().as_bytes()).await;
+        }
+    });
+}
+
+/// Checks that the outcome of a write with this response is unknown, and that its connection is not
+/// used again.
+async fn expect_unknown(response: &'static [u8]) {
+    let platform = connect(start_keep_alive(response).await);
+    let text = String::from_utf8_lossy(response);
+    let object = platform.write("a", b"a").await;
+    expect_that!(
+        object,
+        err(matches_pattern!(TableError::Unknown(_))),
+        "{text}"
+    );
+    expect_that!(platform.write("a", b"a").await, ok(anything()), "{text}");
+}
+
+/// Starts a server that sends these bytes on its first connection, whatever it is asked there, and a
+/// valid response on others.
+async fn start_keep_alive(first: &'static [u8]) -> SocketAddr {
+    use async_std::io::ReadExt;
+    use async_std::io::WriteExt;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        let mut bytes = first;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            task::spawn(async move {
+                while matches!(stream.read(&mut [0; 4096]).await, Ok(1..)) {
+                    let _ = stream.write_all(bytes).await;
+                }
+            });
+            bytes = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        }
+    });
+    address
+}
+
 #[googletest::test]
 fn a_call_to_a_service_that_never_responds_times_out() {
     task::block_on(async {
