tests: heads with invalid statuses and field names, on each path

Of similar systems it was reported that callers got responses with the status 000, and responses in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the target's. Neither happens here: the product is unchanged.

Cause for the tests: statuses were tested on the paths of a node only, and names of fields on none.

Ruled out: a parser that skips invalid lines.

--- a/tests/traffic_faults.rs
+++ b/tests/traffic_faults.rs
@@ -132,6 +132,45 @@
     }
 }
 
+/// Checks that the caller does not get a response whose head begins with these lines.
+fn expect_not_delivered(head: &str) {
+    // Held whole, and streamed.
+    for length in [4, 40_000] {
+        let body = "x".repeat(length);
+        let response = format!("{head}content-length: {length}\r\n\r\n{body}");
+        let entry = start_entry(view(&[closing_target(response.leak().as_bytes())]));
+        let received = exchange(entry.address(), &post("/"));
+        expect_that!(received, starts_with("HTTP/1.1 502 "), "{head}");
+        expect_that!(
+            received,
+            contains_substring("x-gooseberryloft-outcome: unknown\r\n")
+        );
+    }
+}
+
+#[googletest::test]
+fn a_response_with_an_invalid_status_is_not_delivered() {
+    for status in ["000", "099", "600", "999", "101"] {
+        expect_not_delivered(&format!("HTTP/1.1 {status} S\r\n"));
+    }
+}
+
+#[googletest::test]
+fn a_response_with_an_invalid_field_name_is_not_delivered() {
+    for line in [
+        "x note: 1",
+        " x-note: 1",
+        "x-note : 1",
+        "x-note\t: 1",
+        "x\0note: 1",
+        "x-\u{7f}note: 1",
+        "content-length : 9",
+        "transfer-encoding\t: chunked",
+    ] {
+        expect_not_delivered(&format!("HTTP/1.1 200 S\r\nx-first: 1\r\n{line}\r\n"));
+    }
+}
+
 #[googletest::test]
 fn ambiguous_requests_are_refused_and_reach_no_target() {
     let received = Arc::new(AtomicUsize::new(0));
--- a/tests/traffic_parse.rs
+++ b/tests/traffic_parse.rs
@@ -142,6 +142,33 @@
     expect_that!(head_length(&fill), err(eq(HeadError::TooLong)));
 }
 
+#[googletest::test]
+fn field_names_with_other_bytes_than_those_of_tokens_are_rejected() {
+    let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    // The parser compares blocks of several bytes at once, which differ between processors.
+    let lengths = [1, 2, 7, 8, 9, 15, 16, 17, 31, 33, 65];
+    let positions = lengths.map(|length| (0..=length).map(move |at| (length, at)));
+    for (length, at) in positions.into_iter().flatten() {
+        // A colon ends the name.
+        for byte in (0..=u8::MAX).filter(|byte| *byte != b':') {
+            let mut name = vec![b'n'; length];
+            name.insert(at, byte);
+            let fields = [b"host: x\r\n", &name[..], b": v\r\nlast: 1\r\n\r\n"].concat();
+            let response = [b"HTTP/1.1 200 OK\r\n", &fields[..]].concat();
+            let request = [b"GET / HTTP/1.1\r\n", &fields[..]].concat();
+            let accepted = [
+                parse_response(&response, "GET").is_ok(),
+                parse_request(&request).is_ok(),
+            ];
+            expect_that!(
+                accepted,
+                eq([is_token(byte); 2]),
+                "{byte} at {at} of {length}"
+            );
+        }
+    }
+}
+
 #[googletest::test]
 fn responses_without_a_body_have_empty_framing() {
     let framing = |status: u16, method: &str| {
