Name the parts of the check for reset connections by what they do

Read as a newcomer: the two functions beside exchange said what they return, not when they apply, and the log gave a reason of its own for what other resets are logged as ("incomplete response body").

--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -258,28 +258,28 @@
             let read = response.await;
             match sent {
                 Ok(()) => (read, true),
-                Err(error) if target_ended(&error) => (read, false),
-                Err(_) => (read.and_then(without_end), false),
+                Err(error) if is_after_end(&error) => (read, false),
+                Err(_) => (read.and_then(reject_until_close), false),
             }
         }
         response = &mut response => (response, false),
     }
 }
 
-/// Returns true if a write failed because the target, which had ended its side in order before, does
-/// not read the rest of the request.
-///
-/// Linux reports the failure of a connection to one call only. If that was a write, reads find the end of
-/// the stream instead, as after an orderly end.
-fn target_ended(error: &io::Error) -> bool {
+/// Returns true if a write failed after the target had ended its side in order, as one does that
+/// answers and does not read the rest of the request.
+fn is_after_end(error: &io::Error) -> bool {
     error.kind() == io::ErrorKind::BrokenPipe
 }
 
-/// Rejects a response whose body ends with the connection, or ends it there if it is streamed, since the
-/// connection did not end in order.
-fn without_end((response, partial): ReadResponse) -> Result<ReadResponse, &'static str> {
+/// Rejects a response whose body extends to the end of a connection that failed; a streamed body breaks
+/// off there.
+///
+/// Linux reports the failure of a connection to one call only. If that was a write, reads find the end of
+/// the stream instead, as after an orderly end.
+fn reject_until_close((response, partial): ReadResponse) -> Result<ReadResponse, &'static str> {
     if partial.is_none() && response.head.framing == Framing::UntilClose {
-        return Err("a reset connection");
+        return Err("incomplete response body");
     }
     let partial = partial.map(|partial| PartialBody {
         until_close: false,
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -121,12 +121,10 @@
         }
         let received = async_h1::connect(stream.clone(), request).await;
         let mut response = received.map_err(|e| e.to_string())?;
+        let status = response.status();
         // Another response would follow on the connection, or bytes of another protocol.
-        if response.status().is_informational() {
-            return Err(format!(
-                "final response expected, not {}",
-                response.status()
-            ));
+        if status.is_informational() {
+            return Err(format!("unexpected status {status}"));
         }
         // The HTTP library does not report a truncated body, so the length is checked below.
         let length = response.len().ok_or("response without a length")?;
@@ -137,7 +135,7 @@
         if body.len() != length {
             return Err(format!("received {} of {length} bytes", body.len()));
         }
-        let status = u16::from(response.status());
+        let status = u16::from(status);
         Ok(Reply { status, body })
     }
 
