--- a/src/node/proxy/attempt.rs
+++ b/src/node/proxy/attempt.rs
@@ -267,7 +267,7 @@
 }
 
 /// Returns true if a write failed after the target had ended its side in order, as one does that
-/// answers and does not read the rest of the request.
+/// answers and does not read the rest of the request. Linux reports a reset as a broken pipe only then.
 fn is_after_end(error: &io::Error) -> bool {
     error.kind() == io::ErrorKind::BrokenPipe
 }
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -226,17 +226,17 @@
 async fn expect_unknown(response: &'static [u8]) {
     let platform = connect(start_keep_alive(response).await);
     let text = String::from_utf8_lossy(response);
-    let object = platform.write("a", b"a").await;
+    let written = platform.write("a", b"a").await;
     expect_that!(
-        object,
+        written,
         err(matches_pattern!(TableError::Unknown(_))),
         "{text}"
     );
     expect_that!(platform.write("a", b"a").await, ok(anything()), "{text}");
 }
 
-/// Starts a server that sends these bytes on its first connection, whatever it is asked there, and a
-/// valid response on others.
+/// Starts a server that answers each request on its first connection with these bytes, and those on
+/// others with a valid response.
 async fn start_keep_alive(first: &'static [u8]) -> SocketAddr {
     use async_std::io::ReadExt;
     use async_std::io::WriteExt;
--- a/tests/traffic_faults.rs
+++ b/tests/traffic_faults.rs
@@ -112,7 +112,7 @@
     let length = 12 << 20;
     let upload = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
     let upload = [upload.into_bytes(), vec![b'u'; length]].concat();
-    for (start, is_delivered) in [
+    for (sent, is_delivered) in [
         ("HTTP/1.1 200 OK\r\n\r\npart", false),
         ("HTTP/1.0 200 OK\r\n\r\npart", false),
         ("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart", false),
@@ -121,14 +121,14 @@
         let address = target(move |mut conn, _| {
             read_head(&mut conn);
             thread::sleep(Duration::from_millis(50));
-            conn.get_mut().write_all(start.as_bytes()).unwrap();
+            conn.get_mut().write_all(sent.as_bytes()).unwrap();
             let socket = socket2::SockRef::from(conn.get_ref());
             socket.set_linger(Some(Duration::ZERO)).unwrap();
         });
         let entry = start_entry(view(&[address]));
         let response = exchange(entry.address(), &upload);
         let delivered = response.starts_with("HTTP/1.1 200 ");
-        expect_that!(delivered, eq(is_delivered), "{start}: {response}");
+        expect_that!(delivered, eq(is_delivered), "{sent}: {response}");
     }
 }
 
--- a/tests/traffic_parse.rs
+++ b/tests/traffic_parse.rs
@@ -145,7 +145,7 @@
 #[googletest::test]
 fn field_names_with_other_bytes_than_those_of_tokens_are_rejected() {
     let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
-    // The parser compares blocks of several bytes at once, which differ between processors.
+    // httparse compares blocks of bytes, whose size differs between processors.
     let lengths = [1, 2, 7, 8, 9, 15, 16, 17, 31, 33, 65];
     let positions = lengths.map(|length| (0..=length).map(move |at| (length, at)));
     for (length, at) in positions.into_iter().flatten() {
