--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -158,7 +158,7 @@
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(out)) + out)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, RuntimeError):
             pass
         finally:
             writer.close()
@@ -235,7 +235,7 @@
                 self.runs.append((time.monotonic(), fields.get("x-request-id"), method, path, len(body)))
                 if not await self.respond(line, fields, body, reader, writer):
                     return
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, RuntimeError):
             pass
         finally:
             writer.close()
