review: bytes that nobody reads take a node over its memory

Callers see: nine to twenty requests that are at work at sound instances end with a closed connection, as the platform kills a process that exceeds its memory.

Cause, as far as known: the account of held bytes does not contain what the kernel has received for connections that are not read, and no receive buffer is set.

--- a/review/lib-3/uploads.py
+++ b/review/lib-3/uploads.py
@@ -1,8 +1,8 @@
-"""A crowd of clients that send legal requests with long heads. Some ask for downloads, send further requests
-ahead and read no answer; others send an upload and stop just short of its end.
+"""A crowd of clients with legal requests. Some ask for a download, send an upload ahead behind it and read no
+answer; others send an upload and stop just short of its end.
 
-Usage: uploads.py PORT SECONDS READERS UPLOADERS HEAD_BYTES BODY_BYTES MBIT_PER_S DOWNLOAD UPLOAD, the last two
-being prefixes of paths. Prints JSON lines.
+Usage: uploads.py PORT SECONDS READERS UPLOADERS AHEAD_BYTES BODY_BYTES MBIT_PER_S DOWNLOAD UPLOAD, the last two
+being paths. Prints JSON lines.
 """
 import json
 import socket
@@ -10,21 +10,18 @@
 import time
 
 port, seconds, readers, uploaders = int(sys.argv[1]), float(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4])
-head_bytes, body_bytes, rate = int(sys.argv[5]), int(sys.argv[6]), float(sys.argv[7]) * 1e6 / 8
+ahead_bytes, body_bytes, rate = int(sys.argv[5]), int(sys.argv[6]), float(sys.argv[7]) * 1e6 / 8
 download, upload = sys.argv[8], sys.argv[9]
 READERS_PER_S = 900
-AHEAD = 6
 number = 0
 
 
-def head(method, prefix, fields):
-    """Returns a head of `head_bytes` bytes."""
+def head(method, path, length=0):
     global number
     number += 1
-    end = (f" HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: u{number}\r\nX-Request-Deadline: 6000\r\n"
-           f"{fields}\r\n")
-    start = f"{method} {prefix}"
-    return (start + "x" * (head_bytes - len(start) - len(end)) + end).encode()
+    fields = f"Content-Length: {length}\r\n" if length else ""
+    return (f"{method} {path} HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: u{number}\r\n"
+            f"X-Request-Deadline: 6000\r\n{fields}\r\n").encode()
 
 
 def connect(data, small):
@@ -44,12 +41,11 @@
 while (now := time.monotonic()) < begun + seconds:
     while made < min(readers, (now - begun) * READERS_PER_S):
         made += 1
-        connect(b"".join(head("GET", download, "") for _ in range(1 + AHEAD)), True)
+        connect(head("GET", download) + head("POST", upload, ahead_bytes) + b"y" * ahead_bytes, True)
     if made >= readers:
         while made < readers + uploaders:
             made += 1
-            fields = f"Content-Length: {body_bytes}\r\n"
-            connect(head("POST", upload, fields) + b"y" * (body_bytes - 1), False)
+            connect(head("POST", upload, body_bytes) + b"y" * (body_bytes - 1), False)
     for conn in conns:
         if sent > rate * (time.monotonic() - begun):
             break
